--- /dev/null
+++ b/src/packet/flow_key.cc
@@ -0,0 +1,45 @@
+// Text forms and the stable hash of flow keys.
+#include "packet/flow_key.h"
+
+#include <arpa/inet.h>
+#include <xxhash.h>
+
+#include <array>
+#include <cstring>
+
+namespace radishyard {
+
+std::string AddressText(uint32_t address) {
+  std::array<char, INET_ADDRSTRLEN> text{};
+  const in_addr raw{htonl(address)};
+  inet_ntop(AF_INET, &raw, text.data(), text.size());
+  return text.data();
+}
+
+bool ParseAddress(const std::string& text, uint32_t& address) {
+  in_addr raw{};
+  if (inet_pton(AF_INET, text.c_str(), &raw) != 1) return false;
+  address = ntohl(raw.s_addr);
+  return true;
+}
+
+std::string ToString(const endpoint& e) {
+  return AddressText(e.address) + ":" + std::to_string(e.port);
+}
+
+std::string ToString(const flow_key& key) {
+  const char* name = key.proto == protocol::kTcp ? "tcp " : "udp ";
+  return name + ToString(key.caller) + " > " + ToString(key.service);
+}
+
+uint64_t StableHash(const flow_key& key) {
+  std::array<uint8_t, 13> bytes{};
+  std::memcpy(&bytes[0], &key.caller.address, 4);
+  std::memcpy(&bytes[4], &key.service.address, 4);
+  std::memcpy(&bytes[8], &key.caller.port, 2);
+  std::memcpy(&bytes[10], &key.service.port, 2);
+  bytes[12] = static_cast<uint8_t>(key.proto);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+}  // namespace radishyard
