--- a/src/roster/rendezvous.cc
+++ b/src/roster/rendezvous.cc
@@ -12,10 +12,11 @@
 namespace radishyard {
 namespace {
 
+constexpr double kLn2 = 0.69314718055994530942;
+
 // -ln((h + 1) / 2^64) by a fixed sequence of basic operations. The C library's
 // log may differ in its last bit between processors; this does not.
 double NegativeLog(uint64_t h) {
-  constexpr double kLn2 = 0.69314718055994530942;
   const uint64_t positive = h | 1;
   const int zeros = std::countl_zero(positive);
   // 53 bits, so that the conversion is exact; mantissa is in [1, 2).
--- a/src/roster/roster_json.cc
+++ b/src/roster/roster_json.cc
@@ -40,6 +40,11 @@
           {"released", p.released}};
 }
 
+const json& NullValue() {
+  static const json null;
+  return null;
+}
+
 // One JSON value with its place, and where to report what is wrong with it.
 class reader {
  public:
@@ -48,9 +53,8 @@
 
   // The member `key`; null where the value is no object or has none.
   reader At(const std::string& key) const {
-    static const json kNull;
     const bool present = value_.is_object() && value_.contains(key);
-    return {present ? value_.at(key) : kNull, place_ + "/" + key, found_};
+    return {present ? value_.at(key) : NullValue(), place_ + "/" + key, found_};
   }
   bool IsNull() const { return value_.is_null(); }
 
@@ -62,14 +66,13 @@
   }
   template <typename Number>
   Number Unsigned(uint64_t least = 0) const {
-    constexpr uint64_t kMost = std::numeric_limits<Number>::max();
+    const uint64_t most = std::numeric_limits<Number>::max();
     if (value_.is_number_unsigned()) {
       const auto n = value_.get<uint64_t>();
-      if (n >= least && n <= kMost) return static_cast<Number>(n);
+      if (n >= least && n <= most) return static_cast<Number>(n);
     }
     return Fault<Number>("must be a whole number from " +
-                         std::to_string(least) + " to " +
-                         std::to_string(kMost));
+                         std::to_string(least) + " to " + std::to_string(most));
   }
   bool Flag(bool otherwise) const {
     if (value_.is_null()) return otherwise;
--- a/test/roster_test.cc
+++ b/test/roster_test.cc
@@ -11,6 +11,8 @@
 namespace radishyard {
 namespace {
 
+constexpr int kKeys = 60000;
+
 member Member(const std::string& name, uint64_t incarnation = 1) {
   return {{name, incarnation}, "rennes",           1,    {0x7f000001, 7000}, 2,
           {0x7f000001, 7100},  {0x7f000001, 7200}, false};
@@ -114,7 +116,6 @@
   }
   std::vector<rendezvous_candidate> fewer = all;
   fewer[1].weight = 0;
-  constexpr int kKeys = 60000;
   std::vector<int> counts(4);
   for (int key = 0; key < kKeys; ++key) {
     const size_t best = PickFirst(NameHash(std::to_string(key)), all);
