Test the lease on unsafe work

Part rules: the owner's deadline, renewal by the store, settling of a lost answer, take-over by counted successors, release, and proof that a VM has ended. The model moves to test/support.

--- a/test/lease_model_test.cc
+++ b/test/lease_model_test.cc
@@ -1,446 +1,22 @@
-// Explores the interleavings of three balancers, a store and a network that
-// all run the product's lease and assignment functions. Invariant: never two
-// balancers may place unsafe work of the pool at one instant. Each rule is also
-// taken out in turn, and the same exploration must then find a violation.
-//
-// A pause is a balancer that takes no step while time passes; a cut, messages
-// that are not delivered. Time is in ticks: a lease of one, a wait of two.
+// Explores the interleavings of the lease model. Invariant: never two balancers
+// may place unsafe work of the pool at one instant. Each rule is also taken out
+// in turn, and the same exploration must then find a violation.
 #include <absl/container/flat_hash_set.h>
 #include <gtest/gtest.h>
-#include <xxhash.h>
 
+#include <algorithm>
 #include <iostream>
 #include <random>
 
-#include "radishyard/lease.h"
-#include "radishyard/roster.h"
+#include "support/lease_world.h"
 
 namespace radishyard {
 namespace {
 
-constexpr duration kTick = 1s;
-constexpr size_t kNodes = 3;
-constexpr size_t kMostMessages = 2;
-constexpr uint64_t kMostVersions = 5;
 constexpr size_t kDepth = 5;
 constexpr size_t kMostStates = 1'000'000;
 constexpr size_t kWalks = 2000;
 constexpr size_t kWalkLength = 60;
-const std::string kPool = "p";
-
-// What is taken out of the product's rules; all false and `times` as given is
-// the product.
-struct variant {
-  lease_times times{kTick, 2 * kTick, duration{}};
-  bool ignores_eligibility = false;
-  bool ignores_epoch = false;
-  bool takes_unknown_for_failed = false;
-  bool releases_while_waiting = false;
-  bool places_while_releasing = false;
-  int most_faults = 1'000;
-};
-
-struct message {
-  enum class kind : uint8_t { kHeartbeat, kAck, kPut };
-  kind what = kind::kHeartbeat;
-  size_t from = 0;
-  size_t to = 0;
-  acknowledgement ack;  // Of a heartbeat: its sent_at and epoch.
-  uint64_t base = 0;
-  std::shared_ptr<const roster> value;
-  auto operator<=>(const message&) const = default;
-};
-
-struct node {
-  lease_state lease;
-  std::shared_ptr<const roster> proposal;
-  auto operator<=>(const node&) const = default;
-};
-
-struct world {
-  time_point now = AtMs(0) + 10 * kTick;
-  std::vector<std::shared_ptr<const roster>>
-      store;                                       // Index + 1 is the version.
-  std::vector<std::shared_ptr<const node>> nodes;  // Shared by worlds.
-  std::vector<message> net;
-  int faults = 0;  // Restarts, stale reads, late messages, lost answers.
-};
-
-// The node's own copy in this world.
-node& Change(world& w, size_t i) {
-  const auto copy = std::make_shared<node>(*w.nodes[i]);
-  w.nodes[i] = copy;
-  return *copy;
-}
-
-member MemberOf(const member_id& id) {
-  member m;
-  m.id = id;
-  return m;
-}
-
-bool Places(const world& w, size_t i) {
-  return PlaceUnsafeUntil(w.nodes[i]->lease, kPool, w.now).has_value();
-}
-
-bool IsViolated(const world& w) {
-  size_t placers = 0;
-  for (size_t i = 0; i < kNodes; ++i) placers += Places(w, i);
-  return placers > 1;
-}
-
-// Hashes what the future depends on: spans instead of instants, cut off where
-// they make no difference any more.
-class fingerprint {
- public:
-  explicit fingerprint(const world& w) : now_(w.now) {
-    text_.reserve(1024);
-    // Only the two latest rosters are ever read.
-    const size_t versions = w.store.size();
-    Number(static_cast<int64_t>(versions));
-    for (size_t v = versions - std::min<size_t>(versions, 2); v < versions;
-         ++v) {
-      Add(*w.store[v]);
-    }
-    for (const auto& n : w.nodes) Add(*n);
-    Number(w.faults);
-    std::vector<std::string> net;
-    for (const message& m : w.net) {
-      const size_t begin = text_.size();
-      Add(m);
-      net.push_back(text_.substr(begin));
-      text_.resize(begin);
-    }
-    std::ranges::sort(net);
-    for (const std::string& text : net) text_ += text;
-  }
-  uint64_t Hash() const { return XXH3_64bits(text_.data(), text_.size()); }
-
- private:
-  void Number(int64_t n) { text_ += static_cast<char>(n); }
-  void Age(time_point t) {
-    Number(std::clamp<int64_t>((now_ - t) / kTick, -3, 4));
-  }
-  void Add(const member_id& id) {
-    text_ += id.name;
-    Number(static_cast<int64_t>(id.incarnation));
-  }
-  void Add(const roster& r) {
-    Number(static_cast<int64_t>(r.epoch));
-    for (const member& m : r.members) {
-      Add(m.id);
-      Number(m.leaving);
-    }
-    for (const pool_assignment& p : r.pools) {
-      Add(p.owner);
-      for (const member_id& id : p.successors) Add(id);
-      Number(static_cast<int64_t>(p.since_epoch));
-      Number(static_cast<int64_t>(p.successors_epoch));
-      Number(p.released);
-    }
-    text_ += ";";
-  }
-  void Add(const node& n) {
-    const lease_state& s = n.lease;
-    Add(s.self);
-    Number(static_cast<int64_t>(s.version));
-    for (const auto& [id, at] : s.acknowledged) {
-      Add(id);
-      Age(at);
-    }
-    text_ += "/";
-    for (const auto& [id, epoch] : s.told_epoch) {
-      Add(id);
-      Number(static_cast<int64_t>(epoch));
-    }
-    text_ += "/";
-    for (const auto& [service, at] : s.may_place_at) Age(std::max(at, now_));
-    text_ += "/";
-    if (s.renewed_at) Age(*s.renewed_at);
-    if (s.pending) {
-      text_ += s.pending->unknown ? "u" : "p";
-      Age(s.pending->sent_at);
-      Number(static_cast<int64_t>(s.pending->base_version));
-      Number(static_cast<int64_t>(s.pending->given_up.size()));
-    }
-    if (n.proposal) Add(*n.proposal);
-    text_ += ";";
-  }
-  void Add(const message& m) {
-    Number(static_cast<int64_t>(m.what));
-    Number(static_cast<int64_t>(m.from * kNodes + m.to));
-    Add(m.ack.from);
-    Age(m.ack.sent_at);
-    Number(static_cast<int64_t>(m.ack.epoch));
-    Number(static_cast<int64_t>(m.base));
-    if (m.value) Add(*m.value);
-  }
-
-  time_point now_;
-  std::string text_;
-};
-
-struct step {
-  std::string name;
-  world next;
-};
-
-// All steps possible from one world.
-class stepper {
- public:
-  stepper(const world& w, const variant& v) : w_(w), v_(v) {}
-
-  std::vector<step> All() {
-    world later = w_;
-    later.now += kTick;
-    Take("time passes", std::move(later));
-    for (size_t i = 0; i < kNodes; ++i) {
-      Heartbeats(i);
-      Reads(i);
-      Proposals(i);
-      Restart(i);
-    }
-    for (size_t k = 0; k < w_.net.size(); ++k) Deliver(k);
-    return std::move(steps_);
-  }
-
- private:
-  void Take(std::string name, world next, int faults = 0) {
-    next.faults += faults;
-    if (next.faults > v_.most_faults) return;
-    steps_.push_back({std::move(name), std::move(next)});
-  }
-  const lease_state& Lease(size_t i) const { return w_.nodes[i]->lease; }
-  const std::string& Name(size_t i) const { return Lease(i).self.name; }
-
-  // Heartbeats of an owner, answered at once or left on their way.
-  void Heartbeats(size_t i) {
-    const pool_assignment* pool = FindPool(Lease(i).known, kPool);
-    if (pool == nullptr || pool->owner != Lease(i).self) return;
-    for (size_t j = 0; j < kNodes; ++j) {
-      const bool named = std::ranges::find(pool->successors, Lease(j).self) !=
-                         pool->successors.end();
-      if (!named) continue;
-      message m;
-      m.from = i;
-      m.to = j;
-      m.ack = {Lease(i).self, w_.now, Lease(i).known.epoch};
-      world answered = w_;
-      Acknowledge(answered, Receive(answered, m));
-      Take(Name(i) + " heartbeat acknowledged by " + Name(j), answered);
-      if (w_.net.size() == kMostMessages) continue;
-      world sent = w_;
-      sent.net.push_back(m);
-      Take(Name(i) + " sends heartbeat to " + Name(j), std::move(sent), 1);
-    }
-  }
-
-  static message Receive(world& w, const message& m) {
-    lease_state& lease = Change(w, m.to).lease;
-    lease = OnHeartbeat(std::move(lease), m.ack.from, m.ack.epoch);
-    message ack{message::kind::kAck, m.to, m.from, {}, 0, {}};
-    ack.ack = {lease.self, m.ack.sent_at, lease.known.epoch};
-    return ack;
-  }
-
-  void Acknowledge(world& w, const message& m) const {
-    lease_state& lease = Change(w, m.to).lease;
-    acknowledgement ack = m.ack;
-    if (v_.ignores_epoch) ack.epoch = 0;
-    lease = OnAcknowledgement(std::move(lease), ack, w.now);
-  }
-
-  // Reads of the latest roster or of the one before it, which is stale.
-  void Reads(size_t i) {
-    const uint64_t latest = w_.store.size();
-    for (uint64_t v = latest; v + 1 >= latest && v > 0; --v) {
-      world w = w_;
-      Learn(w, i, v);
-      if (*w.nodes[i] != *w_.nodes[i])
-        Take(Name(i) + (v == latest ? " reads" : " reads stale"), std::move(w),
-             v != latest);
-    }
-  }
-
-  void Learn(world& w, size_t i, uint64_t version) const {
-    node& n = Change(w, i);
-    n.lease =
-        OnRoster(std::move(n.lease), *w.store[version - 1], version, w.now);
-    if (v_.takes_unknown_for_failed && n.lease.pending &&
-        n.lease.pending->unknown) {
-      n.lease.pending.reset();
-    }
-    if (!n.lease.pending) n.proposal.reset();
-  }
-
-  void Proposals(size_t i) {
-    const lease_state& lease = Lease(i);
-    const bool room = w_.store.size() < kMostVersions;
-    if (!room || lease.version == 0) return;
-    if (lease.pending) {
-      const bool same = lease.pending->base_version == lease.version;
-      if (lease.pending->unknown && same)
-        Send(i, *w_.nodes[i]->proposal, "again");
-      return;
-    }
-    std::vector<roster> seen;
-    for (size_t silent = 0; silent < (1U << kNodes); ++silent) {
-      if (silent & (1U << i)) continue;
-      const std::optional<roster> next = Reassign(lease.known, View(i, silent));
-      if (!next || std::ranges::find(seen, *next) != seen.end()) continue;
-      seen.push_back(*next);
-      Send(i, *next, "reassigns without " + Names(silent));
-    }
-    Leave(i);
-    if (FindMember(lease.known, lease.self) == nullptr) {
-      Send(i, Join(lease.known, MemberOf(lease.self)), "joins");
-    }
-    const pool_assignment* pool = FindPool(lease.known, kPool);
-    if (pool != nullptr && pool->owner == lease.self) {
-      Send(i, lease.known, "renews");
-    }
-  }
-
-  assign_view View(size_t i, size_t silent) const {
-    assign_view view;
-    view.self = Lease(i).self;
-    view.services = {kPool};
-    for (size_t j = 0; j < kNodes; ++j) {
-      if (!(silent & (1U << j))) view.alive.insert(Lease(j).self);
-    }
-    view.may_take = ServicesToTake(Lease(i));
-    view.may_release = ServicesToRelease(Lease(i), w_.now);
-    if (v_.ignores_eligibility) view.may_take = {kPool};
-    if (v_.releases_while_waiting) view.may_release = {kPool};
-    return view;
-  }
-
-  std::string Names(size_t set) const {
-    std::string names;
-    for (size_t j = 0; j < kNodes; ++j) {
-      if (set & (1U << j)) names += Name(j);
-    }
-    return names.empty() ? "none" : names;
-  }
-
-  void Leave(size_t i) {
-    const roster marked = MarkLeaving(Lease(i).known, Lease(i).self);
-    if (marked == Lease(i).known) return;
-    const std::optional<roster> next = Reassign(marked, View(i, 0));
-    if (next) Send(i, *next, "leaves");
-  }
-
-  // An update that is on its way, carried out and answered, or carried out with
-  // the answer lost. One on its way may also count as unanswered.
-  void Send(size_t i, const roster& next, const std::string& what) {
-    world sent = w_;
-    node& n = Change(sent, i);
-    const bool hides = v_.places_while_releasing;
-    const roster shown = hides ? n.lease.known : next;
-    n.lease = OnUpdateSent(std::move(n.lease), shown, sent.now);
-    n.proposal = std::make_shared<roster>(next);
-    message put{message::kind::kPut, i, i, {}, n.lease.version, n.proposal};
-    const std::string name = Name(i) + " " + what;
-    world answered = sent;
-    const bool done = Store(answered, put);
-    Answer(answered, i, done);
-    Take(name, std::move(answered));
-    world lost = sent;
-    Unknown(lost, i);
-    if (w_.net.size() < kMostMessages) {
-      world late = lost;
-      late.net.push_back(put);
-      Take(name + ", on its way", std::move(late), 1);
-    }
-    if (Store(lost, put)) Take(name + ", answer lost", std::move(lost), 1);
-  }
-
-  static bool Store(world& w, const message& put) {
-    if (w.store.size() != put.base) return false;
-    w.store.push_back(put.value);
-    return true;
-  }
-
-  static void Answer(world& w, size_t i, bool done) {
-    node& n = Change(w, i);
-    if (done) {
-      n.lease = OnUpdateConfirmed(std::move(n.lease), *n.proposal,
-                                  w.store.size(), w.now);
-    } else {
-      n.lease =
-          OnUpdateFailed(std::move(n.lease), update_failure::kNotCarriedOut);
-    }
-    if (!n.lease.pending) n.proposal.reset();
-  }
-
-  static void Unknown(world& w, size_t i) {
-    lease_state& lease = Change(w, i).lease;
-    lease = OnUpdateFailed(std::move(lease), update_failure::kUnknown);
-  }
-
-  void Restart(size_t i) {
-    for (const auto& n : w_.nodes) {
-      if (n->lease.self.incarnation > 1) return;
-    }
-    world w = w_;
-    lease_state fresh;
-    fresh.times = v_.times;
-    fresh.self = {Name(i), 2};
-    Change(w, i) = {fresh, {}};
-    std::erase_if(w.net, [&](const message& m) {
-      return m.to == i && m.what != message::kind::kPut;
-    });
-    Take(Name(i) + " restarts", std::move(w), 1);
-  }
-
-  void Deliver(size_t k) {
-    world w = w_;
-    const message m = w.net[k];
-    w.net.erase(w.net.begin() + static_cast<ptrdiff_t>(k));
-    if (m.what == message::kind::kPut) {
-      const bool done = Store(w, m);
-      Take(Name(m.from) +
-               (done ? " late update done" : " late update conflicts"),
-           std::move(w));
-    } else if (m.what == message::kind::kAck) {
-      Acknowledge(w, m);
-      Take(Name(m.to) + " gets a late acknowledgement", std::move(w));
-    } else {
-      w.net.push_back(Receive(w, m));
-      Take(Name(m.to) + " gets a late heartbeat", std::move(w));
-    }
-  }
-
-  const world& w_;
-  const variant& v_;
-  std::vector<step> steps_;
-};
-
-// a owns the pool, b succeeds it; c is listed, and named where `both`.
-world Start(const variant& v, bool both) {
-  world w;
-  roster r{"", 1, {}, {}};
-  const std::vector<member_id> ids = {{"a", 1}, {"b", 1}, {"c", 1}};
-  for (const member_id& id : ids) r.members.push_back(MemberOf(id));
-  pool_assignment pool{kPool, ids[0], {ids[1]}, {}, 1, 1, false};
-  if (both) pool.successors.push_back(ids[2]);
-  r.pools.push_back(pool);
-  w.store.push_back(std::make_shared<roster>(r));
-  for (const member_id& id : ids) {
-    node n;
-    n.lease.times = v.times;
-    n.lease.self = id;
-    n.lease = OnRoster(std::move(n.lease), r, 1, w.now - v.times.take);
-    w.nodes.push_back(std::make_shared<node>(std::move(n)));
-  }
-  for (size_t j = 1; j <= pool.successors.size(); ++j) {
-    lease_state& peer = Change(w, j).lease;
-    peer = OnHeartbeat(std::move(peer), ids[0], 1);
-    lease_state& owner = Change(w, 0).lease;
-    owner = OnAcknowledgement(std::move(owner), {ids[j], w.now, 1}, w.now);
-  }
-  return w;
-}
 
 using trail = std::vector<std::string>;
 
@@ -458,7 +34,7 @@
   world w = Start(v, seed % 2 == 0);
   trail names;
   for (size_t i = 0; i < length; ++i) {
-    std::vector<step> steps = stepper(w, v).All();
+    std::vector<step> steps = Steps(w, v);
     step& chosen = steps[random() % steps.size()];
     names.push_back(chosen.name);
     w = std::move(chosen.next);
@@ -472,7 +48,7 @@
 bool Replay(const variant& v, bool both, const trail& names) {
   world w = Start(v, both);
   for (const std::string& name : names) {
-    std::vector<step> steps = stepper(w, v).All();
+    std::vector<step> steps = Steps(w, v);
     const auto found = std::ranges::find(steps, name, &step::name);
     if (found == steps.end()) return false;
     w = std::move(found->next);
@@ -511,9 +87,9 @@
   for (size_t d = 0; d < depth; ++d) {
     std::vector<std::pair<world, size_t>> next_level;
     for (const auto& [w, index] : level) {
-      for (step& s : stepper(w, v).All()) {
+      for (step& s : Steps(w, v)) {
         if (seen.size() == most_states) return {seen.size(), {}};
-        if (!seen.insert(fingerprint(s.next).Hash()).second) continue;
+        if (!seen.insert(Fingerprint(s.next)).second) continue;
         origins.push_back({index, s.name});
         if (IsViolated(s.next)) {
           trail names = {s.name};
@@ -525,6 +101,7 @@
           std::ranges::reverse(names);
           return {seen.size(), names};
         }
+        if (d + 1 == depth) continue;
         next_level.emplace_back(std::move(s.next), origins.size() - 1);
       }
     }
