--- a/src/roster/rendezvous.cc
+++ b/src/roster/rendezvous.cc
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <limits>
 #include <utility>
@@ -13,9 +14,41 @@
 namespace {
 
 constexpr double kLn2 = 0.69314718055994530942;
+constexpr int kTableBits = 7;
+constexpr size_t kTableSize = size_t{1} << kTableBits;
 
-// -ln((h + 1) / 2^64) by a fixed sequence of basic operations. The C library's
-// log may differ in its last bit between processors; this does not.
+// ln(x) for x in [1, 2] by the series of atanh.
+constexpr double SeriesLog(double x) {
+  const double s = (x - 1) / (x + 1);
+  double power = s;
+  double sum = 0;
+  for (int n = 1; n < 40; n += 2) {
+    sum += power / n;
+    power *= s * s;
+  }
+  return 2 * sum;
+}
+
+// Of each of the kTableSize parts of [1, 2): the inverse of its middle, and the
+// logarithm of that middle.
+struct log_part {
+  double inverse = 0;
+  double log = 0;
+};
+
+constexpr std::array<log_part, kTableSize> MakeLogTable() {
+  std::array<log_part, kTableSize> table;
+  for (size_t i = 0; i < kTableSize; ++i) {
+    const double middle = 1 + (static_cast<double>(i) + 0.5) / kTableSize;
+    table[i] = {1 / middle, SeriesLog(middle)};
+  }
+  return table;
+}
+
+constexpr std::array<log_part, kTableSize> kLogTable = MakeLogTable();
+
+// -ln(h / 2^64), to about 1e-10, by a fixed sequence of basic operations. The C
+// library's log may differ in its last bit between processors; this does not.
 double NegativeLog(uint64_t h) {
   const uint64_t positive = h | 1;
   const int zeros = std::countl_zero(positive);
@@ -23,12 +56,10 @@
   const uint64_t bits = (positive << zeros) >> 11;
   const double mantissa =
       static_cast<double>(bits) / static_cast<double>(uint64_t{1} << 52);
-  const double s = (mantissa - 1) / (mantissa + 1);
-  const double q = s * s;
-  const double tail = 1.0 / 9 + q * (1.0 / 11 + q * (1.0 / 13 + q / 15));
-  const double series =
-      1 + q * (1.0 / 3 + q * (1.0 / 5 + q * (1.0 / 7 + q * tail)));
-  return (zeros + 1) * kLn2 - 2 * s * series;
+  const log_part& part = kLogTable[(bits >> (52 - kTableBits)) % kTableSize];
+  const double r = mantissa * part.inverse - 1;
+  const double log = part.log + r * (1 - r * (0.5 - r * (1.0 / 3)));
+  return (zeros + 1) * kLn2 - log;
 }
 
 double Cost(uint64_t key, const rendezvous_candidate& candidate) {
