--- a/include/radishyard/roster.h
+++ b/include/radishyard/roster.h
@@ -1,7 +1,8 @@
 // \file The roster of a failure domain and the decisions over it: who is a
 // member, who owns which pool and who may take it over, and to whom an ingress
 // sends a pool's packets. All are pure functions; reading and writing the
-// roster object is the control thread's work.
+// roster object is the control thread's work. Also which members are alive, who
+// exchanges heartbeats with whom, and what domains tell each other.
 //
 //   using namespace radishyard;
 //   roster next = Join(current, self);              // on start
@@ -9,6 +10,9 @@
 //   auto order = RouteOrder(next, "order-desk", alive);
 #pragma once
 #include "roster/assign.h"
+#include "roster/domain_summary.h"
+#include "roster/links.h"
+#include "roster/liveness.h"
 #include "roster/rendezvous.h"
 #include "roster/roster.h"
 #include "roster/roster_json.h"
