--- a/src/roster/links.cc
+++ b/src/roster/links.cc
@@ -23,8 +23,8 @@
     candidates.push_back({NameHash(m.id.name), 1});
   }
   std::vector<size_t> order = RankByRendezvous(NameHash(r.domain), candidates);
-  std::ranges::stable_partition(order,
-                                [&](size_t i) { return !members[i]->leaving; });
+  std::stable_partition(order.begin(), order.end(),
+                        [&](size_t i) { return !members[i]->leaving; });
   std::vector<member_id> delegates;
   for (const size_t i : order) {
     if (delegates.size() < kDelegates) delegates.push_back(members[i]->id);
