--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -43,4 +43,37 @@
   auto operator<=>(const open_decision&) const = default;
 };
 
+/// \brief What an open flow holds at its upstream.
+struct held_flow {
+  uint32_t upstream = 0;  ///< Address.
+  uint32_t caller = 0;    ///< Address of the caller.
+  port_kind kind = port_kind::kFeed;
+  priority_class priority = priority_class::kNormal;
+  auto operator<=>(const held_flow&) const = default;
+};
+
+/// \brief What `request` holds once it is placed at `upstream`.
+inline held_flow Held(const open_request& request, uint32_t upstream) {
+  return {upstream, request.key.caller.address, request.kind, request.priority};
+}
+
+/// \brief Counts of one upstream, for heartbeats, metrics and the status page.
+struct upstream_load {
+  uint32_t address = 0;
+  uint32_t connections = 0;  ///< Open flows, inherited ones included.
+  uint32_t slots = 0;        ///< Requests in progress.
+  uint32_t speed_milli = 0;  ///< Learned speed against the pool's, in 1/1000.
+  bool ejected = false;      ///< Gets probes only.
+  auto operator<=>(const upstream_load&) const = default;
+};
+
+/// \brief Load of a pool.
+struct pool_load {
+  std::vector<upstream_load> upstreams;
+  uint32_t waiting = 0;     ///< Openings in the queue.
+  uint32_t free_slots = 0;  ///< Over the upstreams that take new work.
+  uint64_t weight = 0;      ///< Weight of those upstreams.
+  auto operator<=>(const pool_load&) const = default;
+};
+
 }  // namespace radishyard
--- /dev/null
+++ b/src/pool/pool_state.h
@@ -0,0 +1,149 @@
+// State of one pool at its owner, and the functions that decide over it. They
+// hold no lock and read no clock: one traffic thread owns the state and hands
+// in the present time.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "pool/pool.h"
+#include "table/service.h"
+
+namespace radishyard {
+
+/// \brief Constants of the policy, in one place so that a replay may vary them.
+struct pool_policy {
+  duration max_wait = 250ms;     ///< Longest wait in the queue.
+  uint32_t max_waiting = 256;    ///< Longest queue.
+  duration ramp = 10s;           ///< From a join to the full share.
+  duration retry_window = 10s;   ///< Window of the retry budget.
+  uint32_t retry_percent = 10;   ///< Second placements per 100 first ones.
+  duration inherited_age = 60s;  ///< An inherited flow that stays silent for so
+                                 ///< long has ended.
+  auto operator<=>(const pool_policy&) const = default;
+};
+
+/// \brief An upstream as the owner counts it.
+struct pool_upstream {
+  uint32_t address = 0;
+  uint32_t weight = 0;
+  uint32_t max_slots = 0;
+  uint32_t max_connections = 0;
+  bool leaving = false;      ///< Marked leaving, or gone from the table.
+  uint32_t connections = 0;  ///< Known open flows.
+  uint32_t slots = 0;        ///< Known requests in progress.
+  uint32_t inherited_connections = 0;  ///< Reported by a previous owner.
+  uint32_t inherited_slots = 0;        ///< Reported by a previous owner.
+  time_point inherited_at;
+  std::optional<time_point> joined_at;  ///< Set while the upstream ramps up.
+  uint32_t failures = 0;       ///< Unanswered or shed since the last answer.
+  time_point ejected_until{};  ///< No new flow before.
+};
+
+/// \brief An opening that waits for room.
+struct waiting_opening {
+  open_request request;
+  time_point since;
+};
+
+/// \brief Budget of second placements over a sliding window.
+struct retry_budget {
+  uint64_t first = 0;   ///< First placements in the window.
+  uint64_t second = 0;  ///< Second placements in the window.
+  time_point started;
+};
+
+/// \brief One pool: the upstreams of a service in one failure domain.
+/// Invariants: `upstreams` is sorted by address; an opening waits in `queue`
+/// only while no upstream has room for it.
+struct pool_state {
+  pool_policy policy;
+  std::string service;
+  std::string domain;
+  std::vector<pool_upstream> upstreams;
+  std::vector<waiting_opening> queue;
+  retry_budget retries;
+};
+
+/// \brief Takes up the rows of `domain`.
+///
+/// Counts of rows that stay are kept. A leaving or removed row keeps its flows
+/// and gets no new ones; a joining row ramps up.
+void Configure(pool_state& pool, const service& table, std::string_view domain,
+               time_point now);
+
+/// \brief Decides over an opening; its counts are taken where it is placed.
+///
+/// \code
+/// open_decision d = Open(pool, request, now);
+/// if (d.what == open_decision::kind::kPlaced) Forward(packet, d.upstream);
+/// \endcode
+/// \sa Poll for openings that were queued.
+open_decision Open(pool_state& pool, const open_request& request,
+                   time_point now);
+
+/// \brief Decisions over queued openings that are now placed or refused.
+std::vector<open_decision> Poll(pool_state& pool, time_point now);
+
+/// \brief When `Poll` is due next, if no event comes before.
+std::optional<time_point> NextWake(const pool_state& pool);
+
+/// \brief Second placement of an opening that went unanswered or was shed.
+///
+/// On success the counts move from `failed_upstream` to the returned one;
+/// otherwise nothing changes and the caller ends the flow with `Closed`.
+/// \returns Nothing where the retry budget is spent or no other upstream has
+/// room.
+/// \warning Only for openings of which no payload can have arrived.
+std::optional<uint32_t> Replace(pool_state& pool, const open_request& request,
+                                uint32_t failed_upstream, time_point now);
+
+/// \brief The upstream answered an opening: a SYN-ACK or a first answer.
+void Answered(pool_state& pool, uint32_t upstream, duration latency,
+              time_point now);
+
+/// \brief An opening went unanswered.
+void Unanswered(pool_state& pool, uint32_t upstream, time_point now);
+
+/// \brief The upstream shed an opening (RST to a SYN, ICMP unreachable).
+void Reset(pool_state& pool, uint32_t upstream, time_point now);
+
+/// \brief A flow ended.
+/// \param completed_in Time from placement to the end of the answer, where the
+/// flow completed; this teaches the speed of the upstream. Empty for a flow
+/// that failed or timed out.
+void Closed(pool_state& pool, const held_flow& flow,
+            std::optional<duration> completed_in, time_point now);
+
+/// \brief Counts a flow learned from a hand-over or from return traffic.
+///
+/// The limits may be exceeded by it; no new work is placed until the counts are
+/// below them.
+void Adopt(pool_state& pool, const held_flow& flow, time_point now);
+
+/// \brief Takes the last counts that a previous owner reported.
+///
+/// These are flows that exist but are not known yet: `Adopt` turns them into
+/// known ones, and the rest ages out.
+void SetInherited(pool_state& pool, uint32_t upstream, uint32_t connections,
+                  uint32_t slots, time_point now);
+
+/// \brief Present load of the pool.
+pool_load Load(const pool_state& pool, time_point now);
+
+/// \brief Whether an opening of `kind` would be placed at once.
+bool HasRoom(const pool_state& pool, port_kind kind, priority_class priority,
+             time_point now);
+
+/// \brief Takes the opening that is due next out of the queue, so that a pool
+/// of the same service with room places it.
+std::optional<open_decision> PopForPeer(pool_state& pool, time_point now);
+
+/// \brief Share of `domain` among the pools of a service: the weight of its
+/// rows that are not leaving. It follows from the table alone.
+uint64_t PoolWeight(const service& table, std::string_view domain);
+
+}  // namespace radishyard
