Say how a flow ended when it frees its counts

Cause: an upstream that accepts and then resets looks idle; a caller that goes away says nothing about the upstream. An optional duration could not tell the two apart.

--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -57,6 +57,13 @@
   return {upstream, request.key.caller.address, request.kind, request.priority};
 }
 
+/// \brief How a flow ended, as far as it tells about its upstream.
+enum class flow_end : uint8_t {
+  kCompleted,  ///< The answer was whole: teaches the speed of the upstream.
+  kFailed,     ///< Unanswered, shed or reset by the upstream.
+  kAbandoned,  ///< Ended by the caller or by idleness: teaches nothing.
+};
+
 /// \brief Counts of one upstream, for heartbeats, metrics and the status page.
 struct upstream_load {
   uint32_t address = 0;
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -212,8 +212,8 @@
   NoteFailure(pool, upstream, now);
 }
 
-void Closed(pool_state& pool, const held_flow& flow,
-            std::optional<duration> /*completed_in*/, time_point /*now*/) {
+void Closed(pool_state& pool, const held_flow& flow, flow_end /*how*/,
+            duration /*held*/, time_point /*now*/) {
   if (pool_upstream* u = Find(pool, flow.upstream)) Give(*u, flow.kind);
 }
 
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -111,12 +111,16 @@
 /// \brief The upstream shed an opening (RST to a SYN, ICMP unreachable).
 void Reset(pool_state& pool, uint32_t upstream, time_point now);
 
-/// \brief A flow ended.
-/// \param completed_in Time from placement to the end of the answer, where the
-/// flow completed; this teaches the speed of the upstream. Empty for a flow
-/// that failed or timed out.
-void Closed(pool_state& pool, const held_flow& flow,
-            std::optional<duration> completed_in, time_point now);
+/// \brief A flow ended and frees its counts.
+/// \param held Time from the placement (for a UDP request from its first
+/// payload) to the end of the answer.
+///
+/// \code
+/// Closed(pool, Held(request, upstream), flow_end::kCompleted, 12ms, now);
+/// for (const open_decision& d : Poll(pool, now)) Settle(d);
+/// \endcode
+void Closed(pool_state& pool, const held_flow& flow, flow_end how,
+            duration held, time_point now);
 
 /// \brief Counts a flow learned from a hand-over or from return traffic.
 ///
--- a/test/pool_test.cc
+++ b/test/pool_test.cc
@@ -35,7 +35,8 @@
   EXPECT_EQ(Load(pool, AtMs(1)).free_slots, 0U);
   EXPECT_EQ(Open(pool, Request(2, 9), AtMs(1)).what, what::kQueued);
   EXPECT_TRUE(Poll(pool, AtMs(2)).empty());
-  Closed(pool, Held(Request(1, 0), placed[0].upstream), 3ms, AtMs(4));
+  Closed(pool, Held(Request(1, 0), placed[0].upstream), flow_end::kCompleted,
+         3ms, AtMs(4));
   auto late = Poll(pool, AtMs(4));
   ASSERT_EQ(late.size(), 1U);
   EXPECT_EQ(late[0].token, 9U);
