--- /dev/null
+++ b/src/flow/flow_record.h
@@ -0,0 +1,50 @@
+// One open flow as the owner of its pool remembers it.
+#pragma once
+#include <compare>
+#include <cstdint>
+
+#include "packet/flow_key.h"
+#include "table/service.h"
+
+namespace radishyard {
+
+/// \brief Life of a flow at its owner.
+enum class flow_phase : uint8_t {
+  kQueued,   ///< Waits for an upstream with room; its opening packet is held.
+  kOpening,  ///< Sent to an upstream that has not answered yet.
+  kOpen,     ///< The upstream answered; the flow never moves again.
+  kClosed,   ///< Ended; kept for a short time, so that late packets still pass.
+  kPassed,   ///< Its opening went to another pool of the service; packets follow it there.
+};
+
+/// \brief Marks on a flow.
+enum flow_mark : uint8_t {
+  kCallerFin = 0x01,    ///< The caller sent FIN.
+  kUpstreamFin = 0x02,  ///< The upstream sent FIN.
+  kHoldsSlot = 0x04,    ///< Counts against the upstream's slots.
+  kHoldsConnection = 0x08,  ///< Counts against the upstream's connections.
+  kWitnessSent = 0x10,  ///< The standby has been told of this flow.
+  kPayloadSent = 0x20,  ///< Payload went to the upstream: never placed again.
+};
+
+/// \brief A flow. Times are milliseconds since the table was made, modulo 2^32.
+/// Invariant: `upstream` is 0 while the phase is kQueued or kPassed, and only then.
+struct flow_record {
+  flow_key key;
+  uint32_t upstream = 0;      ///< Address of the upstream.
+  uint32_t opened_ms = 0;     ///< When the present upstream was chosen.
+  uint32_t last_seen_ms = 0;  ///< Last packet in either direction.
+  uint16_t pool = 0;          ///< Index of the pool at this thread.
+  port_kind kind = port_kind::kFeed;
+  priority_class priority = priority_class::kNormal;
+  flow_phase phase = flow_phase::kQueued;
+  uint8_t marks = 0;
+  uint8_t attempt = 0;  ///< Placements so far, less one.
+  auto operator<=>(const flow_record&) const = default;
+
+  bool Has(flow_mark mark) const { return (marks & mark) != 0; }
+  void Set(flow_mark mark) { marks = static_cast<uint8_t>(marks | mark); }
+  void Clear(flow_mark mark) { marks = static_cast<uint8_t>(marks & ~mark); }
+};
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/flow/flow_table.cc
@@ -0,0 +1,40 @@
+// Slab and index of the flow table.
+#include "flow/flow_table.h"
+
+#include <cassert>
+
+namespace radishyard {
+
+flow_table::flow_table() : index_(0, slot_hash{this}, slot_equal{this}) {}
+
+std::optional<uint32_t> flow_table::Find(const flow_key& key) const {
+  const auto found = index_.find(key);
+  if (found == index_.end()) return std::nullopt;
+  return *found;
+}
+
+uint32_t flow_table::Insert(const flow_key& key) {
+  assert(!Find(key) && "the key must not be present");
+  uint32_t slot = next_;
+  if (free_.empty()) {
+    if (slot / kChunk == chunks_.size()) chunks_.push_back(std::make_unique<flow_record[]>(kChunk));
+    ++next_;
+  } else {
+    slot = free_.back();
+    free_.pop_back();
+  }
+  At(slot) = flow_record{};
+  At(slot).key = key;
+  index_.insert(slot);
+  return slot;
+}
+
+void flow_table::Erase(uint32_t slot) {
+  assert(Holds(slot) && "the slot must hold a flow");
+  index_.erase(slot);
+  free_.push_back(slot);
+}
+
+bool flow_table::Holds(uint32_t slot) const { return slot < next_ && index_.contains(slot); }
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/traffic/duplicate_filter.cc
@@ -0,0 +1,26 @@
+// Digest set with expiry in order of age.
+#include "traffic/duplicate_filter.h"
+
+#include <xxhash.h>
+
+namespace radishyard {
+
+uint64_t duplicate_filter::DigestOf(const flow_key& key, byte_span payload) {
+  return XXH3_64bits_withSeed(payload.data(), payload.size(), StableHash(key));
+}
+
+void duplicate_filter::Forget(time_point now) {
+  while (!by_age_.empty() && now - by_age_.front().at > kRetention) {
+    seen_.erase(by_age_.front().digest);
+    by_age_.pop_front();
+  }
+}
+
+bool duplicate_filter::Add(uint64_t digest, time_point now) {
+  Forget(now);
+  if (!seen_.insert(digest).second) return false;
+  by_age_.push_back({now, digest});
+  return true;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/traffic/flow_owner_timers.cc
@@ -0,0 +1,87 @@
+// The owner's timers: queue decisions, unanswered openings, ends of linger, idle flows.
+#include <algorithm>
+#include <cassert>
+
+#include "traffic/flow_owner.h"
+
+namespace radishyard {
+namespace {
+
+constexpr uint8_t kMaxAttempts = 3;
+
+}  // namespace
+
+void flow_owner::Tick(time_point now) {
+  PollPools(now);
+  CheckOpenings(now);
+  CheckLinger(now);
+  SweepIdle(now);
+}
+
+void flow_owner::PollPools(time_point now) {
+  for (const auto& pool : served_) {
+    for (const open_decision& decision : Poll(pool->state, now)) {
+      Settle(static_cast<uint32_t>(decision.token), decision, now);
+    }
+  }
+}
+
+void flow_owner::CheckOpenings(time_point now) {
+  while (!openings_.empty() && openings_.front().due <= now) {
+    const opening_timer timer = openings_.front();
+    openings_.pop_front();
+    if (!flows_.Holds(timer.slot)) continue;
+    const flow_record& flow = flows_.At(timer.slot);
+    const bool same = flow.key == timer.key && flow.attempt == timer.attempt;
+    if (!same || flow.phase != flow_phase::kOpening) continue;
+    Unanswered(served_[flow.pool]->state, flow.upstream, now);
+    if (flow.attempt + 1 < kMaxAttempts) ReplaceOpening(timer.slot, now);
+  }
+}
+
+void flow_owner::CheckLinger(time_point now) {
+  while (!lingering_.empty() && lingering_.front().due <= now) {
+    const linger_timer timer = lingering_.front();
+    lingering_.pop_front();
+    if (!flows_.Holds(timer.slot)) continue;
+    const flow_record& flow = flows_.At(timer.slot);
+    if (flow.key == timer.key && flow.phase == flow_phase::kClosed) Remove(timer.slot);
+  }
+}
+
+uint32_t flow_owner::IdleLimitMs(const flow_record& flow) const {
+  constexpr uint32_t kMsPerSecond = 1000;
+  constexpr uint32_t kDefaultIdleMs = 300 * kMsPerSecond;
+  const auto route = view_->ports.find({flow.key.proto, flow.key.service});
+  return route == view_->ports.end() ? kDefaultIdleMs : route->second.port.idle_timeout_s * kMsPerSecond;
+}
+
+// Looks at a share of the slots that fits the time since the last call.
+void flow_owner::SweepIdle(time_point now) {
+  const uint32_t limit = flows_.SlotLimit();
+  const auto share = std::min(1.0, std::chrono::duration<double>(now - swept_at_) /
+                                       std::chrono::duration<double>(timing_.idle_sweep));
+  const auto count = static_cast<uint32_t>(share * limit);
+  if (count == 0 && limit != 0) return;
+  swept_at_ = now;
+  for (uint32_t i = 0; i < count; ++i) {
+    sweep_at_ = (sweep_at_ + 1) % limit;
+    if (!flows_.Holds(sweep_at_)) continue;
+    const flow_record& flow = flows_.At(sweep_at_);
+    if (flow.phase == flow_phase::kQueued || flow.phase == flow_phase::kClosed) continue;
+    if (Ms(now) - flow.last_seen_ms < IdleLimitMs(flow)) continue;
+    if (flow.phase == flow_phase::kPassed) {
+      Remove(sweep_at_);
+    } else {
+      End(sweep_at_, false, now);
+    }
+  }
+}
+
+std::vector<served_load> flow_owner::Loads(time_point now) const {
+  std::vector<served_load> loads;
+  for (const auto& pool : served_) loads.push_back({pool->service, pool->domain, Load(pool->state, now)});
+  return loads;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/traffic/routing_view.cc
@@ -0,0 +1,35 @@
+// Choice of a pool for a new flow.
+#include "traffic/routing_view.h"
+
+#include <cmath>
+
+namespace radishyard {
+namespace {
+
+// Score of the weighted rendezvous (highest random weight): -weight / ln(u) with u in (0, 1).
+double Score(uint64_t flow_hash, uint16_t tag, uint64_t weight) {
+  uint64_t mixed = flow_hash ^ (uint64_t{tag} * 0x9e3779b97f4a7c15);
+  mixed = (mixed ^ (mixed >> 31)) * 0xbf58476d1ce4e5b9;
+  mixed = (mixed ^ (mixed >> 29)) * 0x94d049bb133111eb;
+  const double uniform = (static_cast<double>(mixed >> 11) + 0.5) * 0x1p-53;
+  return -static_cast<double>(weight) / std::log(uniform);
+}
+
+}  // namespace
+
+std::optional<uint16_t> PickPool(const routing_view& view, const port_route& route, uint64_t flow_hash) {
+  std::optional<uint16_t> best;
+  double best_score = 0;
+  for (const uint16_t index : route.pools) {
+    const pool_route& pool = view.pools[index];
+    if (!pool.reachable || pool.weight == 0) continue;
+    const double score = Score(flow_hash, pool.tag, pool.weight);
+    if (!best || score > best_score) {
+      best = index;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/traffic/traffic_sink.h
@@ -0,0 +1,39 @@
+// Where a traffic thread's packets and spans go: the interface that tests replace by a mock.
+#pragma once
+#include <cstdint>
+
+#include "base/time.h"
+#include "packet/geneve.h"
+
+namespace radishyard {
+
+/// \brief One hop of a traced flow. All balancers derive the same trace from the flow's hash.
+struct hop_span {
+  uint64_t trace = 0;
+  uint64_t span = 0;
+  uint64_t parent = 0;  ///< Span of the hop before; 0 at the first.
+  const char* name = "";  ///< Such as "ingress", "owner" or "return".
+  const char* outcome = "";
+  flow_key key;
+  time_point at{};
+};
+
+/// \brief A span id for a hop of the trace at `now`; never 0.
+inline uint64_t NewSpan(uint64_t trace, time_point now) {
+  const auto ticks = static_cast<uint64_t>(now.time_since_epoch().count());
+  return (trace ^ (ticks * 0x9e3779b97f4a7c15)) | 1;
+}
+
+/// \brief Output of the traffic decisions.
+class traffic_sink {
+ public:
+  virtual ~traffic_sink() = default;
+  /// \brief Hands an IPv4 packet to the fabric. `flow_hash` spreads flows over the fabric's entries.
+  virtual void ToFabric(byte_span ip, uint64_t flow_hash) = 0;
+  /// \brief Sends a packet to another balancer.
+  virtual void ToBalancer(const endpoint& to, const forward_option& option, byte_span ip) = 0;
+  /// \brief Records a hop of a traced flow.
+  virtual void Hop(const hop_span& hop) = 0;
+};
+
+}  // namespace radishyard
