--- /dev/null
+++ b/src/control/view_builder.cc
@@ -0,0 +1,138 @@
+// Assembly of the routing view.
+#include "control/view_builder.h"
+
+#include <algorithm>
+
+#include "pool/pool_state.h"
+#include "roster/assign.h"
+#include "roster/rendezvous.h"
+#include "roster/route_order.h"
+
+namespace radishyard {
+namespace {
+
+constexpr size_t kMostWitnesses = 16;
+
+// Finds the listed members of all domains by identity.
+class member_index {
+ public:
+  explicit member_index(const std::map<std::string, roster>& rosters) {
+    for (const auto& [domain, r] : rosters) {
+      for (const member& m : r.members) by_id_[m.id] = &m;
+    }
+  }
+  const member* Find(const member_id& id) const {
+    const auto found = by_id_.find(id);
+    return found == by_id_.end() ? nullptr : found->second;
+  }
+  const std::map<member_id, const member*>& All() const { return by_id_; }
+
+ private:
+  std::map<member_id, const member*> by_id_;
+};
+
+// Data endpoint of the traffic thread that serves the pool at `m`.
+endpoint ThreadEndpoint(const member& m, const pool_name& name) {
+  const uint64_t hash = NameHash(name.service_name + "/" + name.domain);
+  endpoint at = m.data;
+  at.port = static_cast<uint16_t>(at.port + hash % std::max<uint16_t>(m.data_threads, 1));
+  return at;
+}
+
+void SetRole(pool_route& route, const view_inputs& inputs, const pool_assignment& pool,
+             const std::vector<member_id>& order) {
+  const bool is_owner = pool.owner == inputs.self;
+  if (order.empty() || order.front() != inputs.self) return;
+  route.role = is_owner ? pool_role::kOwner : pool_role::kActing;
+  const auto until = inputs.unsafe_until.find({route.service_name, route.domain});
+  if (is_owner && until != inputs.unsafe_until.end()) route.unsafe_until = until->second;
+}
+
+void SetOwner(pool_route& route, const view_inputs& inputs, const member_index& members) {
+  const auto held = inputs.rosters.find(route.domain);
+  if (held == inputs.rosters.end()) return;
+  const pool_assignment* const pool = FindPool(held->second, route.service_name);
+  if (pool == nullptr) return;
+  const pool_name name{route.service_name, route.domain};
+  const std::vector<member_id> order = RouteOrder(held->second, route.service_name, inputs.alive);
+  route.epoch = pool->since_epoch;
+  SetRole(route, inputs, *pool, order);
+  if (order.empty()) return;
+  const member* const serving = members.Find(order.front());
+  if (serving == nullptr) return;
+  route.reachable = true;
+  route.owner = ThreadEndpoint(*serving, name);
+  const bool asks_previous = pool->previous && inputs.alive.contains(*pool->previous) &&
+                             *pool->previous != inputs.self && !inputs.handed_over.contains(name);
+  const member* const previous = asks_previous ? members.Find(*pool->previous) : nullptr;
+  if (previous != nullptr) route.previous = ThreadEndpoint(*previous, name);
+}
+
+std::set<std::string> DomainsOf(const service& table) {
+  std::set<std::string> domains;
+  for (const upstream& row : table.upstreams) domains.insert(row.domain);
+  return domains;
+}
+
+void AddService(routing_view& view, const std::shared_ptr<const service>& table, const view_inputs& inputs,
+                const member_index& members) {
+  std::map<std::string, uint16_t> pool_of_domain;
+  for (const std::string& domain : DomainsOf(*table)) {
+    pool_route route;
+    route.service_name = table->name;
+    route.domain = domain;
+    route.table = table;
+    route.tag = DomainTag(domain);
+    route.weight = PoolWeight(*table, domain);
+    SetOwner(route, inputs, members);
+    pool_of_domain[domain] = static_cast<uint16_t>(view.pools.size());
+    view.pools.push_back(std::move(route));
+  }
+  for (const service_port& port : table->ports) {
+    const endpoint at{table->address, port.port};
+    port_route& route = view.ports[{port.proto, at}];
+    route.port = port;
+    for (const auto& [domain, index] : pool_of_domain) route.pools.push_back(index);
+    for (const upstream& row : table->upstreams) {
+      const port_key key{port.proto, {row.address, port.upstream_port}};
+      view.upstreams[key] = {pool_of_domain[row.domain], at, port};
+    }
+  }
+}
+
+void RemoveClashes(routing_view& view, const table_set& table) {
+  for (const clash& c : Clashes(table)) {
+    view.ports.erase({c.proto, c.at});
+    view.upstreams.erase({c.proto, c.at});
+  }
+}
+
+void AddBalancers(routing_view& view, const view_inputs& inputs, const member_index& members) {
+  for (const auto& [id, m] : members.All()) {
+    for (uint16_t i = 0; i < m->data_threads; ++i) {
+      view.balancers.insert({m->data.address, static_cast<uint16_t>(m->data.port + i)});
+    }
+    const bool is_peer = id != inputs.self && inputs.alive.contains(id);
+    if (is_peer && view.witnesses.size() < kMostWitnesses) view.witnesses.push_back(m->data);
+  }
+}
+
+}  // namespace
+
+uint16_t DomainTag(const std::string& domain) { return static_cast<uint16_t>(NameHash(domain)); }
+
+routing_view BuildView(const table_set& table, const view_inputs& inputs) {
+  routing_view view;
+  view.fabric = inputs.fabric;
+  view.trace_one_in = inputs.trace_one_in;
+  const member_index members(inputs.rosters);
+  for (const auto& [name, record] : table.records) {
+    if (record->value.deleted) continue;
+    AddService(view, std::shared_ptr<const service>(record, &record->value), inputs, members);
+  }
+  RemoveClashes(view, table);
+  AddBalancers(view, inputs, members);
+  return view;
+}
+
+}  // namespace radishyard
--- a/src/flow/flow_record.h
+++ b/src/flow/flow_record.h
@@ -14,21 +14,23 @@
   kOpening,  ///< Sent to an upstream that has not answered yet.
   kOpen,     ///< The upstream answered; the flow never moves again.
   kClosed,   ///< Ended; kept for a short time, so that late packets still pass.
-  kPassed,   ///< Its opening went to another pool of the service; packets follow it there.
+  kPassed,  ///< Its opening went to another pool of the service; packets follow
+            ///< it there.
 };
 
 /// \brief Marks on a flow.
 enum flow_mark : uint8_t {
-  kCallerFin = 0x01,    ///< The caller sent FIN.
-  kUpstreamFin = 0x02,  ///< The upstream sent FIN.
-  kHoldsSlot = 0x04,    ///< Counts against the upstream's slots.
+  kCallerFin = 0x01,        ///< The caller sent FIN.
+  kUpstreamFin = 0x02,      ///< The upstream sent FIN.
+  kHoldsSlot = 0x04,        ///< Counts against the upstream's slots.
   kHoldsConnection = 0x08,  ///< Counts against the upstream's connections.
-  kWitnessSent = 0x10,  ///< The standby has been told of this flow.
+  kWitnessSent = 0x10,      ///< The standby has been told of this flow.
   kPayloadSent = 0x20,  ///< Payload went to the upstream: never placed again.
 };
 
 /// \brief A flow. Times are milliseconds since the table was made, modulo 2^32.
-/// Invariant: `upstream` is 0 while the phase is kQueued or kPassed, and only then.
+/// Invariant: `upstream` is 0 while the phase is kQueued or kPassed, and only
+/// then.
 struct flow_record {
   flow_key key;
   uint32_t upstream = 0;      ///< Address of the upstream.
--- a/src/flow/flow_table.cc
+++ b/src/flow/flow_table.cc
@@ -17,7 +17,8 @@
   assert(!Find(key) && "the key must not be present");
   uint32_t slot = next_;
   if (free_.empty()) {
-    if (slot / kChunk == chunks_.size()) chunks_.push_back(std::make_unique<flow_record[]>(kChunk));
+    if (slot / kChunk == chunks_.size())
+      chunks_.push_back(std::make_unique<flow_record[]>(kChunk));
     ++next_;
   } else {
     slot = free_.back();
@@ -35,6 +36,8 @@
   free_.push_back(slot);
 }
 
-bool flow_table::Holds(uint32_t slot) const { return slot < next_ && index_.contains(slot); }
+bool flow_table::Holds(uint32_t slot) const {
+  return slot < next_ && index_.contains(slot);
+}
 
 }  // namespace radishyard
--- a/src/flow/flow_table.h
+++ b/src/flow/flow_table.h
@@ -1,5 +1,6 @@
-// The flows of one traffic thread: a slab of records with a hash index over it. A record keeps
-// its slot while the flow lives, so timers and queues name flows by slot.
+// The flows of one traffic thread: a slab of records with a hash index over it.
+// A record keeps its slot while the flow lives, so timers and queues name flows
+// by slot.
 #pragma once
 #include <absl/container/flat_hash_set.h>
 
@@ -35,7 +36,9 @@
   /// \brief Removes the record in `slot`, which a later Insert() may use again.
   void Erase(uint32_t slot);
 
-  flow_record& At(uint32_t slot) { return chunks_[slot / kChunk][slot % kChunk]; }
+  flow_record& At(uint32_t slot) {
+    return chunks_[slot / kChunk][slot % kChunk];
+  }
   const flow_record& At(uint32_t slot) const {
     return chunks_[slot / kChunk][slot % kChunk];
   }
@@ -43,7 +46,8 @@
   bool Holds(uint32_t slot) const;
 
   size_t size() const { return index_.size(); }
-  /// \brief One more than the highest slot ever used; a sweep goes over [0, SlotLimit()).
+  /// \brief One more than the highest slot ever used; a sweep goes over [0,
+  /// SlotLimit()).
   uint32_t SlotLimit() const { return next_; }
 
  private:
@@ -52,15 +56,21 @@
   struct slot_hash {
     using is_transparent = void;
     const flow_table* table;
-    size_t operator()(uint32_t slot) const { return (*this)(table->At(slot).key); }
+    size_t operator()(uint32_t slot) const {
+      return (*this)(table->At(slot).key);
+    }
     size_t operator()(const flow_key& key) const { return absl::HashOf(key); }
   };
   struct slot_equal {
     using is_transparent = void;
     const flow_table* table;
     bool operator()(uint32_t a, uint32_t b) const { return a == b; }
-    bool operator()(uint32_t a, const flow_key& key) const { return table->At(a).key == key; }
-    bool operator()(const flow_key& key, uint32_t b) const { return table->At(b).key == key; }
+    bool operator()(uint32_t a, const flow_key& key) const {
+      return table->At(a).key == key;
+    }
+    bool operator()(const flow_key& key, uint32_t b) const {
+      return table->At(b).key == key;
+    }
   };
 
   // Invariant: a slot is either in index_ or in free_.
--- a/src/flow/witness_cache.cc
+++ b/src/flow/witness_cache.cc
@@ -7,26 +7,32 @@
 namespace radishyard {
 
 witness_cache::witness_cache(size_t entries)
-    : entries_(std::bit_ceil(std::max(entries, kWays))), set_mask_(entries_.size() / kWays - 1) {}
+    : entries_(std::bit_ceil(std::max(entries, kWays))),
+      set_mask_(entries_.size() / kWays - 1) {}
 
 witness_cache::entry* witness_cache::Find(uint64_t hash) const {
   entry* const set = &entries_[(hash & set_mask_) * kWays];
   const auto tag = static_cast<uint32_t>(hash >> 32);
-  entry* const found =
-      std::find_if(set, set + kWays, [tag](const entry& e) { return e.upstream != 0 && e.tag == tag; });
+  entry* const found = std::find_if(set, set + kWays, [tag](const entry& e) {
+    return e.upstream != 0 && e.tag == tag;
+  });
   return found == set + kWays ? nullptr : found;
 }
 
-void witness_cache::Put(const flow_key& key, uint32_t upstream, uint32_t now_ms) {
+void witness_cache::Put(const flow_key& key, uint32_t upstream,
+                        uint32_t now_ms) {
   const uint64_t hash = StableHash(key);
   entry* victim = Find(hash);
   if (victim == nullptr) {
     entry* const set = &entries_[(hash & set_mask_) * kWays];
-    victim = std::max_element(set, set + kWays, [now_ms](const entry& a, const entry& b) {
-      const uint32_t age_a = a.upstream == 0 ? UINT32_MAX : now_ms - a.seen_ms;
-      const uint32_t age_b = b.upstream == 0 ? UINT32_MAX : now_ms - b.seen_ms;
-      return age_a < age_b;
-    });
+    victim = std::max_element(
+        set, set + kWays, [now_ms](const entry& a, const entry& b) {
+          const uint32_t age_a =
+              a.upstream == 0 ? UINT32_MAX : now_ms - a.seen_ms;
+          const uint32_t age_b =
+              b.upstream == 0 ? UINT32_MAX : now_ms - b.seen_ms;
+          return age_a < age_b;
+        });
   }
   *victim = {static_cast<uint32_t>(hash >> 32), upstream, now_ms};
 }
--- a/src/flow/witness_cache.h
+++ b/src/flow/witness_cache.h
@@ -1,5 +1,6 @@
-// What a balancer saw in passing: which upstream serves which flow. It answers for flows whose
-// owner was lost, and sends packets of moved flows to the right pool without asking.
+// What a balancer saw in passing: which upstream serves which flow. It answers
+// for flows whose owner was lost, and sends packets of moved flows to the right
+// pool without asking.
 #pragma once
 #include <cstdint>
 #include <vector>
@@ -8,10 +9,11 @@
 
 namespace radishyard {
 
-/// \brief A bounded, set-associative cache from flow to upstream address; old entries give way.
+/// \brief A bounded, set-associative cache from flow to upstream address; old
+/// entries give way.
 ///
-/// A wrong entry is possible only where two flows share a 32-bit tag and a set: the owner of the
-/// named upstream still checks its own records first.
+/// A wrong entry is possible only where two flows share a 32-bit tag and a set:
+/// the owner of the named upstream still checks its own records first.
 class witness_cache {
  public:
   /// \param entries rounded up to a power of two; 12 bytes each.
--- a/src/traffic/duplicate_filter.h
+++ b/src/traffic/duplicate_filter.h
@@ -1,5 +1,6 @@
-// Digests of non-idempotent requests that were taken in, so that a copy made by the fabric, or a
-// repetition by the caller with the same bytes, never runs a second time.
+// Digests of non-idempotent requests that were taken in, so that a copy made by
+// the fabric, or a repetition by the caller with the same bytes, never runs a
+// second time.
 #pragma once
 #include <absl/container/flat_hash_set.h>
 
@@ -15,13 +16,15 @@
 /// \brief A set of request digests that forgets each after a fixed time.
 class duplicate_filter {
  public:
-  /// \brief How long a digest is kept. A copy that is delayed for longer is not recognised.
+  /// \brief How long a digest is kept. A copy that is delayed for longer is not
+  /// recognised.
   static constexpr seconds kRetention{60};
 
   /// \brief Digest of a request: its flow and its payload.
   static uint64_t DigestOf(const flow_key& key, byte_span payload);
 
-  /// \brief Adds a digest. \returns false if it was present: the request is a duplicate.
+  /// \brief Adds a digest. \returns false if it was present: the request is a
+  /// duplicate.
   bool Add(uint64_t digest, time_point now);
 
   /// \brief Digests held, for the hand-over of a pool.
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -11,8 +11,9 @@
 
 }  // namespace
 
-flow_owner::flow_owner(traffic_sink& sink, traffic_counters& counters, witness_cache& witnesses,
-                       time_point start, owner_timing timing)
+flow_owner::flow_owner(traffic_sink& sink, traffic_counters& counters,
+                       witness_cache& witnesses, time_point start,
+                       owner_timing timing)
     : sink_(sink),
       counters_(counters),
       witnesses_(witnesses),
@@ -21,15 +22,19 @@
       view_(std::make_shared<routing_view>()),
       swept_at_(start) {}
 
-void flow_owner::SetView(std::shared_ptr<const routing_view> view, time_point now) {
+void flow_owner::SetView(std::shared_ptr<const routing_view> view,
+                         time_point now) {
   view_ = std::move(view);
   served_of_view_.assign(view_->pools.size(), kNotServed);
   for (uint16_t i = 0; i < view_->pools.size(); ++i) {
     const pool_route& route = view_->pools[i];
-    const auto found = std::find_if(served_.begin(), served_.end(), [&route](const auto& pool) {
-      return pool->service == route.service && pool->domain == route.domain;
-    });
-    if (found != served_.end()) served_of_view_[i] = static_cast<uint16_t>(found - served_.begin());
+    const auto found = std::find_if(
+        served_.begin(), served_.end(), [&route](const auto& pool) {
+          return pool->service == route.service_name &&
+                 pool->domain == route.domain;
+        });
+    if (found != served_.end())
+      served_of_view_[i] = static_cast<uint16_t>(found - served_.begin());
     if (route.role != pool_role::kNone) Serve(i, now);
   }
 }
@@ -40,7 +45,7 @@
   if (index == kNotServed) {
     index = static_cast<uint16_t>(served_.size());
     served_.push_back(std::make_unique<served_pool>());
-    served_.back()->service = route.service;
+    served_.back()->service = route.service_name;
     served_.back()->domain = route.domain;
   }
   served_pool& pool = *served_[index];
@@ -57,7 +62,8 @@
   return HandleUnknown(in, now);
 }
 
-flow_owner::outcome flow_owner::HandleKnown(inbound& in, uint32_t slot, time_point now) {
+flow_owner::outcome flow_owner::HandleKnown(inbound& in, uint32_t slot,
+                                            time_point now) {
   flow_record& flow = flows_.At(slot);
   const bool reopens = in.packet.IsSyn() || in.packet.proto == protocol::kUdp;
   if (flow.phase == flow_phase::kClosed && reopens) {
@@ -68,17 +74,21 @@
     FollowPassed(in, flow);
     return outcome::kDone;
   }
-  if (flow.phase == flow_phase::kQueued) return outcome::kDone;  // The first copy waits already.
+  if (flow.phase == flow_phase::kQueued)
+    return outcome::kDone;  // The first copy waits already.
   if (in.IsUnsafe() && !MayPlace(in, now)) return outcome::kDone;
   ForwardToUpstream(in, flow, now);
-  if (in.packet.Has(kRst) && in.packet.proto == protocol::kTcp) End(slot, false, now);
+  if (in.packet.Has(kRst) && in.packet.proto == protocol::kTcp)
+    End(slot, flow_end::kAbandoned, now);
   return outcome::kDone;
 }
 
-void flow_owner::ForwardToUpstream(inbound& in, flow_record& flow, time_point now) {
+void flow_owner::ForwardToUpstream(inbound& in, flow_record& flow,
+                                   time_point now) {
   flow.last_seen_ms = Ms(now);
   if (!in.packet.payload.empty()) flow.Set(kPayloadSent);
-  if (in.packet.Has(kFin) && in.packet.proto == protocol::kTcp) flow.Set(kCallerFin);
+  if (in.packet.Has(kFin) && in.packet.proto == protocol::kTcp)
+    flow.Set(kCallerFin);
   RewriteDestination(in.bytes, {flow.upstream, in.port.upstream_port});
   sink_.ToFabric(in.bytes, in.hash);
   Trace(in, "owner", "to-upstream", now);
@@ -87,7 +97,9 @@
 void flow_owner::FollowPassed(const inbound& in, const flow_record& flow) {
   for (const pool_route& route : view_->pools) {
     if (route.tag != flow.pool || !route.reachable) continue;
-    sink_.ToBalancer(route.owner, {forward_kind::kPassedOpening, static_cast<uint8_t>(in.Hops() + 1), route.tag, 0, 0},
+    sink_.ToBalancer(route.owner,
+                     {forward_kind::kPassedOpening,
+                      static_cast<uint8_t>(in.Hops() + 1), route.tag, 0, 0},
                      in.bytes);
     return;
   }
@@ -97,9 +109,11 @@
   const pool_route& route = Route(in);
   assert(route.role != pool_role::kNone && "the pool must be served here");
   if (route.previous && !in.CameAs(forward_kind::kUnknownFlow)) {
-    sink_.ToBalancer(*route.previous,
-                     {forward_kind::kToPrevious, static_cast<uint8_t>(in.Hops() + 1), route.tag, in.Hint(), 0},
-                     in.bytes);
+    sink_.ToBalancer(
+        *route.previous,
+        {forward_kind::kToPrevious, static_cast<uint8_t>(in.Hops() + 1),
+         route.tag, in.Hint(), 0},
+        in.bytes);
     return outcome::kDone;
   }
   if (!in.IsOpening()) return outcome::kUnknownFlow;
@@ -108,15 +122,18 @@
   return outcome::kDone;
 }
 
-// The lease is read against the clock for each request: a balancer that was paused finds it lapsed.
-// A request that may not be placed is dropped without a word: another balancer may have run it.
+// The lease is read against the clock for each request: a balancer that was
+// paused finds it lapsed. A request that may not be placed is dropped without a
+// word: another balancer may have run it.
 bool flow_owner::MayPlace(const inbound& in, time_point now) {
   const pool_route& route = Route(in);
   if (route.role != pool_role::kOwner || now >= route.unsafe_until) {
     ++counters_.unsafe_withheld;
     return false;
   }
-  if (duplicates_.Add(duplicate_filter::DigestOf(in.key, in.packet.payload), now)) return true;
+  if (duplicates_.Add(duplicate_filter::DigestOf(in.key, in.packet.payload),
+                      now))
+    return true;
   ++counters_.duplicates;
   return false;
 }
@@ -131,10 +148,13 @@
   flow.last_seen_ms = Ms(now);
   held_[slot].assign(in.bytes.begin(), in.bytes.end());
   Trace(in, "owner", "open", now);
-  Settle(slot, Open(pool.state, {in.key, in.port.kind, in.port.priority, slot}, now), now);
+  Settle(slot,
+         Open(pool.state, {in.key, in.port.kind, in.port.priority, slot}, now),
+         now);
 }
 
-void flow_owner::Settle(uint32_t slot, const open_decision& decision, time_point now) {
+void flow_owner::Settle(uint32_t slot, const open_decision& decision,
+                        time_point now) {
   flow_record& flow = flows_.At(slot);
   switch (decision.what) {
     case open_decision::kind::kQueued:
@@ -153,12 +173,15 @@
   }
 }
 
-// Sends the held opening to the flow's upstream. TCP keeps the copy, for a second placement.
+// Sends the held opening to the flow's upstream. TCP keeps the copy, for a
+// second placement.
 void flow_owner::SendHeld(uint32_t slot, time_point now) {
   flow_record& flow = flows_.At(slot);
   flow.opened_ms = Ms(now);
   const auto route = view_->ports.find({flow.key.proto, flow.key.service});
-  const uint16_t upstream_port = route == view_->ports.end() ? flow.key.service.port : route->second.port.upstream_port;
+  const uint16_t upstream_port = route == view_->ports.end()
+                                     ? flow.key.service.port
+                                     : route->second.port.upstream_port;
   byte_buffer copy = held_[slot];
   RewriteDestination(copy, {flow.upstream, upstream_port});
   sink_.ToFabric(copy, StableHash(flow.key));
@@ -167,28 +190,35 @@
     held_.erase(slot);
     return;
   }
-  openings_.push_back({slot, flow.attempt, flow.key, now + timing_.unanswered_after});
+  openings_.push_back(
+      {slot, flow.attempt, flow.key, now + timing_.unanswered_after});
 }
 
-// Only openings of which no payload was forwarded come here: the refusal is true.
+// Only openings of which no payload was forwarded come here: the refusal is
+// true.
 void flow_owner::Refuse(uint32_t slot, std::span<uint8_t> bytes) {
-  assert(!flows_.At(slot).Has(kPayloadSent) && "a request that may have run is not refused");
+  assert(!flows_.At(slot).Has(kPayloadSent) &&
+         "a request that may have run is not refused");
   ++counters_.refused;
   failure why;
   const auto packet = ParsePacket(bytes, why);
   const uint64_t hash = StableHash(flows_.At(slot).key);
-  if (packet && packet->proto == protocol::kTcp) sink_.ToFabric(BuildReset(*packet), hash);
-  if (packet && packet->proto == protocol::kUdp) sink_.ToFabric(BuildUnreachable(bytes), hash);
+  if (packet && packet->proto == protocol::kTcp)
+    sink_.ToFabric(BuildReset(*packet), hash);
+  if (packet && packet->proto == protocol::kUdp)
+    sink_.ToFabric(BuildUnreachable(bytes), hash);
   Remove(slot);
 }
 
-void flow_owner::AdoptAndForward(inbound& in, uint32_t upstream, time_point now) {
+void flow_owner::AdoptAndForward(inbound& in, uint32_t upstream,
+                                 time_point now) {
   auto slot = flows_.Find(in.key);
   if (!slot) slot = AdoptFlow(in, upstream, now);
   ForwardToUpstream(in, flows_.At(*slot), now);
 }
 
-uint32_t flow_owner::AdoptFlow(const inbound& in, uint32_t upstream, time_point now) {
+uint32_t flow_owner::AdoptFlow(const inbound& in, uint32_t upstream,
+                               time_point now) {
   const uint32_t slot = flows_.Insert(in.key);
   flow_record& flow = flows_.At(slot);
   flow.upstream = upstream;
@@ -204,18 +234,17 @@
   return slot;
 }
 
-void flow_owner::Release(flow_record& flow, bool completed, time_point now) {
+void flow_owner::Release(flow_record& flow, flow_end how, time_point now) {
   if (!flow.Has(kHoldsConnection)) return;
   flow.Clear(kHoldsConnection);
-  std::optional<duration> completed_in;
-  if (completed) completed_in = milliseconds(Ms(now) - flow.opened_ms);
-  Closed(served_[flow.pool]->state, Held(flow), completed_in, now);
+  const duration held = milliseconds(Ms(now) - flow.opened_ms);
+  Closed(served_[flow.pool]->state, Held(flow), how, held, now);
 }
 
-void flow_owner::End(uint32_t slot, bool completed, time_point now) {
+void flow_owner::End(uint32_t slot, flow_end how, time_point now) {
   flow_record& flow = flows_.At(slot);
   if (flow.phase == flow_phase::kClosed) return;
-  Release(flow, completed, now);
+  Release(flow, how, now);
   flow.phase = flow_phase::kClosed;
   ++closed_;
   held_.erase(slot);
@@ -230,10 +259,12 @@
   flows_.Erase(slot);
 }
 
-void flow_owner::Trace(const inbound& in, const char* name, const char* outcome, time_point now) {
+void flow_owner::Trace(const inbound& in, const char* name, const char* result,
+                       time_point now) {
   if (view_->trace_one_in == 0 || in.hash % view_->trace_one_in != 0) return;
   const uint64_t parent = in.forward ? in.forward->parent_span : 0;
-  sink_.Hop({in.hash, NewSpan(in.hash, now), parent, name, outcome, in.key, now});
+  sink_.Hop(
+      {in.hash, NewSpan(in.hash, now), parent, name, result, in.key, now});
 }
 
 }  // namespace radishyard
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -1,5 +1,5 @@
-// The owner's side of the packet path: placing flows of the pools that this balancer serves,
-// keeping each on its upstream, and ending it.
+// The owner's side of the packet path: placing flows of the pools that this
+// balancer serves, keeping each on its upstream, and ending it.
 #pragma once
 #include <absl/container/flat_hash_map.h>
 
@@ -20,9 +20,10 @@
 
 /// \brief Timing of the owner.
 struct owner_timing {
-  duration unanswered_after = 300ms;  ///< An opening without answer is placed again.
-  duration linger = 2s;               ///< A closed flow still passes late packets.
-  duration idle_sweep = 10s;          ///< One pass over all flows.
+  duration unanswered_after =
+      300ms;                  ///< An opening without answer is placed again.
+  duration linger = 2s;       ///< A closed flow still passes late packets.
+  duration idle_sweep = 10s;  ///< One pass over all flows.
 };
 
 /// \brief Load of one served pool, for the control thread.
@@ -35,9 +36,9 @@
 /// \brief Flows of the pools that one traffic thread serves.
 ///
 /// \code
-/// if (owner.HandleCaller(in, now) == owner_outcome::kUnknownFlow) AskWitnesses(in);
-/// \endcode
-/// Invariant: each flow in flows_ that holds a connection or slot is counted in its pool.
+/// if (owner.HandleCaller(in, now) == owner_outcome::kUnknownFlow)
+/// AskWitnesses(in); \endcode Invariant: each flow in flows_ that holds a
+/// connection or slot is counted in its pool.
 class flow_owner {
  public:
   /// \brief What became of a packet.
@@ -46,25 +47,31 @@
     kUnknownFlow,  ///< Not an opening, and the flow is not known here.
   };
 
-  flow_owner(traffic_sink& sink, traffic_counters& counters, witness_cache& witnesses,
-             time_point start, owner_timing timing = {});
+  flow_owner(traffic_sink& sink, traffic_counters& counters,
+             witness_cache& witnesses, time_point start,
+             owner_timing timing = {});
 
-  /// \brief Takes up a new view: configures the pools that this balancer serves.
+  /// \brief Takes up a new view: configures the pools that this balancer
+  /// serves.
   void SetView(std::shared_ptr<const routing_view> view, time_point now);
 
   /// \brief True if the flow has a record here.
   bool Knows(const flow_key& key) const { return flows_.Find(key).has_value(); }
 
-  /// \brief A caller's packet for a flow that is known here, or for a pool that is served here.
+  /// \brief A caller's packet for a flow that is known here, or for a pool that
+  /// is served here.
   outcome HandleCaller(inbound& in, time_point now);
 
-  /// \brief An upstream's packet for a flow that is known here, or for a pool that is served here.
+  /// \brief An upstream's packet for a flow that is known here, or for a pool
+  /// that is served here.
   outcome HandleUpstream(inbound& in, time_point now);
 
-  /// \brief Learns that `upstream` serves the flow, and forwards the caller's packet to it.
+  /// \brief Learns that `upstream` serves the flow, and forwards the caller's
+  /// packet to it.
   void AdoptAndForward(inbound& in, uint32_t upstream, time_point now);
 
-  /// \brief Queue decisions, unanswered openings, ends of linger and idle flows.
+  /// \brief Queue decisions, unanswered openings, ends of linger and idle
+  /// flows.
   void Tick(time_point now);
 
   std::vector<served_load> Loads(time_point now) const;
@@ -89,10 +96,16 @@
     time_point due;
   };
 
-  uint32_t Ms(time_point now) const { return static_cast<uint32_t>(ToMs(now - start_)); }
-  const pool_route& Route(const inbound& in) const { return view_->pools[in.pool]; }
+  uint32_t Ms(time_point now) const {
+    return static_cast<uint32_t>(ToMs(now - start_));
+  }
+  const pool_route& Route(const inbound& in) const {
+    return view_->pools[in.pool];
+  }
   served_pool& Serve(uint16_t view_pool, time_point now);
-  uint16_t ServedIndex(uint16_t view_pool) const { return served_of_view_[view_pool]; }
+  uint16_t ServedIndex(uint16_t view_pool) const {
+    return served_of_view_[view_pool];
+  }
 
   outcome HandleKnown(inbound& in, uint32_t slot, time_point now);
   outcome HandleUnknown(inbound& in, time_point now);
@@ -111,8 +124,8 @@
   uint32_t AdoptFlow(const inbound& in, uint32_t upstream, time_point now);
   void ForwardToCaller(inbound& in);
 
-  void End(uint32_t slot, bool completed, time_point now);
-  void Release(flow_record& flow, bool completed, time_point now);
+  void End(uint32_t slot, flow_end how, time_point now);
+  void Release(flow_record& flow, flow_end how, time_point now);
   void Remove(uint32_t slot);
   held_flow Held(const flow_record& flow) const;
   void CheckOpenings(time_point now);
@@ -120,7 +133,8 @@
   void SweepIdle(time_point now);
   uint32_t IdleLimitMs(const flow_record& flow) const;
   void PollPools(time_point now);
-  void Trace(const inbound& in, const char* name, const char* outcome, time_point now);
+  void Trace(const inbound& in, const char* name, const char* result,
+             time_point now);
 
   traffic_sink& sink_;
   traffic_counters& counters_;
@@ -129,9 +143,11 @@
   owner_timing timing_;
   std::shared_ptr<const routing_view> view_;
   flow_table flows_;
-  std::vector<std::unique_ptr<served_pool>> served_;  // Index is stable: flow_record::pool.
-  std::vector<uint16_t> served_of_view_;              // By index of the view; kNotServed if none.
-  absl::flat_hash_map<uint32_t, byte_buffer> held_;   // Opening packets by slot.
+  std::vector<std::unique_ptr<served_pool>>
+      served_;  // Index is stable: flow_record::pool.
+  std::vector<uint16_t>
+      served_of_view_;  // By index of the view; kNotServed if none.
+  absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -1,4 +1,5 @@
-// The upstream's direction at the owner: answers, ends of flows, and flows learned from them.
+// The upstream's direction at the owner: answers, ends of flows, and flows
+// learned from them.
 #include <cassert>
 
 #include "traffic/flow_owner.h"
@@ -13,7 +14,9 @@
   const pool_route& route = Route(in);
   if (route.previous && !in.CameAs(forward_kind::kUnknownFlow)) {
     sink_.ToBalancer(*route.previous,
-                     {forward_kind::kToPrevious, static_cast<uint8_t>(in.Hops() + 1), route.tag, 0, 0}, in.bytes);
+                     {forward_kind::kToPrevious,
+                      static_cast<uint8_t>(in.Hops() + 1), route.tag, 0, 0},
+                     in.bytes);
     return outcome::kDone;
   }
   LearnFromUpstream(in, now);
@@ -27,25 +30,30 @@
     return;
   }
   flow.last_seen_ms = Ms(now);
-  if (flow.phase == flow_phase::kOpening && !HandleOpeningAnswer(in, slot, now)) return;
+  if (flow.phase == flow_phase::kOpening && !HandleOpeningAnswer(in, slot, now))
+    return;
   ForwardToCaller(in);
   Trace(in, "owner", "to-caller", now);
   if (in.packet.proto == protocol::kUdp) {
-    if (flow.kind == port_kind::kRequest) End(slot, true, now);
+    if (flow.kind == port_kind::kRequest) End(slot, flow_end::kCompleted, now);
     return;
   }
   if (in.packet.Has(kRst)) {
-    End(slot, false, now);
+    End(slot, flow_end::kFailed, now);
     return;
   }
   if (in.packet.Has(kFin)) flow.Set(kUpstreamFin);
-  const bool answered = flow.kind == port_kind::kRequest && flow.Has(kUpstreamFin);
-  if (answered) Release(flow, true, now);
-  if (flow.Has(kUpstreamFin) && flow.Has(kCallerFin)) End(slot, true, now);
+  const bool answered =
+      flow.kind == port_kind::kRequest && flow.Has(kUpstreamFin);
+  if (answered) Release(flow, flow_end::kCompleted, now);
+  if (flow.Has(kUpstreamFin) && flow.Has(kCallerFin))
+    End(slot, flow_end::kCompleted, now);
 }
 
-// The first packet from the upstream of an opening. False: it must not reach the caller.
-bool flow_owner::HandleOpeningAnswer(const inbound& in, uint32_t slot, time_point now) {
+// The first packet from the upstream of an opening. False: it must not reach
+// the caller.
+bool flow_owner::HandleOpeningAnswer(const inbound& in, uint32_t slot,
+                                     time_point now) {
   flow_record& flow = flows_.At(slot);
   pool_state& pool = served_[flow.pool]->state;
   if (in.packet.proto == protocol::kTcp && in.packet.Has(kRst)) {
@@ -59,14 +67,16 @@
   return true;
 }
 
-// Places an opening a second time. No payload was forwarded: the caller had no SYN-ACK yet.
+// Places an opening a second time. No payload was forwarded: the caller had no
+// SYN-ACK yet.
 void flow_owner::ReplaceOpening(uint32_t slot, time_point now) {
   flow_record& flow = flows_.At(slot);
   assert(!flow.Has(kPayloadSent) && "payload is never placed twice");
   const open_request request{flow.key, flow.kind, flow.priority, slot};
-  const auto next = Replace(served_[flow.pool]->state, request, flow.upstream, now);
+  const auto next =
+      Replace(served_[flow.pool]->state, request, flow.upstream, now);
   if (!next) {
-    Release(flow, false, now);
+    Release(flow, flow_end::kFailed, now);
     Refuse(slot, held_[slot]);
     return;
   }
@@ -77,7 +87,8 @@
 }
 
 void flow_owner::LearnFromUpstream(const inbound& in, time_point now) {
-  const bool ends = in.packet.proto == protocol::kTcp && (in.packet.Has(kRst) || in.packet.Has(kFin));
+  const bool ends = in.packet.proto == protocol::kTcp &&
+                    (in.packet.Has(kRst) || in.packet.Has(kFin));
   if (in.IsWitnessed() && !ends) AdoptFlow(in, in.packet.source.address, now);
   inbound copy = in;
   ForwardToCaller(copy);
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -1,4 +1,5 @@
-// The owner's timers: queue decisions, unanswered openings, ends of linger, idle flows.
+// The owner's timers: queue decisions, unanswered openings, ends of linger,
+// idle flows.
 #include <algorithm>
 #include <cassert>
 
@@ -45,7 +46,8 @@
     lingering_.pop_front();
     if (!flows_.Holds(timer.slot)) continue;
     const flow_record& flow = flows_.At(timer.slot);
-    if (flow.key == timer.key && flow.phase == flow_phase::kClosed) Remove(timer.slot);
+    if (flow.key == timer.key && flow.phase == flow_phase::kClosed)
+      Remove(timer.slot);
   }
 }
 
@@ -53,14 +55,17 @@
   constexpr uint32_t kMsPerSecond = 1000;
   constexpr uint32_t kDefaultIdleMs = 300 * kMsPerSecond;
   const auto route = view_->ports.find({flow.key.proto, flow.key.service});
-  return route == view_->ports.end() ? kDefaultIdleMs : route->second.port.idle_timeout_s * kMsPerSecond;
+  return route == view_->ports.end()
+             ? kDefaultIdleMs
+             : route->second.port.idle_timeout_s * kMsPerSecond;
 }
 
 // Looks at a share of the slots that fits the time since the last call.
 void flow_owner::SweepIdle(time_point now) {
   const uint32_t limit = flows_.SlotLimit();
-  const auto share = std::min(1.0, std::chrono::duration<double>(now - swept_at_) /
-                                       std::chrono::duration<double>(timing_.idle_sweep));
+  const auto share =
+      std::min(1.0, std::chrono::duration<double>(now - swept_at_) /
+                        std::chrono::duration<double>(timing_.idle_sweep));
   const auto count = static_cast<uint32_t>(share * limit);
   if (count == 0 && limit != 0) return;
   swept_at_ = now;
@@ -68,19 +73,24 @@
     sweep_at_ = (sweep_at_ + 1) % limit;
     if (!flows_.Holds(sweep_at_)) continue;
     const flow_record& flow = flows_.At(sweep_at_);
-    if (flow.phase == flow_phase::kQueued || flow.phase == flow_phase::kClosed) continue;
+    if (flow.phase == flow_phase::kQueued || flow.phase == flow_phase::kClosed)
+      continue;
     if (Ms(now) - flow.last_seen_ms < IdleLimitMs(flow)) continue;
     if (flow.phase == flow_phase::kPassed) {
       Remove(sweep_at_);
     } else {
-      End(sweep_at_, false, now);
+      End(sweep_at_,
+          flow.phase == flow_phase::kOpening ? flow_end::kFailed
+                                             : flow_end::kAbandoned,
+          now);
     }
   }
 }
 
 std::vector<served_load> flow_owner::Loads(time_point now) const {
   std::vector<served_load> loads;
-  for (const auto& pool : served_) loads.push_back({pool->service, pool->domain, Load(pool->state, now)});
+  for (const auto& pool : served_)
+    loads.push_back({pool->service, pool->domain, Load(pool->state, now)});
   return loads;
 }
 
--- a/src/traffic/inbound.h
+++ b/src/traffic/inbound.h
@@ -12,20 +12,27 @@
 struct inbound {
   packet_view packet;
   std::span<uint8_t> bytes;
-  endpoint from;                          ///< Fabric entry or balancer that sent it.
+  endpoint from;  ///< Fabric entry or balancer that sent it.
   std::optional<forward_option> forward;  ///< Present if a balancer sent it.
   flow_key key;
   uint64_t hash = 0;  ///< StableHash(key).
   service_port port;
   uint16_t pool = 0;  ///< Index into the view's pools.
 
-  bool CameAs(forward_kind kind) const { return forward && forward->kind == kind; }
+  bool CameAs(forward_kind kind) const {
+    return forward && forward->kind == kind;
+  }
   uint8_t Hops() const { return forward ? forward->hops : 0; }
   uint32_t Hint() const { return forward ? forward->upstream : 0; }
   /// \brief True for a packet that may begin a flow.
-  bool IsOpening() const { return packet.proto == protocol::kUdp || packet.IsSyn(); }
-  /// \brief True for a request that must run at most once and that TCP does not protect.
-  bool IsUnsafe() const { return packet.proto == protocol::kUdp && !port.idempotent; }
+  bool IsOpening() const {
+    return packet.proto == protocol::kUdp || packet.IsSyn();
+  }
+  /// \brief True for a request that must run at most once and that TCP does not
+  /// protect.
+  bool IsUnsafe() const {
+    return packet.proto == protocol::kUdp && !port.idempotent;
+  }
   /// \brief True if return traffic names the flow's upstream for later packets.
   bool IsWitnessed() const {
     return packet.proto == protocol::kTcp || port.kind == port_kind::kFeed;
--- a/src/traffic/routing_view.cc
+++ b/src/traffic/routing_view.cc
@@ -6,7 +6,8 @@
 namespace radishyard {
 namespace {
 
-// Score of the weighted rendezvous (highest random weight): -weight / ln(u) with u in (0, 1).
+// Score of the weighted rendezvous (highest random weight): -weight / ln(u)
+// with u in (0, 1).
 double Score(uint64_t flow_hash, uint16_t tag, uint64_t weight) {
   uint64_t mixed = flow_hash ^ (uint64_t{tag} * 0x9e3779b97f4a7c15);
   mixed = (mixed ^ (mixed >> 31)) * 0xbf58476d1ce4e5b9;
@@ -17,7 +18,8 @@
 
 }  // namespace
 
-std::optional<uint16_t> PickPool(const routing_view& view, const port_route& route, uint64_t flow_hash) {
+std::optional<uint16_t> PickPool(const routing_view& view,
+                                 const port_route& route, uint64_t flow_hash) {
   std::optional<uint16_t> best;
   double best_score = 0;
   for (const uint16_t index : route.pools) {
--- a/src/traffic/routing_view.h
+++ b/src/traffic/routing_view.h
@@ -1,5 +1,6 @@
-// The routing view: all that a traffic thread knows of table, rosters and liveness, as one
-// immutable value that the control thread publishes and the traffic threads read.
+// The routing view: all that a traffic thread knows of table, rosters and
+// liveness, as one immutable value that the control thread publishes and the
+// traffic threads read.
 #pragma once
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -20,23 +21,28 @@
 enum class pool_role : uint8_t {
   kNone,    ///< Sends its packets to the owner.
   kOwner,   ///< Named owner by the roster.
-  kActing,  ///< Stands in for an owner that is not reachable: places TCP and idempotent openings.
+  kActing,  ///< Stands in for an owner that is not reachable: places TCP and
+            ///< idempotent openings.
 };
 
 /// \brief A pool as seen from this balancer.
 struct pool_route {
-  std::string service;
+  std::string service_name;
   std::string domain;
   std::shared_ptr<const service> table;  ///< Rows of the service.
-  uint16_t tag = 0;     ///< Same on every balancer; picks the traffic thread.
-  uint64_t weight = 0;  ///< Sum of the weights of its upstreams that take new flows.
-  uint64_t epoch = 0;   ///< Epoch that named the owner.
+  uint16_t tag = 0;  ///< Same on every balancer; picks the traffic thread.
+  uint64_t weight =
+      0;  ///< Sum of the weights of its upstreams that take new flows.
+  uint64_t epoch = 0;  ///< Epoch that named the owner.
   pool_role role = pool_role::kNone;
-  bool reachable = false;            ///< Some balancer that serves it is alive.
-  endpoint owner;                    ///< Data endpoint of the one who serves it.
-  std::optional<endpoint> previous;  ///< Asks here for flows that were not handed over yet.
-  std::optional<endpoint> handed_to;  ///< This balancer handed the pool over to that one.
-  time_point unsafe_until{};  ///< Until when this balancer may place work that must run at most once.
+  bool reachable = false;  ///< Some balancer that serves it is alive.
+  endpoint owner;          ///< Data endpoint of the one who serves it.
+  std::optional<endpoint>
+      previous;  ///< Asks here for flows that were not handed over yet.
+  std::optional<endpoint>
+      handed_to;  ///< This balancer handed the pool over to that one.
+  time_point unsafe_until{};  ///< Until when this balancer may place work that
+                              ///< must run at most once.
   uint32_t free_slots = 0;    ///< As last reported by the owner.
 };
 
@@ -46,7 +52,8 @@
   std::vector<uint16_t> pools;  ///< Indices into routing_view::pools.
 };
 
-/// \brief An upstream's endpoint: its pool and the port of the service behind which it stands.
+/// \brief An upstream's endpoint: its pool and the port of the service behind
+/// which it stands.
 struct upstream_route {
   uint16_t pool = 0;
   endpoint service;  ///< What the caller knows the upstream as.
@@ -64,19 +71,22 @@
   }
 };
 
-/// \brief The whole view. Invariant: every pool index in it is below pools.size().
+/// \brief The whole view. Invariant: every pool index in it is below
+/// pools.size().
 struct routing_view {
   std::vector<pool_route> pools;
   absl::flat_hash_map<port_key, port_route> ports;
   absl::flat_hash_map<port_key, upstream_route> upstreams;
-  std::vector<endpoint> fabric;                 ///< Where packets go; one is picked by flow.
-  absl::flat_hash_set<endpoint> balancers;      ///< Data endpoints of the other balancers.
-  std::vector<endpoint> witnesses;              ///< Balancers to ask about an unknown flow.
-  uint32_t trace_one_in = 0;                    ///< One flow in so many is traced; 0 for none.
+  std::vector<endpoint> fabric;  ///< Where packets go; one is picked by flow.
+  absl::flat_hash_set<endpoint>
+      balancers;                    ///< Data endpoints of the other balancers.
+  std::vector<endpoint> witnesses;  ///< Balancers to ask about an unknown flow.
+  uint32_t trace_one_in = 0;  ///< One flow in so many is traced; 0 for none.
 };
 
-/// \brief Index of the pool that a new flow of `route` goes to: weighted rendezvous over the
-/// reachable pools. Nothing if none is reachable.
-std::optional<uint16_t> PickPool(const routing_view& view, const port_route& route, uint64_t flow_hash);
+/// \brief Index of the pool that a new flow of `route` goes to: weighted
+/// rendezvous over the reachable pools. Nothing if none is reachable.
+std::optional<uint16_t> PickPool(const routing_view& view,
+                                 const port_route& route, uint64_t flow_hash);
 
 }  // namespace radishyard
--- /dev/null
+++ b/src/traffic/traffic_core.cc
@@ -0,0 +1,253 @@
+// Ingress decisions, and the packets that balancers exchange about a flow.
+#include "traffic/traffic_core.h"
+
+#include <algorithm>
+
+namespace radishyard {
+namespace {
+
+constexpr double kWitnessQuestionsPerSecond = 2000;
+constexpr double kWitnessBurst = 2000;
+
+}  // namespace
+
+traffic_core::traffic_core(traffic_sink& sink, size_t witness_entries,
+                           time_point start, owner_timing timing)
+    : sink_(sink),
+      witnesses_(witness_entries),
+      start_(start),
+      view_(std::make_shared<routing_view>()),
+      owner_(sink, counters_, witnesses_, start, timing),
+      witness_tokens_(kWitnessBurst),
+      witness_refill_(start) {}
+
+void traffic_core::SetView(std::shared_ptr<const routing_view> view,
+                           time_point now) {
+  view_ = view;
+  owner_.SetView(std::move(view), now);
+}
+
+bool traffic_core::Trusts(const endpoint& from,
+                          const geneve_frame& frame) const {
+  if (frame.forward) return view_->balancers.contains(from);
+  return std::ranges::find(view_->fabric, from) != view_->fabric.end();
+}
+
+void traffic_core::Receive(std::span<uint8_t> datagram, const endpoint& from,
+                           time_point now) {
+  ++counters_.packets;
+  failure why;
+  const auto frame = DecodeGeneve(datagram, why);
+  const auto packet = frame ? ParsePacket(frame->inner, why) : std::nullopt;
+  if (!packet) {
+    ++counters_.malformed;
+    return;
+  }
+  if (!Trusts(from, *frame)) {
+    ++counters_.untrusted;
+    return;
+  }
+  inbound in;
+  in.packet = *packet;
+  in.bytes = datagram.last(frame->inner.size());
+  in.from = from;
+  in.forward = frame->forward;
+  const auto port = view_->ports.find({packet->proto, packet->destination});
+  if (port != view_->ports.end()) {
+    FromCaller(in, port->second, now);
+    return;
+  }
+  const auto up = view_->upstreams.find({packet->proto, packet->source});
+  if (up == view_->upstreams.end()) {
+    ++counters_.no_service;
+    return;
+  }
+  in.key = {packet->destination, up->second.service, packet->proto};
+  in.port = up->second.port;
+  in.pool = up->second.pool;
+  FromUpstream(in, now);
+}
+
+void traffic_core::FromCaller(inbound& in, const port_route& route,
+                              time_point now) {
+  in.key = {in.packet.source, in.packet.destination, in.packet.proto};
+  in.hash = StableHash(in.key);
+  in.port = route.port;
+  if (in.CameAs(forward_kind::kToWitness)) {
+    AnswerWitness(in);
+    return;
+  }
+  if (!ChoosePool(in, route)) {
+    ++counters_.no_pool;
+    return;
+  }
+  if (in.CameAs(forward_kind::kWitnessed)) {
+    TakeWitness(in, now);
+  } else if (owner_.Knows(in.key)) {
+    owner_.HandleCaller(in, now);
+  } else if (in.CameAs(forward_kind::kToPrevious)) {
+    Bounce(in);
+  } else {
+    ServeOrForward(in, now);
+  }
+}
+
+// A packet that another balancer sent names its pool; the first balancer goes
+// by what it saw of the flow, and by weighted rendezvous otherwise.
+bool traffic_core::ChoosePool(inbound& in, const port_route& route) {
+  std::optional<uint16_t> pool;
+  if (in.forward) pool = PoolByTag(route, in.forward->pool);
+  if (!pool && !in.forward && in.IsWitnessed() && !in.packet.IsSyn()) {
+    if (const uint32_t seen = witnesses_.Get(in.key))
+      pool = PoolOfUpstream(in, seen);
+  }
+  if (!pool) pool = PickPool(*view_, route, in.hash);
+  if (!pool) return false;
+  in.pool = *pool;
+  return true;
+}
+
+std::optional<uint16_t> traffic_core::PoolByTag(const port_route& route,
+                                                uint16_t tag) const {
+  const auto found = std::ranges::find_if(
+      route.pools,
+      [this, tag](uint16_t index) { return view_->pools[index].tag == tag; });
+  if (found == route.pools.end()) return std::nullopt;
+  return *found;
+}
+
+std::optional<uint16_t> traffic_core::PoolOfUpstream(const inbound& in,
+                                                     uint32_t upstream) const {
+  const auto found =
+      view_->upstreams.find({in.key.proto, {upstream, in.port.upstream_port}});
+  if (found == view_->upstreams.end() ||
+      found->second.service != in.key.service)
+    return std::nullopt;
+  return found->second.pool;
+}
+
+void traffic_core::ServeOrForward(inbound& in, time_point now) {
+  const bool use_hint = in.IsWitnessed() && !in.packet.IsSyn();
+  uint32_t hint = use_hint ? in.Hint() : 0;
+  if (use_hint && hint == 0) hint = witnesses_.Get(in.key);
+  const pool_route& route = view_->pools[in.pool];
+  if (route.role == pool_role::kNone) {
+    ForwardToOwner(in,
+                   in.CameAs(forward_kind::kPassedOpening)
+                       ? forward_kind::kPassedOpening
+                       : forward_kind::kToOwner,
+                   hint, now);
+    return;
+  }
+  const auto hinted_pool = hint == 0 ? std::nullopt : PoolOfUpstream(in, hint);
+  const bool is_ours =
+      hinted_pool && view_->pools[*hinted_pool].role != pool_role::kNone;
+  if (is_ours && (!route.previous || in.CameAs(forward_kind::kUnknownFlow))) {
+    in.pool = *hinted_pool;
+    owner_.AdoptAndForward(in, hint, now);
+    return;
+  }
+  if (owner_.HandleCaller(in, now) == flow_owner::outcome::kDone) return;
+  if (hinted_pool && !is_ours) {
+    in.pool = *hinted_pool;
+    ForwardToOwner(in, forward_kind::kToOwner, hint, now);
+    return;
+  }
+  AskWitnesses(in, now);
+}
+
+void traffic_core::ForwardToOwner(inbound& in, forward_kind kind, uint32_t hint,
+                                  time_point now) {
+  const pool_route& route = view_->pools[in.pool];
+  if (in.Hops() >= kMaxHops) {
+    ++counters_.hop_limit;
+    return;
+  }
+  if (!route.reachable) {
+    ++counters_.no_pool;
+    return;
+  }
+  ++counters_.forwarded;
+  forward_option option{kind, static_cast<uint8_t>(in.Hops() + 1), route.tag,
+                        hint, 0};
+  if (view_->trace_one_in != 0 && in.hash % view_->trace_one_in == 0) {
+    option.parent_span = NewSpan(in.hash, now);
+    const uint64_t parent = in.forward ? in.forward->parent_span : 0;
+    sink_.Hop({in.hash, option.parent_span, parent, "ingress", "to-owner",
+               in.key, now});
+  }
+  sink_.ToBalancer(route.owner, option, in.bytes);
+}
+
+void traffic_core::FromUpstream(inbound& in, time_point now) {
+  in.hash = StableHash(in.key);
+  if (in.IsWitnessed()) {
+    const bool ends = in.packet.proto == protocol::kTcp &&
+                      (in.packet.Has(kFin) || in.packet.Has(kRst));
+    if (ends) {
+      witnesses_.Drop(in.key);
+    } else {
+      witnesses_.Put(in.key, in.packet.source.address, Ms(now));
+    }
+  }
+  if (owner_.Knows(in.key)) {
+    owner_.HandleUpstream(in, now);
+  } else if (in.CameAs(forward_kind::kToPrevious)) {
+    Bounce(in);
+  } else if (view_->pools[in.pool].role != pool_role::kNone) {
+    owner_.HandleUpstream(in, now);
+  } else {
+    ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
+  }
+}
+
+void traffic_core::Bounce(inbound& in) {
+  sink_.ToBalancer(
+      in.from,
+      {forward_kind::kUnknownFlow, static_cast<uint8_t>(in.Hops() + 1),
+       in.forward->pool, in.Hint(), 0},
+      in.bytes);
+}
+
+void traffic_core::AnswerWitness(inbound& in) {
+  uint32_t upstream = witnesses_.Get(in.key);
+  if (const auto slot = owner_.flows().Find(in.key))
+    upstream = owner_.flows().At(*slot).upstream;
+  if (upstream == 0) return;
+  ++counters_.witness_answered;
+  sink_.ToBalancer(
+      in.from,
+      {forward_kind::kWitnessed, in.Hops(), in.forward->pool, upstream, 0},
+      in.bytes);
+}
+
+void traffic_core::TakeWitness(inbound& in, time_point now) {
+  const uint32_t upstream = in.Hint();
+  const auto pool = PoolOfUpstream(in, upstream);
+  if (!pool) return;
+  witnesses_.Put(in.key, upstream, Ms(now));
+  in.pool = *pool;
+  if (view_->pools[*pool].role != pool_role::kNone) {
+    owner_.AdoptAndForward(in, upstream, now);
+  } else {
+    ForwardToOwner(in, forward_kind::kToOwner, upstream, now);
+  }
+}
+
+void traffic_core::AskWitnesses(inbound& in, time_point now) {
+  const double elapsed =
+      std::chrono::duration<double>(now - witness_refill_).count();
+  witness_refill_ = now;
+  witness_tokens_ = std::min(
+      kWitnessBurst, witness_tokens_ + elapsed * kWitnessQuestionsPerSecond);
+  if (witness_tokens_ < 1 || in.Hops() >= kMaxHops) return;
+  witness_tokens_ -= 1;
+  ++counters_.witness_asked;
+  const forward_option option{forward_kind::kToWitness,
+                              static_cast<uint8_t>(in.Hops() + 1),
+                              view_->pools[in.pool].tag, 0, 0};
+  for (const endpoint& witness : view_->witnesses)
+    sink_.ToBalancer(witness, option, in.bytes);
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/traffic/traffic_core.h
@@ -0,0 +1,73 @@
+// The packet path of one traffic thread: from a received datagram to what
+// leaves the balancer. It holds no socket; a traffic_sink takes what is sent.
+#pragma once
+#include <memory>
+
+#include "flow/witness_cache.h"
+#include "traffic/flow_owner.h"
+#include "traffic/inbound.h"
+#include "traffic/routing_view.h"
+#include "traffic/traffic_counters.h"
+#include "traffic/traffic_sink.h"
+
+namespace radishyard {
+
+/// \brief Ingress and owner of one traffic thread.
+///
+/// A packet takes one of these ways:
+/// caller -> ingress -> owner of its pool -> upstream, and
+/// upstream -> ingress -> owner of its pool -> caller;
+/// ingress and owner may be the same balancer.
+class traffic_core {
+ public:
+  /// \param witness_entries flows whose upstream this thread remembers from
+  /// passing packets.
+  traffic_core(traffic_sink& sink, size_t witness_entries, time_point start,
+               owner_timing timing = {});
+
+  void SetView(std::shared_ptr<const routing_view> view, time_point now);
+
+  /// \brief Handles one datagram. Its bytes may be changed.
+  void Receive(std::span<uint8_t> datagram, const endpoint& from,
+               time_point now);
+
+  /// \brief Runs the timers; call it about every 10 ms.
+  void Tick(time_point now) { owner_.Tick(now); }
+
+  const traffic_counters& counters() const { return counters_; }
+  const flow_owner& owner() const { return owner_; }
+  flow_owner& owner() { return owner_; }
+
+ private:
+  bool Trusts(const endpoint& from, const geneve_frame& frame) const;
+  void FromCaller(inbound& in, const port_route& route, time_point now);
+  void FromUpstream(inbound& in, time_point now);
+  bool ChoosePool(inbound& in, const port_route& route);
+  std::optional<uint16_t> PoolByTag(const port_route& route,
+                                    uint16_t tag) const;
+  std::optional<uint16_t> PoolOfUpstream(const inbound& in,
+                                         uint32_t upstream) const;
+  void ServeOrForward(inbound& in, time_point now);
+  void ForwardToOwner(inbound& in, forward_kind kind, uint32_t hint,
+                      time_point now);
+  void AnswerWitness(inbound& in);
+  void TakeWitness(inbound& in, time_point now);
+  void AskWitnesses(inbound& in, time_point now);
+  void Bounce(inbound& in);
+  uint32_t Ms(time_point now) const {
+    return static_cast<uint32_t>(ToMs(now - start_));
+  }
+
+  traffic_sink& sink_;
+  traffic_counters counters_;
+  witness_cache witnesses_;
+  time_point start_;
+  std::shared_ptr<const routing_view> view_;
+  flow_owner owner_;
+  // Tokens for questions to witnesses, refilled with time, so that a flood of
+  // unknown packets cannot multiply.
+  double witness_tokens_ = 0;
+  time_point witness_refill_;
+};
+
+}  // namespace radishyard
--- a/src/traffic/traffic_sink.h
+++ b/src/traffic/traffic_sink.h
@@ -1,4 +1,5 @@
-// Where a traffic thread's packets and spans go: the interface that tests replace by a mock.
+// Where a traffic thread's packets and spans go: the interface that tests
+// replace by a mock.
 #pragma once
 #include <cstdint>
 
@@ -7,11 +8,12 @@
 
 namespace radishyard {
 
-/// \brief One hop of a traced flow. All balancers derive the same trace from the flow's hash.
+/// \brief One hop of a traced flow. All balancers derive the same trace from
+/// the flow's hash.
 struct hop_span {
   uint64_t trace = 0;
   uint64_t span = 0;
-  uint64_t parent = 0;  ///< Span of the hop before; 0 at the first.
+  uint64_t parent = 0;    ///< Span of the hop before; 0 at the first.
   const char* name = "";  ///< Such as "ingress", "owner" or "return".
   const char* outcome = "";
   flow_key key;
@@ -28,10 +30,12 @@
 class traffic_sink {
  public:
   virtual ~traffic_sink() = default;
-  /// \brief Hands an IPv4 packet to the fabric. `flow_hash` spreads flows over the fabric's entries.
+  /// \brief Hands an IPv4 packet to the fabric. `flow_hash` spreads flows over
+  /// the fabric's entries.
   virtual void ToFabric(byte_span ip, uint64_t flow_hash) = 0;
   /// \brief Sends a packet to another balancer.
-  virtual void ToBalancer(const endpoint& to, const forward_option& option, byte_span ip) = 0;
+  virtual void ToBalancer(const endpoint& to, const forward_option& option,
+                          byte_span ip) = 0;
   /// \brief Records a hop of a traced flow.
   virtual void Hop(const hop_span& hop) = 0;
 };
--- /dev/null
+++ b/src/traffic/traffic_thread.h
@@ -0,0 +1,76 @@
+// A traffic thread: one UDP socket, one traffic_core, one thread that runs
+// both.
+#pragma once
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "base/asio.h"
+#include "traffic/traffic_core.h"
+
+namespace radishyard {
+
+/// \brief What a traffic thread reports to the control thread.
+struct traffic_report {
+  traffic_counters counters;
+  std::vector<served_load> loads;
+  size_t open_flows = 0;
+};
+
+/// \brief Settings of a traffic thread.
+struct traffic_options {
+  endpoint listen;
+  size_t witness_entries = 1 << 18;
+  duration report_every = 100ms;
+};
+
+/// \brief Runs the packet path on its own thread.
+/// \warning All members may be called from the control thread only.
+class traffic_thread : private traffic_sink {
+ public:
+  using report_handler = std::function<void(const traffic_report&)>;
+  using hop_handler = std::function<void(const hop_span&)>;
+
+  /// \param on_report, on_hop are called on the traffic thread; they post to
+  /// where they belong.
+  traffic_thread(const traffic_options& options, report_handler on_report,
+                 hop_handler on_hop);
+  ~traffic_thread() override;
+
+  /// \brief Hands a new view to the thread.
+  void Publish(std::shared_ptr<const routing_view> view);
+
+  /// \brief Runs `task` on the traffic thread.
+  void Post(std::function<void(traffic_core&, time_point)> task);
+
+  /// \brief Stops the thread and waits for it.
+  void Stop();
+
+ private:
+  void ToFabric(byte_span ip, uint64_t flow_hash) override;
+  void ToBalancer(const endpoint& to, const forward_option& option,
+                  byte_span ip) override;
+  void Hop(const hop_span& hop) override { on_hop_(hop); }
+
+  void Run();
+  void WaitForPackets();
+  void ReceiveBatch();
+  void WaitForTick();
+  void Send(const endpoint& to, const geneve_frame& frame);
+
+  traffic_options options_;
+  report_handler on_report_;
+  hop_handler on_hop_;
+  asio::io_context io_;
+  asio::ip::udp::socket socket_;
+  asio::steady_timer tick_;
+  std::shared_ptr<const routing_view> view_;  // As the traffic thread sees it.
+  traffic_core core_;
+  std::vector<uint8_t> buffer_;
+  time_point reported_at_{};
+  uint64_t send_failed_ = 0;
+  std::thread thread_;
+};
+
+}  // namespace radishyard
