--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -15,15 +15,17 @@
 // One connection: reads a request, answers it, goes on until the client closes.
 class session : public std::enable_shared_from_this<session> {
  public:
-  session(asio::ip::tcp::socket socket, std::shared_ptr<const admin_server::page_map> pages)
+  session(asio::ip::tcp::socket socket,
+          std::shared_ptr<const admin_server::page_map> pages)
       : stream_(std::move(socket)), pages_(std::move(pages)) {}
 
   void Read() {
     request_ = {};
     stream_.expires_after(kSessionTimeout);
-    http::async_read(stream_, buffer_, request_, [self = shared_from_this()](error_code error, size_t) {
-      if (!error) self->Answer();
-    });
+    http::async_read(stream_, buffer_, request_,
+                     [self = shared_from_this()](error_code error, size_t) {
+                       if (!error) self->Answer();
+                     });
   }
 
  private:
@@ -42,9 +44,11 @@
       response_.body() = std::move(answer.body);
     }
     response_.prepare_payload();
-    http::async_write(stream_, response_, [self = shared_from_this()](error_code error, size_t) {
-      if (!error && self->response_.keep_alive()) self->Read();
-    });
+    http::async_write(stream_, response_,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        if (!error && self->response_.keep_alive())
+                          self->Read();
+                      });
   }
 
   beast::tcp_stream stream_;
@@ -63,9 +67,11 @@
         pages_(std::make_shared<const page_map>(std::move(pages))) {}
 
   void Accept() {
-    acceptor_.async_accept([self = shared_from_this()](error_code error, asio::ip::tcp::socket socket) {
+    acceptor_.async_accept([self = shared_from_this()](
+                               error_code error, asio::ip::tcp::socket socket) {
       if (error == asio::error::operation_aborted) return;
-      if (!error) std::make_shared<session>(std::move(socket), self->pages_)->Read();
+      if (!error)
+        std::make_shared<session>(std::move(socket), self->pages_)->Read();
       self->Accept();
     });
   }
@@ -79,7 +85,8 @@
   std::shared_ptr<const page_map> pages_;
 };
 
-admin_server::admin_server(asio::io_context& io, const endpoint& listen, page_map pages)
+admin_server::admin_server(asio::io_context& io, const endpoint& listen,
+                           page_map pages)
     : listener_(std::make_shared<listener>(io, listen, std::move(pages))) {
   listener_->Accept();
 }
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -19,8 +19,8 @@
 /// \brief Answers GET requests from a map of paths to functions.
 ///
 /// \code
-/// admin_server admin(io, {0x7f000001, 9200}, {{"/status", [&] { return StatusPage(); }}});
-/// \endcode
+/// admin_server admin(io, {0x7f000001, 9200}, {{"/status", [&] { return
+/// StatusPage(); }}}); \endcode
 class admin_server {
  public:
   using page_map = std::map<std::string, std::function<admin_page()>>;
--- /dev/null
+++ b/src/control/roster_keeper.cc
@@ -0,0 +1,90 @@
+// Conditional updates of rosters, with lost answers settled by reading back.
+#include "control/roster_keeper.h"
+
+#include <cassert>
+
+#include "observe/log.h"
+#include "roster/roster_json.h"
+
+namespace radishyard {
+namespace {
+
+constexpr duration kReadBackAfter = 200ms;
+
+}  // namespace
+
+roster_keeper::roster_keeper(asio::io_context& io, object_store& store,
+                             change_handler on_change)
+    : timer_(io), store_(store), on_change_(std::move(on_change)) {}
+
+held_roster roster_keeper::Of(const std::string& domain) const {
+  const auto found = held_.find(domain);
+  if (found != held_.end()) return found->second;
+  held_roster none;
+  none.value.domain = domain;
+  return none;
+}
+
+bool roster_keeper::Take(const stored_object& object) {
+  findings found;
+  std::optional<roster> parsed = ParseRoster(object.value, found);
+  if (!parsed || KeyOf(parsed->domain) != object.key) {
+    Log(severity::kWarn, "roster_malformed",
+        {{"key", object.key}, {"findings", found.Text()}});
+    return false;
+  }
+  held_roster& held = held_[parsed->domain];
+  if (object.version <= held.version) return false;
+  held = {std::move(*parsed), object.version};
+  on_change_(held);
+  return true;
+}
+
+void roster_keeper::Confirm(const roster& next, uint64_t version) {
+  held_roster& held = held_[next.domain];
+  if (version <= held.version) return;
+  held = {next, version};
+  on_change_(held);
+}
+
+void roster_keeper::Propose(const roster& next, time_point now,
+                            proposal_handler handler) {
+  assert(!proposing_ && "one proposal at a time");
+  proposing_ = true;
+  const uint64_t expected = Of(next.domain).version;
+  const auto settle = [this, next, now, handler](
+                          std::optional<uint64_t> version, const failure& why) {
+    if (version) {
+      proposing_ = false;
+      Confirm(next, *version);
+      handler(proposal_end::kConfirmed, now);
+    } else if (why.kind == failure_kind::kUnavailable) {
+      proposing_ = false;
+      handler(proposal_end::kFailed, now);
+    } else {
+      ReadBack(next.domain, now, handler);
+    }
+  };
+  store_.Put(KeyOf(next.domain), ToJson(next), expected, settle);
+}
+
+// After a conflict or a lost answer: what does the store hold? Even if it is
+// what was proposed, a read may be stale, so it confirms nothing.
+void roster_keeper::ReadBack(const std::string& domain, time_point sent_at,
+                             proposal_handler handler) {
+  store_.Get(KeyOf(domain), [=, this](std::optional<stored_object> object,
+                                      const failure& why) {
+    if (!object && why.kind != failure_kind::kNotFound) {
+      timer_.expires_after(kReadBackAfter);
+      timer_.async_wait([=, this](error_code error) {
+        if (!error) ReadBack(domain, sent_at, handler);
+      });
+      return;
+    }
+    proposing_ = false;
+    if (object) Take(*object);
+    handler(proposal_end::kLost, sent_at);
+  });
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/control/roster_keeper.h
@@ -0,0 +1,70 @@
+// Keeps the rosters that this balancer knows, and changes its own domain's by
+// conditional update.
+#pragma once
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/asio.h"
+#include "roster/roster.h"
+#include "store/object_store.h"
+
+namespace radishyard {
+
+/// \brief A roster with the version of the store's object.
+struct held_roster {
+  roster value;
+  uint64_t version = 0;
+  auto operator<=>(const held_roster&) const = default;
+};
+
+/// \brief How a proposal ended.
+enum class proposal_end : uint8_t {
+  kConfirmed,  ///< The store holds it.
+  kLost,  ///< Another update came first, or the answer was lost; the roster has
+          ///< been read.
+  kFailed,  ///< Certainly not carried out.
+};
+
+/// \brief Rosters by domain. Only higher versions are taken up.
+class roster_keeper {
+ public:
+  using change_handler = std::function<void(const held_roster&)>;
+  using proposal_handler =
+      std::function<void(proposal_end, time_point sent_at)>;
+
+  roster_keeper(asio::io_context& io, object_store& store,
+                change_handler on_change);
+
+  /// \brief Takes an object "rosters/<domain>" from the store or a peer.
+  /// \returns false if it is malformed or not newer.
+  bool Take(const stored_object& object);
+
+  /// \brief Writes `next` if the store still has the version that is held. A
+  /// lost answer is settled by reading back until the store answers. \warning
+  /// One proposal at a time.
+  void Propose(const roster& next, time_point now, proposal_handler handler);
+  bool IsProposing() const { return proposing_; }
+
+  /// \brief The domain's roster; an empty one with version 0 if none is known.
+  held_roster Of(const std::string& domain) const;
+  const std::map<std::string, held_roster>& All() const { return held_; }
+
+  static std::string KeyOf(const std::string& domain) {
+    return "rosters/" + domain;
+  }
+
+ private:
+  void ReadBack(const std::string& domain, time_point sent_at,
+                proposal_handler handler);
+  void Confirm(const roster& next, uint64_t version);
+
+  asio::steady_timer timer_;
+  object_store& store_;
+  change_handler on_change_;
+  std::map<std::string, held_roster> held_;
+  bool proposing_ = false;
+};
+
+}  // namespace radishyard
--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -35,26 +35,32 @@
 endpoint ThreadEndpoint(const member& m, const pool_name& name) {
   const uint64_t hash = NameHash(name.service_name + "/" + name.domain);
   endpoint at = m.data;
-  at.port = static_cast<uint16_t>(at.port + hash % std::max<uint16_t>(m.data_threads, 1));
+  at.port = static_cast<uint16_t>(at.port +
+                                  hash % std::max<uint16_t>(m.data_threads, 1));
   return at;
 }
 
-void SetRole(pool_route& route, const view_inputs& inputs, const pool_assignment& pool,
-             const std::vector<member_id>& order) {
+void SetRole(pool_route& route, const view_inputs& inputs,
+             const pool_assignment& pool, const std::vector<member_id>& order) {
   const bool is_owner = pool.owner == inputs.self;
   if (order.empty() || order.front() != inputs.self) return;
   route.role = is_owner ? pool_role::kOwner : pool_role::kActing;
-  const auto until = inputs.unsafe_until.find({route.service_name, route.domain});
-  if (is_owner && until != inputs.unsafe_until.end()) route.unsafe_until = until->second;
+  const auto until =
+      inputs.unsafe_until.find({route.service_name, route.domain});
+  if (is_owner && until != inputs.unsafe_until.end())
+    route.unsafe_until = until->second;
 }
 
-void SetOwner(pool_route& route, const view_inputs& inputs, const member_index& members) {
+void SetOwner(pool_route& route, const view_inputs& inputs,
+              const member_index& members) {
   const auto held = inputs.rosters.find(route.domain);
   if (held == inputs.rosters.end()) return;
-  const pool_assignment* const pool = FindPool(held->second, route.service_name);
+  const pool_assignment* const pool =
+      FindPool(held->second, route.service_name);
   if (pool == nullptr) return;
   const pool_name name{route.service_name, route.domain};
-  const std::vector<member_id> order = RouteOrder(held->second, route.service_name, inputs.alive);
+  const std::vector<member_id> order =
+      RouteOrder(held->second, route.service_name, inputs.alive);
   route.epoch = pool->since_epoch;
   SetRole(route, inputs, *pool, order);
   if (order.empty()) return;
@@ -62,9 +68,11 @@
   if (serving == nullptr) return;
   route.reachable = true;
   route.owner = ThreadEndpoint(*serving, name);
-  const bool asks_previous = pool->previous && inputs.alive.contains(*pool->previous) &&
-                             *pool->previous != inputs.self && !inputs.handed_over.contains(name);
-  const member* const previous = asks_previous ? members.Find(*pool->previous) : nullptr;
+  const bool asks_previous =
+      pool->previous && inputs.alive.contains(*pool->previous) &&
+      *pool->previous != inputs.self && !inputs.handed_over.contains(name);
+  const member* const previous =
+      asks_previous ? members.Find(*pool->previous) : nullptr;
   if (previous != nullptr) route.previous = ThreadEndpoint(*previous, name);
 }
 
@@ -74,8 +82,8 @@
   return domains;
 }
 
-void AddService(routing_view& view, const std::shared_ptr<const service>& table, const view_inputs& inputs,
-                const member_index& members) {
+void AddService(routing_view& view, const std::shared_ptr<const service>& table,
+                const view_inputs& inputs, const member_index& members) {
   std::map<std::string, uint16_t> pool_of_domain;
   for (const std::string& domain : DomainsOf(*table)) {
     pool_route route;
@@ -92,7 +100,8 @@
     const endpoint at{table->address, port.port};
     port_route& route = view.ports[{port.proto, at}];
     route.port = port;
-    for (const auto& [domain, index] : pool_of_domain) route.pools.push_back(index);
+    for (const auto& [domain, index] : pool_of_domain)
+      route.pools.push_back(index);
     for (const upstream& row : table->upstreams) {
       const port_key key{port.proto, {row.address, port.upstream_port}};
       view.upstreams[key] = {pool_of_domain[row.domain], at, port};
@@ -107,19 +116,24 @@
   }
 }
 
-void AddBalancers(routing_view& view, const view_inputs& inputs, const member_index& members) {
+void AddBalancers(routing_view& view, const view_inputs& inputs,
+                  const member_index& members) {
   for (const auto& [id, m] : members.All()) {
     for (uint16_t i = 0; i < m->data_threads; ++i) {
-      view.balancers.insert({m->data.address, static_cast<uint16_t>(m->data.port + i)});
+      view.balancers.insert(
+          {m->data.address, static_cast<uint16_t>(m->data.port + i)});
     }
     const bool is_peer = id != inputs.self && inputs.alive.contains(id);
-    if (is_peer && view.witnesses.size() < kMostWitnesses) view.witnesses.push_back(m->data);
+    if (is_peer && view.witnesses.size() < kMostWitnesses)
+      view.witnesses.push_back(m->data);
   }
 }
 
 }  // namespace
 
-uint16_t DomainTag(const std::string& domain) { return static_cast<uint16_t>(NameHash(domain)); }
+uint16_t DomainTag(const std::string& domain) {
+  return static_cast<uint16_t>(NameHash(domain));
+}
 
 routing_view BuildView(const table_set& table, const view_inputs& inputs) {
   routing_view view;
@@ -128,7 +142,8 @@
   const member_index members(inputs.rosters);
   for (const auto& [name, record] : table.records) {
     if (record->value.deleted) continue;
-    AddService(view, std::shared_ptr<const service>(record, &record->value), inputs, members);
+    AddService(view, std::shared_ptr<const service>(record, &record->value),
+               inputs, members);
   }
   RemoveClashes(view, table);
   AddBalancers(view, inputs, members);
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -1,4 +1,5 @@
-// Builds the routing view from table, rosters and liveness: a pure function of the control state.
+// Builds the routing view from table, rosters and liveness: a pure function of
+// the control state.
 #pragma once
 #include <map>
 #include <memory>
@@ -22,15 +23,18 @@
 /// \brief What the view depends on besides the table.
 struct view_inputs {
   member_id self;
-  std::map<std::string, roster> rosters;           ///< By domain.
-  std::set<member_id> alive;                       ///< `self` included.
-  std::map<pool_name, time_point> unsafe_until;    ///< Lease deadlines of own pools.
-  std::set<pool_name> handed_over;                 ///< Own pools whose previous owner has finished.
+  std::map<std::string, roster> rosters;  ///< By domain.
+  std::set<member_id> alive;              ///< `self` included.
+  std::map<pool_name, time_point>
+      unsafe_until;  ///< Lease deadlines of own pools.
+  std::set<pool_name>
+      handed_over;  ///< Own pools whose previous owner has finished.
   std::vector<endpoint> fabric;
   uint32_t trace_one_in = 0;
 };
 
-/// \brief The view of the present state. Endpoints that clash between services are left out.
+/// \brief The view of the present state. Endpoints that clash between services
+/// are left out.
 routing_view BuildView(const table_set& table, const view_inputs& inputs);
 
 /// \brief The tag by which balancers name the pools of a service to each other.
--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,149 @@
+// Wiring of a balancer.
+#include "daemon/daemon.h"
+
+#include <nlohmann/json.hpp>
+
+#include "observe/log.h"
+#include "store/http_store.h"
+
+namespace radishyard {
+namespace {
+
+constexpr duration kStoreTimeout = 2s;
+
+using json = nlohmann::json;
+
+json ServicesJson(const table_set& table) {
+  json services = json::object();
+  for (const auto& [name, record] : table.records) {
+    services[name] = {{"version", record->version},
+                      {"edit_id", record->edit_id}};
+  }
+  return services;
+}
+
+json RostersJson(const roster_keeper& rosters) {
+  json all = json::object();
+  for (const auto& [domain, held] : rosters.All()) {
+    all[domain] = {{"epoch", held.value.epoch}, {"version", held.version}};
+  }
+  return all;
+}
+
+json CountersJson(const traffic_counters& c) {
+  return {{"packets", c.packets},
+          {"malformed", c.malformed},
+          {"untrusted", c.untrusted},
+          {"no_service", c.no_service},
+          {"no_pool", c.no_pool},
+          {"forwarded", c.forwarded},
+          {"hop_limit", c.hop_limit},
+          {"placed", c.placed},
+          {"queued", c.queued},
+          {"refused", c.refused},
+          {"replaced", c.replaced},
+          {"passed", c.passed},
+          {"adopted", c.adopted},
+          {"witness_asked", c.witness_asked},
+          {"witness_answered", c.witness_answered},
+          {"stale_answers", c.stale_answers},
+          {"duplicates", c.duplicates},
+          {"unsafe_withheld", c.unsafe_withheld},
+          {"send_failed", c.send_failed}};
+}
+
+json LoadJson(const served_load& served) {
+  uint64_t connections = 0;
+  uint64_t slots = 0;
+  for (const upstream_load& up : served.load.upstreams) {
+    connections += up.connections;
+    slots += up.slots;
+  }
+  return {{"service", served.service},
+          {"domain", served.domain},
+          {"owner", true},
+          {"connections", connections},
+          {"slots", slots},
+          {"queued", served.load.waiting},
+          {"free_slots", served.load.free_slots}};
+}
+
+}  // namespace
+
+daemon::daemon(const settings& config, uint64_t incarnation)
+    : config_(config),
+      signals_(io_, SIGTERM, SIGINT),
+      store_(MakeHttpStore(io_, config.platform, kStoreTimeout)),
+      controller_(io_, *store_, config, incarnation,
+                  [this](std::shared_ptr<const routing_view> view) {
+                    for (const auto& thread : threads_) thread->Publish(view);
+                  }) {}
+
+void daemon::StartTraffic() {
+  reports_.resize(config_.data_threads);
+  for (uint16_t i = 0; i < config_.data_threads; ++i) {
+    traffic_options options;
+    options.listen = {config_.data.address,
+                      static_cast<uint16_t>(config_.data.port + i)};
+    threads_.push_back(std::make_unique<traffic_thread>(
+        options,
+        [this, i](const traffic_report& report) {
+          asio::post(io_, [this, i, report] { reports_[i] = report; });
+        },
+        [](const hop_span&) {}));
+  }
+}
+
+void daemon::Run() {
+  StartTraffic();
+  admin_ = std::make_unique<admin_server>(
+      io_, config_.admin,
+      admin_server::page_map{{"/status", [this] { return StatusPage(); }}});
+  OnSignal();
+  controller_.Start();
+  Log(severity::kInfo, "started",
+      {{"balancer", config_.name},
+       {"domain", config_.domain},
+       {"incarnation", controller_.self().id.incarnation}});
+  io_.run();
+  for (const auto& thread : threads_) thread->Stop();
+  Log(severity::kInfo, "stopped", {{"balancer", config_.name}});
+}
+
+void daemon::OnSignal() {
+  signals_.async_wait([this](error_code error, int number) {
+    if (error) return;
+    Log(severity::kInfo, "shutdown_begun",
+        {{"signal", static_cast<uint64_t>(number)}});
+    Shutdown();
+  });
+}
+
+void daemon::Shutdown() {
+  controller_.Leave([this] { io_.stop(); });
+}
+
+admin_page daemon::StatusPage() const {
+  json page = {{"balancer", config_.name},
+               {"domain", config_.domain},
+               {"incarnation", controller_.self().id.incarnation},
+               {"platform_reachable", controller_.StoreReachable()},
+               {"services", ServicesJson(controller_.table())},
+               {"rosters", RostersJson(controller_.rosters())}};
+  size_t open = 0;
+  size_t queued = 0;
+  page["pools"] = json::array();
+  page["threads"] = json::array();
+  for (const traffic_report& report : reports_) {
+    open += report.open_flows;
+    page["threads"].push_back(CountersJson(report.counters));
+    for (const served_load& load : report.loads) {
+      queued += load.load.waiting;
+      page["pools"].push_back(LoadJson(load));
+    }
+  }
+  page["flows"] = {{"open", open}, {"queued", queued}};
+  return {"application/json", page.dump() + "\n"};
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,36 @@
+// The daemon: control thread, traffic threads and admin pages wired together.
+#pragma once
+#include <memory>
+#include <vector>
+
+#include "admin/admin_server.h"
+#include "control/controller.h"
+#include "traffic/traffic_thread.h"
+
+namespace radishyard {
+
+/// \brief One running balancer. Run() returns after a graceful shutdown.
+class daemon {
+ public:
+  daemon(const settings& config, uint64_t incarnation);
+
+  /// \brief Serves until SIGTERM or SIGINT, then hands over and returns.
+  void Run();
+
+ private:
+  void StartTraffic();
+  void OnSignal();
+  void Shutdown();
+  admin_page StatusPage() const;
+
+  settings config_;
+  asio::io_context io_;
+  asio::signal_set signals_;
+  std::unique_ptr<object_store> store_;
+  controller controller_;
+  std::vector<std::unique_ptr<traffic_thread>> threads_;
+  std::vector<traffic_report> reports_;  // Latest of each thread.
+  std::unique_ptr<admin_server> admin_;
+};
+
+}  // namespace radishyard
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -37,7 +37,8 @@
 }
 
 void AppendValue(std::string& line, std::string_view value) {
-  if (!value.empty() && value.find_first_of(" \"=\n\\") == std::string_view::npos) {
+  if (!value.empty() &&
+      value.find_first_of(" \"=\n\\") == std::string_view::npos) {
     line += value;
     return;
   }
@@ -51,7 +52,8 @@
 
 }  // namespace
 
-std::string FormatLine(std::string_view event, std::initializer_list<log_field> fields) {
+std::string FormatLine(std::string_view event,
+                       std::initializer_list<log_field> fields) {
   std::string line = "event=";
   AppendValue(line, event);
   for (const log_field& field : fields) {
@@ -63,12 +65,16 @@
   return line;
 }
 
-void OpenLog(std::string_view program, severity least, const std::string& file) {
-  const std::string pattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p program=" + std::string(program) + " %m%n";
+void OpenLog(std::string_view program, severity least,
+             const std::string& file) {
+  const std::string pattern =
+      "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p program=" +
+      std::string(program) + " %m%n";
   const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
   log4cxx::AppenderPtr appender;
   if (file == "-") {
-    appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
   }
@@ -78,7 +84,8 @@
   OpenedLogger()->setLevel(ToLevel(least));
 }
 
-void Log(severity level, std::string_view event, std::initializer_list<log_field> fields) {
+void Log(severity level, std::string_view event,
+         std::initializer_list<log_field> fields) {
   const log4cxx::LoggerPtr& logger = OpenedLogger();
   if (!logger || !logger->isEnabledFor(ToLevel(level))) return;
   logger->forcedLog(ToLevel(level), FormatLine(event, fields));
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -14,22 +14,27 @@
 struct log_field {
   log_field(std::string_view k, std::string_view v) : key(k), value(v) {}
   log_field(std::string_view k, const char* v) : key(k), value(v) {}
-  log_field(std::string_view k, uint64_t v) : key(k), value(std::to_string(v)) {}
+  log_field(std::string_view k, uint64_t v)
+      : key(k), value(std::to_string(v)) {}
   std::string_view key;
   std::string value;
 };
 
-/// \brief Opens the log. \param file path, or "-" for the standard error stream.
+/// \brief Opens the log. \param file path, or "-" for the standard error
+/// stream.
 void OpenLog(std::string_view program, severity least, const std::string& file);
 
 /// \brief Writes one line: time=... level=... event=NAME key=value ...
 ///
 /// \code
-/// Log(severity::kInfo, "table_adopted", {{"service", name}, {"version", version}});
-/// \endcode
-void Log(severity level, std::string_view event, std::initializer_list<log_field> fields = {});
+/// Log(severity::kInfo, "table_adopted", {{"service", name}, {"version",
+/// version}}); \endcode
+void Log(severity level, std::string_view event,
+         std::initializer_list<log_field> fields = {});
 
-/// \brief A line's text without time and level; values with spaces or quotes are quoted.
-std::string FormatLine(std::string_view event, std::initializer_list<log_field> fields);
+/// \brief A line's text without time and level; values with spaces or quotes
+/// are quoted.
+std::string FormatLine(std::string_view event,
+                       std::initializer_list<log_field> fields);
 
 }  // namespace radishyard
--- /dev/null
+++ b/test/support/traffic_bench.h
@@ -0,0 +1,78 @@
+// A traffic_core with a recording sink and a small view: what the tests of the
+// packet path need.
+#pragma once
+#include <gmock/gmock.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "traffic/traffic_core.h"
+
+namespace radishyard {
+
+/// \brief A packet that left the balancer.
+struct sent_packet {
+  endpoint to;  ///< Port 0 for the fabric.
+  std::optional<forward_option> forward;
+  byte_buffer ip;
+
+  packet_view View() const {
+    failure why;
+    return ParsePacket(ip, why).value_or(packet_view{});
+  }
+};
+
+/// \brief Keeps what is sent, in order.
+class recording_sink : public traffic_sink {
+ public:
+  void ToFabric(byte_span ip, uint64_t) override {
+    sent.push_back({{}, {}, {ip.begin(), ip.end()}});
+  }
+  void ToBalancer(const endpoint& to, const forward_option& option,
+                  byte_span ip) override {
+    sent.push_back({to, option, {ip.begin(), ip.end()}});
+  }
+  void Hop(const hop_span& hop) override { hops.push_back(hop); }
+
+  std::vector<sent_packet> Take() { return std::exchange(sent, {}); }
+
+  std::vector<sent_packet> sent;
+  std::vector<hop_span> hops;
+};
+
+/// \brief One balancer under test.
+class traffic_bench {
+ public:
+  static constexpr endpoint kFabric{0x7f000001, 8000};
+  static constexpr endpoint kPeer{0x7f000001, 9100};
+  static constexpr endpoint kCaller{0x0a010101, 40000};
+  static constexpr endpoint kFeed{0x0a140001, 7000};
+  static constexpr endpoint kRequest{0x0a140001, 7001};
+  static constexpr endpoint kOrder{0x0a140001, 7002};  // UDP, not idempotent.
+
+  /// \param slots of each of the two upstreams of the pool in "rennes".
+  explicit traffic_bench(uint32_t slots = 2);
+
+  /// \brief The view with the pool in "rennes" in this role; change it and call
+  /// Publish().
+  std::shared_ptr<routing_view> view;
+  void Publish(time_point now) {
+    core.SetView(std::make_shared<routing_view>(*view), now);
+  }
+  pool_route& rennes() { return view->pools[0]; }
+  pool_route& vannes() { return view->pools[1]; }
+
+  /// \brief Hands the packet in, as from the fabric or, with an option, from
+  /// the peer.
+  std::vector<sent_packet> In(
+      const packet_fields& fields, time_point now,
+      std::optional<forward_option> forward = std::nullopt);
+  std::vector<sent_packet> Tick(time_point now);
+
+  recording_sink sink;
+  traffic_core core;
+};
+
+}  // namespace radishyard
--- /dev/null
+++ b/test/traffic_test.cc
@@ -0,0 +1,215 @@
+// The packet path of one balancer: placing, keeping, ending, refusing, and what
+// is never done twice.
+#include <gtest/gtest.h>
+
+#include "support/traffic_bench.h"
+
+namespace radishyard {
+namespace {
+
+using bench = traffic_bench;
+
+const std::string kText = "id=1\n";
+byte_span Payload() {
+  return {reinterpret_cast<const uint8_t*>(kText.data()), kText.size()};
+}
+
+packet_fields Syn(const endpoint& to,
+                  uint16_t caller_port = bench::kCaller.port) {
+  return {{bench::kCaller.address, caller_port}, to, protocol::kTcp, kSyn, 100};
+}
+
+packet_fields Tcp(const endpoint& from, const endpoint& to, uint8_t flags) {
+  return {from, to, protocol::kTcp, flags, 200, 101};
+}
+
+packet_fields Order(uint16_t caller_port = bench::kCaller.port) {
+  return {{bench::kCaller.address, caller_port},
+          bench::kOrder,
+          protocol::kUdp,
+          0,
+          0,
+          0,
+          7,
+          Payload()};
+}
+
+// Opens a TCP flow and answers it; returns its upstream.
+endpoint OpenFlow(bench& b, const endpoint& service, time_point now,
+                  uint16_t caller_port = bench::kCaller.port) {
+  const auto opening = b.In(Syn(service, caller_port), now);
+  EXPECT_EQ(opening.size(), 1U);
+  const endpoint up = opening.at(0).View().destination;
+  b.In(Tcp(up, {bench::kCaller.address, caller_port}, kSyn | kAck), now);
+  return up;
+}
+
+TEST(Traffic, PlacesAFlowAndAnswersInTheServicesName) {
+  bench b;
+  const auto opening = b.In(Syn(bench::kFeed), AtMs(1));
+  ASSERT_EQ(opening.size(), 1U);
+  const endpoint up = opening[0].View().destination;
+  EXPECT_EQ(opening[0].View().source, bench::kCaller);
+  const auto answer = b.In(Tcp(up, bench::kCaller, kSyn | kAck), AtMs(2));
+  ASSERT_EQ(answer.size(), 1U);
+  EXPECT_EQ(answer[0].View().source, bench::kFeed);
+  const auto data = b.In(Tcp(bench::kCaller, bench::kFeed, kAck), AtMs(3));
+  ASSERT_EQ(data.size(), 1U);
+  EXPECT_EQ(data[0].View().destination, up);
+}
+
+TEST(Traffic, ALateAnswerOfAnEarlierPlacementIsDropped) {
+  bench b;
+  const endpoint first =
+      b.In(Syn(bench::kFeed), AtMs(1)).at(0).View().destination;
+  for (uint16_t port = 1; port <= 20; ++port)
+    OpenFlow(b, bench::kFeed, AtMs(1), port);  // Retry budget.
+  const auto second = b.Tick(AtMs(400));
+  ASSERT_EQ(second.size(), 1U) << "the unanswered opening is placed again";
+  ASSERT_NE(second[0].View().destination, first);
+  EXPECT_TRUE(b.In(Tcp(first, bench::kCaller, kSyn | kAck), AtMs(401)).empty());
+  EXPECT_EQ(b.In(Tcp(second[0].View().destination, bench::kCaller, kSyn | kAck),
+                 AtMs(402))
+                .size(),
+            1U);
+}
+
+TEST(Traffic, SlotsAreNeverExceededAndAWaitingOpeningIsPlacedWhenOneFrees) {
+  bench b(1);
+  const endpoint up = OpenFlow(b, bench::kRequest, AtMs(1), 1);
+  OpenFlow(b, bench::kRequest, AtMs(1), 2);
+  EXPECT_TRUE(b.In(Syn(bench::kRequest, 3), AtMs(2)).empty())
+      << "both slots are taken";
+  b.In(Tcp(up, {bench::kCaller.address, 1}, kFin | kAck), AtMs(20));
+  const auto placed = b.Tick(AtMs(21));
+  ASSERT_EQ(placed.size(), 1U);
+  EXPECT_EQ(placed[0].View().destination, up);
+}
+
+TEST(Traffic, AWaitTooLongIsRefusedWithAReset) {
+  bench b(1);
+  OpenFlow(b, bench::kRequest, AtMs(1), 1);
+  OpenFlow(b, bench::kRequest, AtMs(1), 2);
+  b.In(Syn(bench::kRequest, 3), AtMs(2));
+  const auto refused = b.Tick(AtMs(600));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_TRUE(refused[0].View().Has(kRst));
+  EXPECT_EQ(refused[0].View().destination.port, 3);
+}
+
+TEST(Traffic, ANonIdempotentRequestRunsOnceUnderDuplication) {
+  bench b;
+  EXPECT_EQ(b.In(Order(), AtMs(1)).size(), 1U);
+  EXPECT_TRUE(b.In(Order(), AtMs(2)).empty());
+  b.In({{0x0a1e0101, 7002},
+        bench::kCaller,
+        protocol::kUdp,
+        0,
+        0,
+        0,
+        1,
+        Payload()},
+       AtMs(3));
+  b.In({{0x0a1e0102, 7002},
+        bench::kCaller,
+        protocol::kUdp,
+        0,
+        0,
+        0,
+        1,
+        Payload()},
+       AtMs(3));
+  EXPECT_TRUE(b.In(Order(), AtMs(50)).empty())
+      << "a copy that arrives after the answer";
+}
+
+TEST(Traffic, NonIdempotentWorkIsWithheldWithoutALease) {
+  bench b;
+  b.rennes().unsafe_until = AtMs(1000);
+  b.Publish(AtMs(0));
+  EXPECT_EQ(b.In(Order(1), AtMs(999)).size(), 1U);
+  EXPECT_TRUE(b.In(Order(2), AtMs(1000)).empty()) << "the lease has lapsed";
+  b.rennes().role = pool_role::kActing;
+  b.rennes().unsafe_until = AtMs(9000);
+  b.Publish(AtMs(1001));
+  EXPECT_TRUE(b.In(Order(3), AtMs(1002)).empty())
+      << "acting owners place no such work";
+  EXPECT_EQ(b.In(Syn(bench::kFeed), AtMs(1003)).size(), 1U)
+      << "but TCP openings";
+}
+
+TEST(Traffic, AnIngressForwardsByWitnessAndRendezvous) {
+  bench b;
+  b.rennes().role = pool_role::kNone;
+  b.Publish(AtMs(0));
+  const auto forwarded = b.In(Syn(bench::kFeed), AtMs(1));
+  ASSERT_EQ(forwarded.size(), 1U);
+  EXPECT_EQ(forwarded[0].to, bench::kPeer);
+  EXPECT_EQ(forwarded[0].forward->kind, forward_kind::kToOwner);
+  b.In(Tcp({0x0a1e0102, 7000}, bench::kCaller, kSyn | kAck),
+       AtMs(2));  // Seen in passing.
+  const auto data = b.In(Tcp(bench::kCaller, bench::kFeed, kAck), AtMs(3));
+  ASSERT_EQ(data.size(), 1U);
+  EXPECT_EQ(data[0].forward->upstream, 0x0a1e0102U);
+}
+
+TEST(Traffic, ANewOwnerLearnsFlowsFromAnswersHintsAndWitnesses) {
+  bench b;
+  const endpoint up{0x0a1e0102, 7000};
+  b.In(Tcp(up, bench::kCaller, kAck), AtMs(1));
+  EXPECT_EQ(b.In(Tcp(bench::kCaller, bench::kFeed, kAck), AtMs(2))
+                .at(0)
+                .View()
+                .destination,
+            up);
+
+  const endpoint other{bench::kCaller.address, 41000};
+  const auto hinted =
+      b.In(Tcp(other, bench::kFeed, kAck), AtMs(3),
+           forward_option{forward_kind::kToOwner, 1, 1, up.address});
+  EXPECT_EQ(hinted.at(0).View().destination, up);
+
+  const endpoint third{bench::kCaller.address, 42000};
+  const auto question = b.In(Tcp(third, bench::kFeed, kAck), AtMs(4));
+  ASSERT_EQ(question.size(), 1U);
+  EXPECT_EQ(question[0].forward->kind, forward_kind::kToWitness);
+  const auto told =
+      b.In(Tcp(third, bench::kFeed, kAck), AtMs(5),
+           forward_option{forward_kind::kWitnessed, 1, 1, up.address});
+  EXPECT_EQ(told.at(0).View().destination, up);
+  EXPECT_EQ(b.core.counters().adopted, 3U);
+}
+
+TEST(Traffic, AnAnswerNeverCrossesServices) {
+  bench b;
+  EXPECT_TRUE(
+      b.In(Tcp({0x0a1e0101, 9999}, bench::kCaller, kAck), AtMs(1)).empty());
+  EXPECT_EQ(b.core.counters().no_service, 1U);
+}
+
+TEST(Traffic, StrangersAreNotTrusted) {
+  bench b;
+  byte_buffer datagram =
+      EncodeGeneve({0, forward_option{}, BuildPacket(Syn(bench::kFeed))});
+  b.core.Receive(datagram, {0x7f000001, 6666}, AtMs(1));
+  datagram = EncodeGeneve({0, std::nullopt, BuildPacket(Syn(bench::kFeed))});
+  b.core.Receive(datagram, bench::kPeer, AtMs(1));
+  EXPECT_EQ(b.core.counters().untrusted, 2U);
+  EXPECT_TRUE(b.sink.sent.empty());
+}
+
+TEST(Traffic, APreviousOwnerIsAskedBeforeAFlowIsPlacedAgain) {
+  bench b;
+  b.rennes().previous = bench::kPeer;
+  b.Publish(AtMs(0));
+  const auto asked = b.In(Syn(bench::kFeed), AtMs(1));
+  ASSERT_EQ(asked.size(), 1U);
+  EXPECT_EQ(asked[0].forward->kind, forward_kind::kToPrevious);
+  const auto placed = b.In(Syn(bench::kFeed), AtMs(2),
+                           forward_option{forward_kind::kUnknownFlow, 2, 1, 0});
+  ASSERT_EQ(placed.size(), 1U);
+  EXPECT_FALSE(placed[0].forward);
+}
+
+}  // namespace
+}  // namespace radishyard
