Read, check and adopt the table; read the daemon's settings

Cause: operators' files and the store's objects come from outside, so every fault has to be reported at once with its place, and no input may end the process.

The form is checked by JSON Schema (valijson, behind json_check.cc), then fields are read tolerantly, so that the checks within a service run on what could be read and add their findings to those of the schema. Unknown keys are refused by "not {}" in place of "additionalProperties: false", for which the validator names only the first unknown key. Patterns in the schema were ruled out: the validator uses std::regex, which recurses on long strings; names are checked by hand. Nesting is bounded before parsing, keys that stand twice are reported.

A record that clashes with another service is adopted and reported: refusing it would make the table depend on the order of arrival. Adopt compares with the other services by address first, so a full table can be taken up without a pass over all endpoints per record.

--- /dev/null
+++ b/include/radishyard/table.h
@@ -0,0 +1,14 @@
+// The module table: the operators' table as values, its JSON form, the checks
+// within and across services, and the set of newest records that a balancer
+// holds. It offers
+//   service, service_record   the values;
+//   ParseService, ToJson      the operators' form, with findings;
+//   ParseRecord, RecordJson   the form in the platform's store;
+//   FindClashes               what two services may not share;
+//   table_set, Adopt, Digest, Versions, NewerThan
+//                             adoption by version and exchange with peers.
+#pragma once
+#include "table/service.h"
+#include "table/table_check.h"
+#include "table/table_json.h"
+#include "table/table_set.h"
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,233 @@
+// Schema, fields and cross-checks of the daemon's settings.
+#include "settings/settings.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "table/json_check.h"
+#include "table/json_read.h"
+
+namespace radishyard {
+namespace {
+
+using internal::enum_names;
+using internal::EnumSchema;
+using internal::IntegerSchema;
+using internal::Member;
+using internal::ObjectSchema;
+using internal::Pointer;
+using internal::Read;
+using internal::ReadAddress;
+using internal::ReadName;
+using nlohmann::json;
+
+constexpr int64_t kMaxPort = 65535;
+constexpr int64_t kMaxSize = 1000;
+constexpr int64_t kMaxThreads = 64;
+constexpr int64_t kMaxLimitMs = 60'000;
+constexpr int64_t kMaxWatchers = 16;
+constexpr int64_t kMaxHeldFlows = 20'000'000;
+constexpr int64_t kMaxSampleOneIn = 1'000'000'000;
+constexpr size_t kMaxListed = 256;
+
+constexpr enum_names<log_level, 5> kLevels{{{"trace", log_level::kTrace},
+                                            {"debug", log_level::kDebug},
+                                            {"info", log_level::kInfo},
+                                            {"warn", log_level::kWarn},
+                                            {"error", log_level::kError}}};
+
+json StringSchema() { return {{"type", "string"}}; }
+
+json ListSchema() {
+  return {
+      {"type", "array"}, {"items", StringSchema()}, {"maxItems", kMaxListed}};
+}
+
+json AddressSchema(bool with_threads) {
+  json properties{{"address", StringSchema()},
+                  {"port", IntegerSchema(1, kMaxPort)}};
+  if (with_threads) properties["threads"] = IntegerSchema(1, kMaxThreads);
+  return ObjectSchema(properties, {"address", "port"});
+}
+
+json LimitsSchema() {
+  const json milliseconds_schema = IntegerSchema(1, kMaxLimitMs);
+  return ObjectSchema({{"heartbeat_ms", milliseconds_schema},
+                       {"failure_timeout_ms", milliseconds_schema},
+                       {"lease_ms", milliseconds_schema},
+                       {"takeover_ms", milliseconds_schema},
+                       {"watchers_per_domain", IntegerSchema(1, kMaxWatchers)},
+                       {"held_flows", IntegerSchema(1, kMaxHeldFlows)}},
+                      json::array());
+}
+
+json SettingsSchema() {
+  const json log =
+      ObjectSchema({{"level", EnumSchema(kLevels)}, {"file", StringSchema()}},
+                   json::array());
+  const json trace =
+      ObjectSchema({{"sample_one_in", IntegerSchema(0, kMaxSampleOneIn)},
+                    {"file", StringSchema()}},
+                   json::array());
+  return ObjectSchema(
+      {{"name", StringSchema()},
+       {"domain", StringSchema()},
+       {"size", IntegerSchema(1, kMaxSize)},
+       {"data", AddressSchema(true)},
+       {"control", AddressSchema(false)},
+       {"admin", AddressSchema(false)},
+       {"fabric", ListSchema()},
+       {"platform", StringSchema()},
+       {"peers", ListSchema()},
+       {"domains", ListSchema()},
+       {"log", log},
+       {"trace", trace},
+       {"limits", LimitsSchema()}},
+      {"name", "domain", "data", "control", "admin", "fabric", "platform"});
+}
+
+endpoint ReadListen(const json& document, const char* key, findings& found) {
+  const json& part = Member(document, key);
+  endpoint e;
+  ReadAddress(part, "address", Pointer("", key), e.address, found);
+  Read(part, "port", e.port);
+  return e;
+}
+
+endpoint ReadEndpoint(const json& text, const std::string& place,
+                      findings& found) {
+  if (!text.is_string()) return {};
+  const std::optional<endpoint> e = ParseEndpoint(text.get<std::string>());
+  if (!e) found.Add(place, "is no ADDRESS:PORT");
+  return e.value_or(endpoint{});
+}
+
+std::vector<endpoint> ReadEndpoints(const json& document, const char* key,
+                                    findings& found) {
+  const json& list = Member(document, key);
+  std::vector<endpoint> out;
+  if (!list.is_array()) return out;
+  for (const json& text : list) {
+    const std::string place = Pointer(Pointer("", key), out.size());
+    out.push_back(ReadEndpoint(text, place, found));
+  }
+  return out;
+}
+
+std::vector<std::string> ReadDomains(const json& document, findings& found) {
+  std::vector<std::string> domains;
+  std::set<std::string> seen;
+  const json& list = Member(document, "domains");
+  if (!list.is_array()) return domains;
+  for (const json& text : list) {
+    const std::string name = text.is_string() ? text.get<std::string>() : "";
+    const std::string place = Pointer("/domains", domains.size());
+    if (text.is_string() && !internal::IsName(name))
+      found.Add(place, "is no name of a failure domain");
+    if (text.is_string() && !seen.insert(name).second)
+      found.Add(place, "is listed twice");
+    domains.push_back(name);
+  }
+  return domains;
+}
+
+void ReadMs(const json& part, const char* key, duration& value) {
+  auto ms = static_cast<uint32_t>(ToMs(value));
+  Read(part, key, ms);
+  value = milliseconds(ms);
+}
+
+limit_settings ReadLimits(const json& part) {
+  limit_settings limits;
+  ReadMs(part, "heartbeat_ms", limits.heartbeat);
+  ReadMs(part, "failure_timeout_ms", limits.failure_timeout);
+  ReadMs(part, "lease_ms", limits.lease);
+  ReadMs(part, "takeover_ms", limits.takeover);
+  Read(part, "watchers_per_domain", limits.watchers_per_domain);
+  Read(part, "held_flows", limits.held_flows);
+  return limits;
+}
+
+settings ReadSettings(const json& document, findings& found) {
+  settings s;
+  ReadName(document, "name", "", s.name, found);
+  ReadName(document, "domain", "", s.domain, found);
+  Read(document, "size", s.size);
+  s.data = ReadListen(document, "data", found);
+  Read(Member(document, "data"), "threads", s.data_threads);
+  s.control = ReadListen(document, "control", found);
+  s.admin = ReadListen(document, "admin", found);
+  s.fabric = ReadEndpoints(document, "fabric", found);
+  s.platform = ReadEndpoint(Member(document, "platform"), "/platform", found);
+  s.peers = ReadEndpoints(document, "peers", found);
+  s.domains = ReadDomains(document, found);
+  const json& log = Member(document, "log");
+  Read(log, "level", kLevels, s.log.level);
+  Read(log, "file", s.log.file);
+  const json& trace = Member(document, "trace");
+  Read(trace, "sample_one_in", s.trace.sample_one_in);
+  Read(trace, "file", s.trace.file);
+  s.limits = ReadLimits(Member(document, "limits"));
+  return s;
+}
+
+void CheckTimes(const limit_settings& limits, findings& found) {
+  if (limits.heartbeat >= limits.failure_timeout)
+    found.Add("/limits/heartbeat_ms", "is not below failure_timeout_ms");
+  if (limits.heartbeat >= limits.lease)
+    found.Add("/limits/heartbeat_ms", "is not below lease_ms");
+  if (limits.lease >= limits.takeover)
+    found.Add("/limits/lease_ms", "is not below takeover_ms");
+}
+
+void CheckPlaces(const settings& s, const json& document, findings& found) {
+  if (s.data.port + s.data_threads - 1 > kMaxPort)
+    found.Add("/data/threads", "needs ports above 65535");
+  if (s.control.port != 0 && s.control == s.admin)
+    found.Add("/admin", "is the address and port of /control");
+  const json& fabric = Member(document, "fabric");
+  if (fabric.is_array() && fabric.empty()) found.Add("/fabric", "is empty");
+}
+
+void CheckDomain(const settings& s, findings& found) {
+  if (s.domains.empty() || s.domain.empty()) return;
+  for (const std::string& name : s.domains) {
+    if (name == s.domain) return;
+  }
+  found.Add("/domain", "is not among /domains");
+}
+
+}  // namespace
+
+std::optional<settings> ParseSettings(std::string_view text, findings& found) {
+  static const internal::json_schema schema{SettingsSchema()};
+  findings mine;
+  const std::optional<json> document = internal::ParseJson(text, mine);
+  settings s;
+  if (document) {
+    schema.Check(*document, mine);
+    s = ReadSettings(*document, mine);
+    CheckTimes(s.limits, mine);
+    CheckPlaces(s, *document, mine);
+    CheckDomain(s, mine);
+  }
+  found.Append(mine);
+  if (!mine.empty()) return std::nullopt;
+  return s;
+}
+
+std::optional<endpoint> ParseEndpoint(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  endpoint e;
+  if (!ParseAddress(std::string(text.substr(0, colon)), e.address))
+    return std::nullopt;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data() + colon + 1, end, e.port);
+  if (error != std::errc() || stop != end || e.port == 0) return std::nullopt;
+  return e;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/table/table_json.cc
@@ -0,0 +1,292 @@
+// Reading and writing services: schema, fields, and the checks within one
+// service.
+#include "table/table_json.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "table/json_check.h"
+#include "table/json_read.h"
+
+namespace radishyard {
+namespace {
+
+using internal::enum_names;
+using internal::EnumSchema;
+using internal::IntegerSchema;
+using internal::Member;
+using internal::NameOf;
+using internal::ObjectSchema;
+using internal::Pointer;
+using internal::Read;
+using internal::ReadAddress;
+using internal::ReadName;
+using nlohmann::json;
+
+constexpr int64_t kMaxPort = 65535;
+constexpr int64_t kMaxWeight = 1000;
+constexpr int64_t kMaxSlots = 100'000;
+constexpr int64_t kMaxConnections = 1'000'000;
+constexpr int64_t kMaxIdleTimeoutSeconds = 86'400;
+constexpr size_t kMaxPorts = 64;
+constexpr size_t kMaxUpstreams = 1024;
+constexpr size_t kMaxEditIdBytes = 64;
+
+constexpr enum_names<protocol, 2> kProtocols{
+    {{"tcp", protocol::kTcp}, {"udp", protocol::kUdp}}};
+constexpr enum_names<port_kind, 2> kKinds{
+    {{"feed", port_kind::kFeed}, {"request", port_kind::kRequest}}};
+constexpr enum_names<priority_class, 3> kPriorities{
+    {{"urgent", priority_class::kUrgent},
+     {"normal", priority_class::kNormal},
+     {"bulk", priority_class::kBulk}}};
+constexpr enum_names<upstream_state, 3> kStates{
+    {{"active", upstream_state::kActive},
+     {"joining", upstream_state::kJoining},
+     {"leaving", upstream_state::kLeaving}}};
+
+json StringSchema() { return {{"type", "string"}}; }
+
+json PortSchema() {
+  return ObjectSchema(
+      {{"port", IntegerSchema(1, kMaxPort)},
+       {"upstream_port", IntegerSchema(1, kMaxPort)},
+       {"protocol", EnumSchema(kProtocols)},
+       {"kind", EnumSchema(kKinds)},
+       {"priority", EnumSchema(kPriorities)},
+       {"idempotent", {{"type", "boolean"}}},
+       {"idle_timeout_s", IntegerSchema(1, kMaxIdleTimeoutSeconds)}},
+      {"port", "protocol", "kind"});
+}
+
+json UpstreamSchema() {
+  return ObjectSchema(
+      {{"name", StringSchema()},
+       {"address", StringSchema()},
+       {"domain", StringSchema()},
+       {"weight", IntegerSchema(0, kMaxWeight)},
+       {"slots", IntegerSchema(1, kMaxSlots)},
+       {"connections", IntegerSchema(1, kMaxConnections)},
+       {"state", EnumSchema(kStates)}},
+      {"name", "address", "domain", "weight", "slots", "connections"});
+}
+
+json ArraySchema(const json& items, size_t max_items) {
+  return {{"type", "array"}, {"items", items}, {"maxItems", max_items}};
+}
+
+json ServiceSchema() {
+  return ObjectSchema(
+      {{"service", StringSchema()},
+       {"address", StringSchema()},
+       {"ports", ArraySchema(PortSchema(), kMaxPorts)},
+       {"upstreams", ArraySchema(UpstreamSchema(), kMaxUpstreams)},
+       {"deleted", {{"type", "boolean"}}}},
+      {"service", "address", "ports", "upstreams"});
+}
+
+json RecordSchema() {
+  json schema = ServiceSchema();
+  schema["properties"]["edit_id"] = {
+      {"type", "string"}, {"minLength", 1}, {"maxLength", kMaxEditIdBytes}};
+  schema["required"].push_back("edit_id");
+  return schema;
+}
+
+service_port ReadPort(const json& row) {
+  service_port p;
+  Read(row, "port", p.port);
+  p.upstream_port = p.port;
+  Read(row, "upstream_port", p.upstream_port);
+  Read(row, "protocol", kProtocols, p.proto);
+  Read(row, "kind", kKinds, p.kind);
+  Read(row, "priority", kPriorities, p.priority);
+  Read(row, "idempotent", p.idempotent);
+  Read(row, "idle_timeout_s", p.idle_timeout_s);
+  return p;
+}
+
+upstream ReadUpstream(const json& row, const std::string& place,
+                      findings& found) {
+  upstream u;
+  u.weight = 1;  // An unreadable weight must not count as 0.
+  ReadName(row, "name", place, u.name, found);
+  ReadAddress(row, "address", place, u.address, found);
+  ReadName(row, "domain", place, u.domain, found);
+  Read(row, "weight", u.weight);
+  Read(row, "slots", u.slots);
+  Read(row, "connections", u.connections);
+  Read(row, "state", kStates, u.state);
+  return u;
+}
+
+// Reads as much as can be read; rows keep their indexes.
+service ReadService(const json& document, findings& found) {
+  service s;
+  ReadName(document, "service", "", s.name, found);
+  ReadAddress(document, "address", "", s.address, found);
+  const json& ports = Member(document, "ports");
+  if (ports.is_array() && ports.size() <= kMaxPorts) {
+    for (const json& row : ports) s.ports.push_back(ReadPort(row));
+  }
+  const json& upstreams = Member(document, "upstreams");
+  if (upstreams.is_array() && upstreams.size() <= kMaxUpstreams) {
+    for (const json& row : upstreams) {
+      const std::string place = Pointer("/upstreams", s.upstreams.size());
+      s.upstreams.push_back(ReadUpstream(row, place, found));
+    }
+  }
+  Read(document, "deleted", s.deleted);
+  return s;
+}
+
+// Reports each key seen before, with the place of its first occurrence.
+template <typename Key>
+class seen_once {
+ public:
+  void Check(const Key& key, const std::string& place, const char* what,
+             findings& found) {
+    const auto [it, is_new] = first_.try_emplace(key, place);
+    if (!is_new) found.Add(place, what + it->second);
+  }
+
+ private:
+  std::map<Key, std::string> first_;
+};
+
+void CheckPorts(const service& s, const json& document, findings& found) {
+  seen_once<std::pair<protocol, uint16_t>> ports;
+  seen_once<std::pair<protocol, uint16_t>> upstream_ports;
+  for (size_t i = 0; i < s.ports.size(); ++i) {
+    const service_port& p = s.ports[i];
+    const std::string place = Pointer("/ports", i);
+    const json& row = document["ports"][i];
+    if (p.port == 0 || !Member(row, "protocol").is_string()) continue;
+    ports.Check({p.proto, p.port}, place + "/port",
+                "has the protocol and port of ", found);
+    const bool is_given = Member(row, "upstream_port").is_number();
+    upstream_ports.Check({p.proto, p.upstream_port},
+                         place + (is_given ? "/upstream_port" : "/port"),
+                         "names the same port of the upstreams as ", found);
+  }
+}
+
+void CheckUpstreams(const service& s, findings& found) {
+  seen_once<std::string> names;
+  seen_once<uint32_t> addresses;
+  for (size_t i = 0; i < s.upstreams.size(); ++i) {
+    const upstream& u = s.upstreams[i];
+    const std::string place = Pointer("/upstreams", i);
+    if (!u.name.empty())
+      names.Check(u.name, place + "/name", "has the name of ", found);
+    if (u.address == 0) continue;
+    addresses.Check(u.address, place + "/address", "has the address of ",
+                    found);
+    if (u.address == s.address)
+      found.Add(place + "/address", "is the address of the service itself");
+  }
+}
+
+// A deleted service may be empty or without weight.
+void CheckUsable(const service& s, const json& document, findings& found) {
+  if (s.deleted) return;
+  const json& ports = Member(document, "ports");
+  const json& upstreams = Member(document, "upstreams");
+  if (ports.is_array() && ports.empty()) found.Add("/ports", "is empty");
+  if (!upstreams.is_array()) return;
+  if (upstreams.empty()) found.Add("/upstreams", "is empty");
+  uint64_t weight = 0;
+  for (const upstream& u : s.upstreams) weight += u.weight;
+  if (weight == 0 && !s.upstreams.empty())
+    found.Add("/upstreams", "has weight 0 everywhere");
+}
+
+service ReadAndCheck(const json& document, const internal::json_schema& schema,
+                     findings& found) {
+  schema.Check(document, found);
+  service s = ReadService(document, found);
+  CheckPorts(s, document, found);
+  CheckUpstreams(s, found);
+  CheckUsable(s, document, found);
+  return s;
+}
+
+json PortJson(const service_port& p) {
+  return {{"port", p.port},
+          {"upstream_port", p.upstream_port},
+          {"protocol", NameOf(kProtocols, p.proto)},
+          {"kind", NameOf(kKinds, p.kind)},
+          {"priority", NameOf(kPriorities, p.priority)},
+          {"idempotent", p.idempotent},
+          {"idle_timeout_s", p.idle_timeout_s}};
+}
+
+json UpstreamJson(const upstream& u) {
+  return {{"name", u.name},
+          {"address", AddressText(u.address)},
+          {"domain", u.domain},
+          {"weight", u.weight},
+          {"slots", u.slots},
+          {"connections", u.connections},
+          {"state", NameOf(kStates, u.state)}};
+}
+
+json ServiceJson(const service& s) {
+  json ports = json::array();
+  for (const service_port& p : s.ports) ports.push_back(PortJson(p));
+  json upstreams = json::array();
+  for (const upstream& u : s.upstreams) upstreams.push_back(UpstreamJson(u));
+  return {{"service", s.name},
+          {"address", AddressText(s.address)},
+          {"ports", std::move(ports)},
+          {"upstreams", std::move(upstreams)},
+          {"deleted", s.deleted}};
+}
+
+std::string Dump(const json& value, int indent) {
+  return value.dump(indent, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::optional<service> ParseService(std::string_view text, findings& found) {
+  static const internal::json_schema schema{ServiceSchema()};
+  findings mine;
+  const std::optional<json> document = internal::ParseJson(text, mine);
+  std::optional<service> s;
+  if (document) s = ReadAndCheck(*document, schema, mine);
+  found.Append(mine);
+  return mine.empty() ? s : std::nullopt;
+}
+
+std::optional<service_record> ParseRecord(std::string_view text,
+                                          uint64_t version, findings& found) {
+  static const internal::json_schema schema{RecordSchema()};
+  findings mine;
+  const std::optional<json> document = internal::ParseJson(text, mine);
+  service_record record;
+  record.version = version;
+  if (document) {
+    record.value = ReadAndCheck(*document, schema, mine);
+    Read(*document, "edit_id", record.edit_id);
+  }
+  found.Append(mine);
+  if (!mine.empty()) return std::nullopt;
+  return record;
+}
+
+std::string ToJson(const service& s) { return Dump(ServiceJson(s), 2); }
+
+std::string RecordJson(const service& s, const std::string& edit_id) {
+  json record = ServiceJson(s);
+  record["edit_id"] = edit_id;
+  return Dump(record, -1);
+}
+
+std::string ServiceKey(const std::string& name) {
+  return std::string(kServicePrefix) + name;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/test/table_test.cc
@@ -0,0 +1,229 @@
+// The table: faults with their places, clashes across services, adoption.
+#include "radishyard/table.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+json Valid() {
+  return json::parse(R"({"service":"survey-link","address":"10.20.0.1",
+    "ports":[{"port":7000,"protocol":"tcp","kind":"feed"},
+      {"port":7002,"protocol":"udp","kind":"request","idempotent":false,
+       "idle_timeout_s":30,"upstream_port":7102}],
+    "upstreams":[
+      {"name":"survey-1","address":"10.30.1.1","domain":"rennes","weight":10,
+       "slots":2,"connections":2000},
+      {"name":"survey-2","address":"10.30.1.2","domain":"vannes","weight":5,
+       "slots":2,"connections":2000,"state":"joining"}]})");
+}
+
+std::vector<std::string> Places(const std::string& text) {
+  findings found;
+  EXPECT_FALSE(ParseService(text, found)) << text.substr(0, 200);
+  std::vector<std::string> places;
+  for (const finding& f : found.list()) places.push_back(f.place);
+  return places;
+}
+
+service Service(const std::string& name, uint32_t address,
+                uint32_t upstream_address) {
+  service s{name, address, {{80, 80}}, {}, false};
+  s.upstreams.push_back({"u", upstream_address, "rennes", 1, 1, 1});
+  return s;
+}
+
+TEST(TableJson, RoundTripKeepsEveryField) {
+  findings found;
+  const auto s = ParseService(Valid().dump(), found);
+  ASSERT_TRUE(s) << found.Text();
+  EXPECT_EQ(s->ports[0].upstream_port, 7000);
+  EXPECT_EQ(s->ports[1].upstream_port, 7102);
+  EXPECT_FALSE(s->ports[1].idempotent);
+  EXPECT_EQ(s->upstreams[1].state, upstream_state::kJoining);
+  EXPECT_EQ(ParseService(ToJson(*s), found), s);
+  const auto record = ParseRecord(RecordJson(*s, "e1"), 7, found);
+  EXPECT_EQ(record, (service_record{*s, 7, "e1"}));
+}
+
+struct bad_input {
+  const char* name;
+  const char* patch;  // Merged by key; lists are replaced.
+  std::vector<std::string> places;
+};
+
+class bad_input_test : public testing::TestWithParam<bad_input> {};
+
+TEST_P(bad_input_test, EveryFaultHasItsPlace) {
+  json text = Valid();
+  text.merge_patch(json::parse(GetParam().patch));
+  EXPECT_THAT(Places(text.dump()),
+              testing::UnorderedElementsAreArray(GetParam().places));
+}
+
+const bad_input kBadInputs[] = {
+    {"UnknownKeys", R"({"colour":1,"si/ze":2})", {"/colour", "/si~1ze"}},
+    {"WrongTypes",
+     R"({"service":1,"address":[],"ports":{},"upstreams":"x","deleted":0})",
+     {"/service", "/address", "/ports", "/upstreams", "/deleted"}},
+    {"EmptyLists", R"({"ports":[],"upstreams":[]})", {"/ports", "/upstreams"}},
+    {"MissingKeys",
+     R"({"address":null,"upstreams":[{}]})",
+     {"", "/upstreams/0", "/upstreams/0", "/upstreams/0", "/upstreams/0",
+      "/upstreams/0", "/upstreams/0"}},
+    {"OutOfRange",
+     R"({"ports":[{"port":70000,"protocol":"sctp","kind":"feed"}],
+       "upstreams":[{"name":"A b","address":"10.30.1.300","domain":"",
+       "weight":-1,"slots":-2,"connections":18446744073709551615}]})",
+     {"/ports/0/port", "/ports/0/protocol", "/upstreams/0/name",
+      "/upstreams/0/address", "/upstreams/0/domain", "/upstreams/0/weight",
+      "/upstreams/0/slots", "/upstreams/0/connections"}},
+    {"Duplicates",
+     R"({"ports":[{"port":1,"protocol":"tcp","kind":"feed"},
+       {"port":1,"protocol":"tcp","kind":"feed","upstream_port":2},
+       {"port":2,"protocol":"tcp","kind":"feed"},
+       {"port":1,"protocol":"udp","kind":"feed"}],
+       "upstreams":[{"name":"a","address":"10.30.1.1","domain":"d","weight":0,
+       "slots":1,"connections":1},{"name":"a","address":"10.30.1.1",
+       "domain":"d","weight":0,"slots":1,"connections":1}]})",
+     {"/ports/1/port", "/ports/2/port", "/upstreams/1/name",
+      "/upstreams/1/address", "/upstreams"}},
+    {"NoHost", R"({"address":"224.0.0.1"})", {"/address"}},
+    {"OwnAddress", R"({"address":"10.30.1.1"})", {"/upstreams/0/address"}},
+};
+
+INSTANTIATE_TEST_SUITE_P(All, bad_input_test, testing::ValuesIn(kBadInputs),
+                         [](const auto& each) { return each.param.name; });
+
+TEST(TableJson, WholeDocumentFaultsAreReportedNotThrown) {
+  const std::string text = Valid().dump();
+  const std::vector<std::string> whole{""};
+  for (size_t length = 0; length < text.size(); length += 7)
+    EXPECT_EQ(Places(text.substr(0, length)), whole);
+  EXPECT_EQ(Places(std::string(1'000'001, ' ')), whole);
+  EXPECT_EQ(Places(std::string(900'000, '[')), whole);
+  EXPECT_EQ(Places("\"\xff\""), whole);
+  EXPECT_EQ(Places("{\"a\":1e999}"), whole);
+  json noisy = Valid();
+  for (int i = 0; i < 50'000; ++i) noisy["upstreams"].push_back(i);
+  EXPECT_LE(Places(noisy.dump()).size(), 110U);
+  std::string twice = text;
+  twice.insert(1, R"("address":"10.20.0.9",)");
+  EXPECT_EQ(Places(twice), std::vector<std::string>{"/address"});
+}
+
+TEST(TableJson, MutatedInputNeverCrashes) {
+  std::mt19937 random(20);
+  const std::string text = Valid().dump();
+  for (int round = 0; round < 3000; ++round) {
+    std::string mutant = text;
+    for (int edit = 0; edit < 1 + round % 4; ++edit) {
+      const size_t at = random() % mutant.size();
+      mutant[at] = "{}[],:\"\\0-9e\xff"[random() % 13];
+      if (round % 3 == 0) mutant.erase(random() % mutant.size(), 1);
+    }
+    findings found;
+    const auto s = ParseService(mutant, found);
+    ASSERT_EQ(s.has_value(), found.empty());
+    if (!s) continue;
+    ASSERT_EQ(ParseService(ToJson(*s), found), s) << mutant;
+  }
+}
+
+TEST(TableCheck, FindsWhatServicesShare) {
+  const service a = Service("a", 1, 10);
+  const service b = Service("b", 1, 10);
+  const service c = Service("c", 3, 1);
+  service gone = Service("gone", 1, 10);
+  gone.deleted = true;
+  const std::vector<const service*> all{&c, &gone, &b, &a};
+  const std::vector<clash> expected{
+      {clash_kind::kUpstreamEndpoint, protocol::kTcp, {10, 80}, "a", "b"},
+      {clash_kind::kServiceEndpoint, protocol::kTcp, {1, 80}, "a", "b"},
+      {clash_kind::kServiceAsUpstream, protocol::kTcp, {1, 0}, "a", "c"},
+      {clash_kind::kServiceAsUpstream, protocol::kTcp, {1, 0}, "b", "c"}};
+  EXPECT_EQ(FindClashes(all), expected);
+  EXPECT_EQ(FindClashesOf(c, all).size(), 2U);
+  table_set set;
+  findings found;
+  EXPECT_EQ(Adopt(set, {a, 1, ""}, found), adoption::kAdopted);
+  EXPECT_EQ(Adopt(set, {b, 2, ""}, found), adoption::kAdopted);
+  EXPECT_EQ(found.size(), 2U) << found.Text();
+}
+
+std::map<std::string, uint64_t> Newest(
+    const std::vector<std::pair<int, uint8_t>>& arrivals) {
+  std::map<std::string, uint64_t> newest;
+  for (const auto& [name, version] : arrivals) {
+    if (version == 0) continue;
+    uint64_t& held = newest[std::to_string(name % 4)];
+    held = std::max<uint64_t>(held, version);
+  }
+  return newest;
+}
+
+TEST(TableSet, AdoptionNeverRevertsAndIsIndependentOfOrder) {
+  const bool holds = rc::check([](std::vector<std::pair<int, uint8_t>> in) {
+    for (auto& [name, version] : in) name = std::abs(name % 4);
+    table_set set;
+    findings found;
+    std::map<std::string, uint64_t> seen;
+    for (const auto& [name, version] : in) {
+      const std::string text = std::to_string(name);
+      const adoption outcome =
+          Adopt(set, {Service(text, 1 + name, 100 + name), version, ""}, found);
+      RC_ASSERT((outcome == adoption::kAdopted) == (version > seen[text]));
+      seen[text] = std::max<uint64_t>(seen[text], version);
+    }
+    std::vector<service_version> expected;
+    for (const auto& [name, version] : Newest(in))
+      expected.push_back({name, version});
+    RC_ASSERT(Versions(set) == expected);
+
+    // A peer with half of the arrivals gets exactly what it lacks.
+    table_set peer;
+    for (size_t i = 0; i < in.size(); i += 2) {
+      const std::string text = std::to_string(in[i].first);
+      Adopt(peer, {Service(text, 1, 2), in[i].second, ""}, found);
+    }
+    RC_ASSERT((Digest(peer) == Digest(set)) ==
+              (Versions(peer) == Versions(set)));
+    for (const record_pointer& record : NewerThan(set, Versions(peer)))
+      RC_ASSERT(Adopt(peer, *record, found) == adoption::kAdopted);
+    RC_ASSERT(Digest(peer) == Digest(set));
+    RC_ASSERT(NewerThan(set, Versions(peer)).empty());
+  });
+  EXPECT_TRUE(holds);
+}
+
+TEST(TableExamples, AreValidAndDoNotClash) {
+  std::vector<service> services;
+  for (const char* file :
+       {"armor/survey-link", "armor/drawing-archive", "atlas-colle/order-desk",
+        "atlas-colle/note-office"}) {
+    std::ifstream in(std::string(RY_BIN_DIR "/../examples/") + file + ".json");
+    std::stringstream text;
+    text << in.rdbuf();
+    findings found;
+    const auto s = ParseService(text.str(), found);
+    ASSERT_TRUE(s) << file << "\n" << found.Text();
+    services.push_back(*s);
+  }
+  const std::vector<const service*> all{&services[0], &services[1],
+                                        &services[2], &services[3]};
+  EXPECT_TRUE(FindClashes(all).empty());
+  EXPECT_EQ(services[0].upstreams.size(), 14U);
+  EXPECT_EQ(services[3].upstreams.size(), 4U);
+}
+
+}  // namespace
+}  // namespace radishyard
