Reach the platform's object store over HTTP

Cause: nothing spoke to the platform yet, and no test could make it fail. The in-memory platform with its faults serves unit tests directly and the stand-in over HTTP, so that one contract test runs against both.

--- /dev/null
+++ b/src/store/http_store.cc
@@ -0,0 +1,152 @@
+// Maps the calls of object_store to HTTP requests, and answers to values and
+// failures.
+#include "store/http_store.h"
+
+#include <utility>
+
+#include "store/http_client.h"
+#include "store/store_codec.h"
+
+namespace radishyard {
+namespace {
+
+using internal::http_client;
+using internal::http_request;
+using internal::http_result;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kHttpNotFound = 404;
+constexpr unsigned kPreconditionFailed = 412;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kServiceUnavailable = 503;
+
+enum class call_kind { kRead, kWrite };
+
+/// Why no answer came. A write that may have reached the platform is unknown.
+failure NoAnswer(const http_result& result, call_kind call) {
+  if (call == call_kind::kWrite && result.sent)
+    return {failure_kind::kUnknown, result.reason};
+  if (result.malformed) return {failure_kind::kInvalid, result.reason};
+  return {failure_kind::kUnavailable, result.reason};
+}
+
+/// Failure that an answer other than 200 tells.
+failure FromStatus(unsigned status, call_kind call) {
+  const std::string text = "platform answered " + std::to_string(status);
+  if (status == kHttpNotFound) return {failure_kind::kNotFound, text};
+  if (status == kPreconditionFailed) return {failure_kind::kConflict, text};
+  if (status == kServiceUnavailable) return {failure_kind::kUnavailable, text};
+  if (status < kServerError) return {failure_kind::kInvalid, text};
+  return {call == call_kind::kWrite ? failure_kind::kUnknown
+                                    : failure_kind::kUnavailable,
+          text};
+}
+
+/// Hands the parsed answer, or the reason for its absence, to `handler`.
+template <typename T, typename Parser>
+void Conclude(const http_result& result, call_kind call, Parser parse,
+              const store_handler<T>& handler) {
+  if (!result.answer) return handler(std::nullopt, NoAnswer(result, call));
+  if (result.answer->status != kOk)
+    return handler(std::nullopt, FromStatus(result.answer->status, call));
+  std::optional<T> value = parse(result.answer->body);
+  if (value) return handler(std::move(value), {});
+  // A write with an unreadable answer may have been carried out.
+  handler(std::nullopt, {call == call_kind::kWrite ? failure_kind::kUnknown
+                                                   : failure_kind::kInvalid,
+                         "malformed answer"});
+}
+
+class http_store : public object_store {
+ public:
+  http_store(asio::io_context& io, const endpoint& platform, duration timeout,
+             std::string client)
+      : io_(io), http_(io, platform, timeout), client_(std::move(client)) {}
+
+  void Get(const std::string& key,
+           store_handler<stored_object> handler) override {
+    Read<stored_object>("/v1/objects/" + internal::EncodeUrl(key),
+                        internal::ParseObject, std::move(handler));
+  }
+
+  void List(const std::string& prefix,
+            store_handler<object_batch> handler) override {
+    Read<object_batch>("/v1/objects?prefix=" + internal::EncodeUrl(prefix),
+                       internal::ParseBatch, std::move(handler));
+  }
+
+  void Put(const std::string& key, const std::string& value, uint64_t expected,
+           store_handler<uint64_t> handler) override {
+    if (value.size() > kMaxValueBytes) return RefuseValue(std::move(handler));
+    http_request request = Request("/v1/objects/" + internal::EncodeUrl(key));
+    request.is_put = true;
+    request.body = value;
+    if (expected == 0) {
+      request.fields.push_back({"If-None-Match", "*"});
+    } else {
+      request.fields.push_back(
+          {"If-Match", '"' + std::to_string(expected) + '"'});
+    }
+    http_.Send(std::move(request), [handler = std::move(handler)](
+                                       const http_result& result) {
+      Conclude(result, call_kind::kWrite, internal::ParseVersion, handler);
+    });
+  }
+
+  void Watch(const std::string& prefix, uint64_t revision, duration wait,
+             store_handler<object_batch> handler) override {
+    const std::string target =
+        "/v1/watch?prefix=" + internal::EncodeUrl(prefix) +
+        "&after=" + std::to_string(revision) +
+        "&wait_ms=" + std::to_string(ToMs(wait));
+    http_.SendAlone(Request(target), wait,
+                    [handler = std::move(handler)](const http_result& result) {
+                      Conclude(result, call_kind::kRead, internal::ParseBatch,
+                               handler);
+                    });
+  }
+
+  void ListVms(store_handler<std::vector<vm_entry>> handler) override {
+    Read<std::vector<vm_entry>>("/v1/vms", internal::ParseVms,
+                                std::move(handler));
+  }
+
+ private:
+  http_request Request(std::string target) const {
+    http_request request;
+    request.target = std::move(target);
+    if (!client_.empty()) request.fields.push_back({"X-Client", client_});
+    return request;
+  }
+
+  template <typename T, typename Parser>
+  void Read(std::string target, Parser parse, store_handler<T> handler) {
+    http_.Send(
+        Request(std::move(target)),
+        [parse, handler = std::move(handler)](const http_result& result) {
+          Conclude(result, call_kind::kRead, parse, handler);
+        });
+  }
+
+  void RefuseValue(store_handler<uint64_t> handler) {
+    asio::post(io_, [handler = std::move(handler)] {
+      handler(std::nullopt,
+              {failure_kind::kInvalid, "value is larger than 1 MB"});
+    });
+  }
+
+  asio::io_context& io_;
+  http_client http_;
+  std::string client_;
+};
+
+}  // namespace
+
+std::unique_ptr<object_store> MakeHttpStore(asio::io_context& io,
+                                            const endpoint& platform,
+                                            duration timeout,
+                                            std::string client) {
+  return std::make_unique<http_store>(io, platform, timeout, std::move(client));
+}
+
+}  // namespace radishyard
--- a/src/store/http_store.h
+++ b/src/store/http_store.h
@@ -1,6 +1,7 @@
 // The platform's object store over HTTP/JSON.
 #pragma once
 #include <memory>
+#include <string>
 
 #include "base/asio.h"
 #include "packet/flow_key.h"
@@ -8,10 +9,25 @@
 
 namespace radishyard {
 
+/// \brief Largest value that the platform holds.
+inline constexpr size_t kMaxValueBytes = 1U << 20;
+
 /// \brief A client of the platform at `platform`. Handlers run on `io`.
 /// \param timeout of a call; a watch may take its wait in addition.
+/// \param client name under which the platform counts the calls; may be empty.
+///
+/// \code
+/// auto store = MakeHttpStore(io, platform, 2s, "vm-1");
+/// store->Get("services/archive",
+///            [](std::optional<stored_object> found, const failure& why) {
+///              if (!found && why.kind == failure_kind::kNotFound) ...
+///            });
+/// \endcode
+/// \warning Destroying the store drops the handlers of calls in progress
+/// without a call.
 std::unique_ptr<object_store> MakeHttpStore(asio::io_context& io,
                                             const endpoint& platform,
-                                            duration timeout);
+                                            duration timeout,
+                                            std::string client = "");
 
 }  // namespace radishyard
--- /dev/null
+++ b/test/support/platform_server.cc
@@ -0,0 +1,211 @@
+// HTTP sessions of the platform stand-in over Boost.Beast.
+#include "support/platform_server.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "store/http_store.h"
+#include "store/store_codec.h"
+
+namespace radishyard {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr std::string_view kObjects = "/v1/objects/";
+
+std::string Decode(std::string_view text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%' || i + 2 >= text.size()) {
+      decoded += text[i];
+      continue;
+    }
+    const std::string hex(text.substr(i + 1, 2));
+    decoded += static_cast<char>(std::strtol(hex.c_str(), nullptr, 16));
+    i += 2;
+  }
+  return decoded;
+}
+
+/// Value of `name` in the query of `target`; empty if it is not there.
+std::string Query(std::string_view target, const std::string& name) {
+  size_t at = target.find('?');
+  while (at != std::string_view::npos) {
+    const size_t end = target.find('&', at + 1);
+    const std::string_view pair = target.substr(at + 1, end - at - 1);
+    if (pair.starts_with(name + "="))
+      return Decode(pair.substr(name.size() + 1));
+    at = end;
+  }
+  return {};
+}
+
+uint64_t ToNumber(const std::string& text) {
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+std::optional<store_fault> ParseFault(const json& j) {
+  static const std::map<std::string, fault_mode> modes = {
+      {"none", fault_mode::kNone},
+      {"outage", fault_mode::kOutage},
+      {"slow", fault_mode::kSlow},
+      {"lost_answer", fault_mode::kLostAnswer},
+      {"stale_read", fault_mode::kStaleRead},
+      {"old_watch", fault_mode::kOldWatch}};
+  try {
+    return store_fault{modes.at(j.value("mode", "")),
+                       milliseconds(j.value("delay_ms", 0)),
+                       j.value("count", 0U)};
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+/// One connection of a client.
+class session : public std::enable_shared_from_this<session> {
+ public:
+  session(platform_server& server, asio::ip::tcp::socket socket)
+      : server_(server), stream_(std::move(socket)) {}
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxValueBytes);
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code error, size_t) {
+                       if (!error) self->Handle();
+                     });
+  }
+
+ private:
+  void Handle() {
+    const auto& request = parser_->get();
+    const std::string target(request.target());
+    if (target.starts_with("/admin/")) return HandleAdmin(target);
+    fake_store& store = server_.Client(std::string(request["X-Client"]));
+    if (target == "/v1/vms") return store.ListVms(Reply(internal::FormatVms));
+    const std::string prefix = Query(target, "prefix");
+    if (target.starts_with("/v1/watch"))
+      return store.Watch(prefix, ToNumber(Query(target, "after")),
+                         milliseconds(ToNumber(Query(target, "wait_ms"))),
+                         Reply(internal::FormatBatch));
+    if (target.starts_with("/v1/objects?"))
+      return store.List(prefix, Reply(internal::FormatBatch));
+    if (!target.starts_with(kObjects)) return Send(404, "");
+    HandleObject(store,
+                 Decode(std::string_view(target).substr(kObjects.size())));
+  }
+
+  void HandleObject(fake_store& store, const std::string& key) {
+    const auto& request = parser_->get();
+    if (request.method() != http::verb::put)
+      return store.Get(key, Reply(internal::FormatObject));
+    const std::string match(request["If-Match"]);
+    const bool is_new = request["If-None-Match"] == "*";
+    if (!is_new && match.size() < 3) return Send(400, "");
+    const uint64_t expected =
+        is_new ? 0 : ToNumber(match.substr(1, match.size() - 2));
+    store.Put(key, request.body(), expected, Reply(internal::FormatVersion));
+  }
+
+  void HandleAdmin(const std::string& target) {
+    if (target == "/admin/calls") return Send(200, server_.CallsText());
+    const std::string& body = parser_->get().body();
+    if (target == "/admin/vms") {
+      const auto vms = internal::ParseVms(body);
+      if (vms) server_.platform().SetVms(*vms);
+      return Send(vms ? 200 : 400, "");
+    }
+    const json j = json::parse(body, nullptr, false);
+    const std::optional<store_fault> fault = ParseFault(j);
+    if (target != "/admin/fault" || !fault) return Send(400, "");
+    if (j.contains("client") && j["client"].is_string()) {
+      server_.Client(j["client"].get<std::string>()).SetFault(*fault);
+    } else {
+      server_.SetFault(*fault);
+    }
+    Send(200, "");
+  }
+
+  /// Handler that sends what `format` makes of the value. Where the platform
+  /// gives no answer, the connection closes.
+  template <typename T>
+  store_handler<std::remove_cvref_t<T>> Reply(std::string (*format)(T)) {
+    using value_type = std::remove_cvref_t<T>;
+    return [self = shared_from_this(), format](
+               const std::optional<value_type>& value, const failure& why) {
+      if (value) return self->Send(200, format(*value));
+      if (why.kind == failure_kind::kNotFound) return self->Send(404, "");
+      if (why.kind == failure_kind::kConflict) return self->Send(412, "");
+      self->stream_.close();
+    };
+  }
+
+  void Send(unsigned status, std::string body) {
+    answer_ = {};
+    answer_.result(status);
+    answer_.set(http::field::content_type, "application/json");
+    answer_.keep_alive(parser_->get().keep_alive());
+    answer_.body() = std::move(body);
+    answer_.prepare_payload();
+    http::async_write(stream_, answer_,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        if (!error) self->Read();
+                      });
+  }
+
+  platform_server& server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> answer_;
+};
+
+}  // namespace
+
+platform_server::platform_server(asio::io_context& io, uint16_t port)
+    : io_(io), acceptor_(io, {asio::ip::address_v4::loopback(), port}) {
+  Accept();
+}
+
+fake_store& platform_server::Client(const std::string& name) {
+  std::unique_ptr<fake_store>& client = clients_[name];
+  if (!client) {
+    client = std::make_unique<fake_store>(io_, platform_);
+    client->SetFault(fault_);
+  }
+  return *client;
+}
+
+void platform_server::SetFault(const store_fault& fault) {
+  fault_ = fault;
+  for (const auto& [name, client] : clients_) client->SetFault(fault);
+}
+
+std::string platform_server::CallsText() const {
+  json clients = json::object();
+  for (const auto& [name, client] : clients_) {
+    const call_counts& calls = client->calls();
+    clients[name] = {{"gets", calls.gets},
+                     {"lists", calls.lists},
+                     {"puts", calls.puts},
+                     {"watches", calls.watches},
+                     {"vms", calls.vms}};
+  }
+  return clients.dump();
+}
+
+void platform_server::Accept() {
+  acceptor_.async_accept(
+      [this](error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (!error) std::make_shared<session>(*this, std::move(socket))->Read();
+        Accept();
+      });
+}
+
+}  // namespace radishyard
