--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -12,7 +12,6 @@
 
 constexpr duration kTick = 50ms;
 constexpr duration kProposalSpacing = 150ms;  // Wait per rank before proposing.
-constexpr std::string_view kServicePrefix = "services/";
 constexpr std::string_view kRosterPrefix = "rosters/";
 
 member MemberOf(const settings& config, uint64_t incarnation) {
@@ -145,7 +144,9 @@
   if (!change_due_since_) change_due_since_ = now;
   const bool lists_self = FindMember(held.value, self_.id) != nullptr;
   const duration wait =
-      lists_self ? ProposalRank(next, view) * kProposalSpacing : duration{};
+      lists_self
+          ? static_cast<int64_t>(ProposalRank(next, view)) * kProposalSpacing
+          : duration{};
   if (now - *change_due_since_ < wait) return;
   change_due_since_.reset();
   next.epoch = held.value.epoch + 1;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -11,6 +11,7 @@
 #include "control/roster_keeper.h"
 #include "control/store_follower.h"
 #include "control/view_builder.h"
+#include "roster/assign.h"
 #include "settings/settings.h"
 #include "store/object_store.h"
 #include "table/table_set.h"
--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -111,8 +111,8 @@
 
 void RemoveClashes(routing_view& view, const table_set& table) {
   for (const clash& c : Clashes(table)) {
-    view.ports.erase({c.proto, c.at});
-    view.upstreams.erase({c.proto, c.at});
+    view.ports.erase({c.proto, c.place});
+    view.upstreams.erase({c.proto, c.place});
   }
 }
 
