--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -31,8 +31,7 @@
 controller::controller(asio::io_context& io, object_store& store,
                        const settings& config, uint64_t incarnation,
                        publish_handler publish)
-    : io_(io),
-      tick_(io),
+    : tick_(io),
       config_(config),
       self_(MemberOf(config, incarnation)),
       publish_(std::move(publish)),
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -55,7 +55,6 @@
   void PublishIfChanged();
   bool ServesNothing() const;
 
-  asio::io_context& io_;
   asio::steady_timer tick_;
   settings config_;
   member self_;
--- a/src/control/roster_keeper.cc
+++ b/src/control/roster_keeper.cc
@@ -48,7 +48,7 @@
 }
 
 void roster_keeper::Propose(const roster& next, time_point now,
-                            proposal_handler handler) {
+                            const proposal_handler& handler) {
   assert(!proposing_ && "one proposal at a time");
   proposing_ = true;
   const uint64_t expected = Of(next.domain).version;
@@ -71,7 +71,7 @@
 // After a conflict or a lost answer: what does the store hold? Even if it is
 // what was proposed, a read may be stale, so it confirms nothing.
 void roster_keeper::ReadBack(const std::string& domain, time_point sent_at,
-                             proposal_handler handler) {
+                             const proposal_handler& handler) {
   store_.Get(KeyOf(domain), [=, this](std::optional<stored_object> object,
                                       const failure& why) {
     if (!object && why.kind != failure_kind::kNotFound) {
--- a/src/control/roster_keeper.h
+++ b/src/control/roster_keeper.h
@@ -44,7 +44,8 @@
   /// \brief Writes `next` if the store still has the version that is held. A
   /// lost answer is settled by reading back until the store answers. \warning
   /// One proposal at a time.
-  void Propose(const roster& next, time_point now, proposal_handler handler);
+  void Propose(const roster& next, time_point now,
+               const proposal_handler& handler);
   bool IsProposing() const { return proposing_; }
 
   /// \brief The domain's roster; an empty one with version 0 if none is known.
@@ -57,7 +58,7 @@
 
  private:
   void ReadBack(const std::string& domain, time_point sent_at,
-                proposal_handler handler);
+                const proposal_handler& handler);
   void Confirm(const roster& next, uint64_t version);
 
   asio::steady_timer timer_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -75,7 +75,7 @@
       signals_(io_, SIGTERM, SIGINT),
       store_(MakeHttpStore(io_, config.platform, kStoreTimeout)),
       controller_(io_, *store_, config, incarnation,
-                  [this](std::shared_ptr<const routing_view> view) {
+                  [this](const std::shared_ptr<const routing_view>& view) {
                     for (const auto& thread : threads_) thread->Publish(view);
                   }) {}
 
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -26,7 +26,7 @@
                          time_point now) {
   view_ = std::move(view);
   served_of_view_.assign(view_->pools.size(), kNotServed);
-  for (uint16_t i = 0; i < view_->pools.size(); ++i) {
+  for (size_t i = 0; i < view_->pools.size(); ++i) {
     const pool_route& route = view_->pools[i];
     const auto found = std::find_if(
         served_.begin(), served_.end(), [&route](const auto& pool) {
@@ -35,7 +35,7 @@
         });
     if (found != served_.end())
       served_of_view_[i] = static_cast<uint16_t>(found - served_.begin());
-    if (route.role != pool_role::kNone) Serve(i, now);
+    if (route.role != pool_role::kNone) Serve(static_cast<uint16_t>(i), now);
   }
 }
 
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -190,11 +190,11 @@
       witnesses_.Put(in.key, in.packet.source.address, Ms(now));
     }
   }
-  if (owner_.Knows(in.key)) {
-    owner_.HandleUpstream(in, now);
-  } else if (in.CameAs(forward_kind::kToPrevious)) {
+  const bool is_known = owner_.Knows(in.key);
+  const bool serves = view_->pools[in.pool].role != pool_role::kNone;
+  if (!is_known && in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
-  } else if (view_->pools[in.pool].role != pool_role::kNone) {
+  } else if (is_known || serves) {
     owner_.HandleUpstream(in, now);
   } else {
     ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
