Add the stand-ins of fabric, upstreams and callers

Three programs share a frame (options, UDP port, control port, timers) and a small TCP end point. Answers are a function of request and upstream, so callers compare them whole; upstreams count doubled, crossed and strayed work and limits. Ruled out: kernel sockets over a TUN device, which need privileges; libtins sniffing, which needs raw sockets; a duplicate of a UDP request behind the balancer, which no balancer could undo.

--- /dev/null
+++ b/test/standins/callers_main.cc
@@ -0,0 +1,404 @@
+// The callers: open flows of scripted runs towards the services' addresses, and
+// check that each gets the whole answer to its own request.
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "support/exchange.h"
+#include "support/flow_run.h"
+#include "support/stand_in.h"
+#include "support/tcp_stream.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr auto kLinger = 2s;        // Time that an ended connection answers.
+constexpr auto kPace = 2ms;         // Between two looks at what a run may open.
+constexpr double kMaxBurst = 0.02;  // In seconds of a run's rate.
+constexpr uint32_t kCallers = 0x0a010000;  // 10.1.0.0/16
+constexpr uint32_t kFirstPort = 1024;
+constexpr uint32_t kPorts = 64'000;  // Of one caller address.
+constexpr auto kPoll = 50ms;         // Of an unanswered "wait".
+
+// One flow. Invariant: once `is_done`, its outcome is counted and only the
+// stream's end is still served.
+struct flow {
+  flow(flow_run& r, const request& a, const flow_key& k)
+      : run(r), asked(a), key(k) {}
+  flow_run& run;
+  request asked;
+  flow_key key;
+  std::optional<tcp_stream> stream;
+  time_point began;
+  bool is_accepted = false;
+  bool is_armed = false;  ///< A retransmission timer is queued.
+  bool is_closing = false;
+  bool is_done = false;
+  std::string received;
+  std::map<uint32_t, std::string> parts;  ///< Datagrams of a UDP answer.
+  std::string upstream;                   ///< Of a feed, by its first line.
+  uint64_t next_seq = 0;
+  uint32_t lines_sent = 0;
+  time_point last_push;
+};
+using flow_ptr = std::shared_ptr<flow>;
+
+class callers {
+ public:
+  callers(stand_in& frame, const stand_in_options& options)
+      : frame_(frame), fabric_(options.fabric), seq_(options.seed) {
+    send_ = [this](const packet_fields& fields) {
+      frame_.data().SendInner(BuildPacket(fields), fabric_);
+    };
+  }
+
+  void AddCommands() {
+    frame_.Command("run", [this](const json& c) { return StartRun(c); });
+    frame_.CommandLater(
+        "wait", [this](const json& c, const stand_in::reply& answer) {
+          Wait(answer, Now() + milliseconds(c.value("timeout_ms", 60'000)));
+        });
+    frame_.CommandLater("stop_feeds", [this](const json& c,
+                                             const stand_in::reply& answer) {
+      StopFeeds();
+      const auto until = Now() + milliseconds(c.value("timeout_ms", 30'000));
+      WaitForFeeds(answer, until);
+    });
+    frame_.Command("report", [this](const json&) { return Report(); });
+    frame_.Command("refused", [this](const json&) { return Refused(); });
+  }
+
+  void Receive(byte_span datagram) {
+    failure why;
+    const auto frame = DecodeGeneve(datagram, why);
+    if (!frame) return;
+    const time_point now = Now();
+    if (const auto refused = ParseUnreachable(frame->inner)) {
+      const auto found = flows_.find(*refused);
+      if (found != flows_.end())
+        End(found->second, outcome::kRefused, "port unreachable", now);
+      return;
+    }
+    const auto packet = ParsePacket(frame->inner, why);
+    if (!packet) return;
+    const auto found =
+        flows_.find({packet->destination, packet->source, packet->proto});
+    if (found == flows_.end()) {
+      OnUnknown(*packet);
+    } else if (const flow_ptr f = found->second; f->stream) {
+      f->stream->OnSegment(*packet, now);
+      Settle(f, now);
+    } else {
+      OnDatagram(f, *packet, now);
+    }
+  }
+
+ private:
+  static time_point Now() { return std::chrono::steady_clock::now(); }
+
+  json StartRun(const json& c) {
+    flow_run& run = runs_.emplace_back();
+    run.spec = ParseRunSpec(c);
+    run.id = static_cast<uint32_t>(runs_.size());
+    run.random.seed(run.spec.seed);
+    run.began = run.last_pace = Now();
+    Pace(run, Now());
+    return {{"run", run.id}};
+  }
+
+  void Pace(flow_run& run, time_point now) {
+    const double passed =
+        std::chrono::duration<double>(now - run.last_pace).count();
+    run.last_pace = now;
+    run.credit = std::min(run.credit + passed * run.spec.rate,
+                          1 + kMaxBurst * run.spec.rate);
+    while (run.credit >= 1 && run.open < run.spec.concurrency &&
+           run.started < run.spec.flows) {
+      run.credit -= 1;
+      Open(run, now);
+    }
+    if (run.started == run.spec.flows) return;
+    frame_.timers().At(now + kPace,
+                       [this, &run](time_point then) { Pace(run, then); });
+  }
+
+  // Every flow has an endpoint of its own, never used again by this process.
+  endpoint NextCaller(const flow_run& run) {
+    const uint32_t index = next_flow_[run.spec.callers]++;
+    const uint32_t host = index % run.spec.callers;
+    const uint32_t port = index / run.spec.callers % kPorts;
+    const uint32_t site = run.spec.callers << 8;
+    return {kCallers + site + host, static_cast<uint16_t>(kFirstPort + port)};
+  }
+
+  void Open(flow_run& run, time_point now) {
+    const flow_key key{NextCaller(run), run.spec.at, run.spec.proto};
+    const auto f = std::make_shared<flow>(run, run.NextRequest(), key);
+    f->began = f->last_push = now;
+    ++run.open;
+    flows_[key] = f;
+    frame_.timers().At(now + run.spec.timeout,
+                       [this, weak = std::weak_ptr(f)](time_point then) {
+                         if (const flow_ptr live = weak.lock())
+                           OnDeadline(live, then);
+                       });
+    if (key.proto == protocol::kTcp) {
+      seq_ = seq_ * 1664525 + 1013904223;
+      f->stream.emplace(key.caller, key.service, seq_, send_);
+      f->stream->Connect(now);
+      Settle(f, now);
+    } else {
+      SendRequest(f, now);
+    }
+  }
+
+  void SendRequest(const flow_ptr& f, time_point now) {
+    if (f->is_done) return;
+    const std::string line = ToLine(f->asked);
+    send_({.source = f->key.caller,
+           .destination = f->key.service,
+           .payload = {reinterpret_cast<const uint8_t*>(line.data()),
+                       line.size()}});
+    if (!f->asked.idempotent) return;
+    frame_.timers().At(now + f->run.spec.retry, [this, f](time_point then) {
+      f->run.retried += f->is_done ? 0 : 1;
+      SendRequest(f, then);
+    });
+  }
+
+  void OnDatagram(const flow_ptr& f, const packet_view& packet,
+                  time_point now) {
+    if (f->is_done) return;
+    const std::string text(packet.payload.begin(), packet.payload.end());
+    const size_t head = text.find('\n') + 1;
+    const std::string line = text.substr(0, head);
+    if (head == 0 || Field(line, "id") != f->asked.id) {
+      End(f, outcome::kWrong, "answer of another request: " + line, now);
+      return;
+    }
+    f->parts[std::stoul(Field(line, "part"))] = text.substr(head);
+    if (f->parts.size() < std::stoul(Field(line, "of"))) return;
+    for (const auto& [index, part] : f->parts) f->received += part;
+    f->run.CountAccepted(now);
+    EndAnswered(f, now);
+  }
+
+  void OnUnknown(const packet_view& packet) {
+    ++strays_;
+    if (packet.proto != protocol::kTcp || packet.Has(kRst)) return;
+    send_({.source = packet.destination,
+           .destination = packet.source,
+           .proto = protocol::kTcp,
+           .flags = kRst,
+           .seq = packet.ack});
+  }
+
+  // Follows the stream's state after each event.
+  void Settle(const flow_ptr& f, time_point now) {
+    if (f->stream->state() == tcp_state::kOpen && !f->is_accepted)
+      OnAccepted(f, now);
+    f->received += f->stream->TakeReceived();
+    if (f->run.spec.is_feed) ReadFeed(f, now);
+    const tcp_state state = f->stream->state();
+    if (state == tcp_state::kReset) {
+      EndDead(f, "reset", f->is_accepted ? outcome::kBroken : outcome::kRefused,
+              now);
+    } else if (state == tcp_state::kFailed) {
+      EndDead(f, "nothing acknowledged",
+              f->is_accepted ? outcome::kBroken : outcome::kTimedOut, now);
+    } else if (f->stream->peer_closed()) {
+      OnPeerClosed(f, now);
+    }
+    Arm(f);
+  }
+
+  void Arm(const flow_ptr& f) {
+    if (f->is_armed || !f->stream->due()) return;
+    f->is_armed = true;
+    frame_.timers().At(*f->stream->due(), [this, f](time_point then) {
+      f->is_armed = false;
+      f->stream->OnTimer(then);
+      Settle(f, then);
+    });
+  }
+
+  void OnAccepted(const flow_ptr& f, time_point now) {
+    f->is_accepted = true;
+    f->run.CountAccepted(now);
+    f->last_push = now;
+    f->stream->Write(ToLine(f->asked), now);
+    if (!f->run.spec.is_feed) return;
+    ++f->run.alive;
+    SendLine(f, now);
+    const seconds feed_time = f->run.spec.feed_time;
+    if (feed_time == seconds(0)) return;
+    frame_.timers().At(now + feed_time,
+                       [this, f](time_point then) { CloseFeed(f, then); });
+  }
+
+  void SendLine(const flow_ptr& f, time_point now) {
+    if (f->is_closing || f->is_done || f->lines_sent == f->run.spec.lines)
+      return;
+    ++f->run.lines_sent;
+    f->stream->Write("line=" + std::to_string(f->lines_sent++) + "\n", now);
+    Arm(f);
+    frame_.timers().At(now + f->run.spec.line_every,
+                       [this, f](time_point then) { SendLine(f, then); });
+  }
+
+  void ReadFeed(const flow_ptr& f, time_point now) {
+    for (size_t end = f->received.find('\n');
+         end != std::string::npos && !f->is_done;
+         end = f->received.find('\n')) {
+      const std::string line = f->received.substr(0, end + 1);
+      f->received.erase(0, end + 1);
+      const std::string echo = Field(line, "echo");
+      if (f->upstream.empty()) f->upstream = Field(line, "upstream");
+      if (line != MakeFeedLine(f->asked, f->upstream, f->next_seq++, echo)) {
+        f->stream->Abort();
+        End(f, outcome::kWrong, "feed line: " + line, now);
+      }
+      f->run.echoes += echo.empty() ? 0 : 1;
+      f->last_push = now;
+    }
+  }
+
+  void OnPeerClosed(const flow_ptr& f, time_point now) {
+    if (!f->run.spec.is_feed) {
+      EndAnswered(f, now);
+    } else if (f->is_closing) {
+      End(f, outcome::kCompleted, "", now);
+    } else {
+      End(f, outcome::kBroken, "feed ended by its upstream", now);
+    }
+    f->stream->Close(now);
+  }
+
+  void CloseFeed(const flow_ptr& f, time_point now) {
+    if (f->is_done || f->is_closing) return;
+    f->is_closing = true;
+    f->stream->Close(now);
+    Arm(f);
+  }
+
+  void EndAnswered(const flow_ptr& f, time_point now) {
+    if (IsWholeAnswer(f->asked, f->received)) {
+      End(f, outcome::kCompleted, "", now);
+      return;
+    }
+    const bool is_part = f->received.size() < f->asked.bytes;
+    End(f, outcome::kWrong,
+        (is_part ? "partial answer: " : "wrong answer: ") +
+            f->received.substr(0, 80),
+        now);
+  }
+
+  // Silence is a fault of an accepted flow only; feeds are watched on and on.
+  void OnDeadline(const flow_ptr& f, time_point now) {
+    if (f->is_done) return;
+    if (f->run.spec.is_feed && f->is_accepted &&
+        now - f->last_push < f->run.spec.timeout) {
+      frame_.timers().At(f->last_push + f->run.spec.timeout,
+                         [this, f](time_point then) { OnDeadline(f, then); });
+      return;
+    }
+    if (f->stream) f->stream->Abort();
+    EndDead(f, f->is_accepted ? "silence" : "never accepted",
+            f->is_accepted ? outcome::kBroken : outcome::kTimedOut, now);
+  }
+
+  void EndDead(const flow_ptr& f, const std::string& reason, outcome how,
+               time_point now) {
+    End(f, how, reason, now);
+    flows_.erase(f->key);
+  }
+
+  void End(const flow_ptr& f, outcome how, const std::string& reason,
+           time_point now) {
+    if (f->is_done) return;
+    f->is_done = true;
+    if (f->run.spec.is_feed && f->is_accepted) --f->run.alive;
+    f->run.CountEnd(how, f->asked.id, reason, now - f->began);
+    f->received = {};
+    frame_.timers().At(now + kLinger,
+                       [this, f](time_point) { flows_.erase(f->key); });
+  }
+
+  void Wait(const stand_in::reply& answer, time_point until) {
+    const bool settled = std::ranges::all_of(
+        runs_, [](const flow_run& r) { return r.IsSettled(); });
+    if (settled || Now() >= until) {
+      answer({{"settled", settled}});
+      return;
+    }
+    frame_.timers().At(Now() + kPoll, [this, answer, until](time_point) {
+      Wait(answer, until);
+    });
+  }
+
+  void StopFeeds() {
+    std::vector<flow_ptr> feeds;
+    for (const auto& [key, f] : flows_)
+      if (f->run.spec.is_feed && f->is_accepted) feeds.push_back(f);
+    for (const flow_ptr& f : feeds) CloseFeed(f, Now());
+  }
+
+  void WaitForFeeds(const stand_in::reply& answer, time_point until) {
+    uint32_t alive = 0;
+    for (const flow_run& run : runs_) alive += run.alive;
+    if (alive == 0 || Now() >= until) {
+      answer(Report());
+      return;
+    }
+    frame_.timers().At(Now() + kPoll, [this, answer, until](time_point) {
+      WaitForFeeds(answer, until);
+    });
+  }
+
+  json Report() const {
+    json runs = json::array();
+    for (const flow_run& run : runs_) runs.push_back(run.Report());
+    duration oldest{0};
+    for (const auto& [key, f] : flows_)
+      if (f->run.spec.is_feed && f->is_accepted && !f->is_done)
+        oldest = std::max(oldest, Now() - f->last_push);
+    return {{"runs", runs},
+            {"oldest_push_ms", ToMs(oldest)},
+            {"strays", strays_},
+            {"unsent", frame_.data().unsent()}};
+  }
+
+  json Refused() const {
+    json ids = json::array();
+    for (const flow_run& run : runs_)
+      for (const std::string& id : run.refused_ids) ids.push_back(id);
+    return {{"ids", ids}};
+  }
+
+  stand_in& frame_;
+  endpoint fabric_;
+  uint32_t seq_;
+  tcp_stream::sender send_;
+  std::list<flow_run> runs_;  ///< A list, as flows refer to their run.
+  absl::flat_hash_map<flow_key, flow_ptr> flows_;
+  std::map<uint32_t, uint32_t> next_flow_;  ///< By the number of callers.
+  int64_t strays_ = 0;                      ///< Packets of no known flow.
+};
+
+}  // namespace
+}  // namespace radishyard
+
+int main(int argc, const char** argv) {
+  using namespace radishyard;  // NOLINT(google-build-using-namespace)
+  const stand_in_options options = ParseStandInOptions(argc, argv);
+  stand_in frame("callers", options);
+  callers all(frame, options);
+  all.AddCommands();
+  frame.Run(
+      [&](byte_span datagram, const endpoint&) { all.Receive(datagram); });
+}
--- /dev/null
+++ b/test/standins_test.cc
@@ -0,0 +1,231 @@
+// The stand-ins of fabric, upstreams and callers among themselves: a rewriter
+// in this test takes the place of the balancers. A right one breaks nothing; a
+// faulty one is found out.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <filesystem>
+#include <functional>
+#include <thread>
+
+#include "support/control_client.h"
+#include "support/packet_port.h"
+#include "support/process.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t kService = 0x0a140001;   // 10.20.0.1
+constexpr uint32_t kUpstream = 0x0a1e0101;  // 10.30.1.1
+constexpr uint16_t kPort = 7001;
+
+// A rewritten packet, or nothing where it is swallowed.
+using rewrite_rule = std::function<void(packet_view, byte_buffer&)>;
+
+// The one upstream of all flows; the reply regains the service's address.
+void RewriteRight(const packet_view& packet, byte_buffer& ip) {
+  if (packet.destination.address == kService) {
+    RewriteDestination(ip, {kUpstream, packet.destination.port});
+  } else {
+    RewriteSource(ip, {kService, packet.source.port});
+  }
+}
+
+class rewriter {
+ public:
+  rewriter(endpoint fabric, rewrite_rule rule)
+      : port_(io_, 0), rule_(std::move(rule)) {
+    port_.Start([this, fabric](byte_span datagram, const endpoint&) {
+      failure why;
+      const byte_span inner = DecodeGeneve(datagram, why)->inner;
+      byte_buffer ip(inner.begin(), inner.end());
+      rule_(*ParsePacket(inner, why), ip);
+      if (!ip.empty()) port_.SendInner(ip, fabric);
+    });
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~rewriter() {
+    io_.stop();
+    thread_.join();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(port_.port());
+  }
+
+ private:
+  asio::io_context io_;
+  packet_port port_;
+  rewrite_rule rule_;
+  std::thread thread_;
+};
+
+// A stand-in process with its two ports.
+struct running {
+  running(const std::string& name, const std::vector<std::string>& arguments,
+          const std::string& folder)
+      : child(RY_BIN_DIR "/" + name, arguments, folder + "/" + name + ".log"),
+        line(child.WaitForLine("listening", 10s).value()),
+        data("127.0.0.1:" + std::to_string(NumberAfter(line, "data="))),
+        control(NumberAfter(line, "control=")) {}
+  process child;
+  std::string line;
+  std::string data;
+  control_client control;
+};
+
+class StandIns : public testing::Test {  // NOLINT
+ protected:
+  static std::string Folder() {
+    const std::string name =
+        testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::string folder = testing::TempDir() + "/standins." + name;
+    std::filesystem::create_directories(folder);
+    return folder;
+  }
+
+  void Use(const rewrite_rule& rule) {
+    rewriter_ = std::make_unique<rewriter>(ParseEndpoint(fabric_.data), rule);
+    fabric_.control.Ask({{"cmd", "edges"},
+                         {"callers", callers_.data},
+                         {"upstreams", upstreams_.data}});
+    fabric_.control.Ask(
+        {{"cmd", "balancers"}, {"list", {rewriter_->address()}}});
+    upstreams_.control.Ask({{"cmd", "limits"},
+                            {"rows",
+                             {{{"address", "10.30.1.1"},
+                               {"service", "survey-link"},
+                               {"slots", 1000},
+                               {"connections", 2000}}}}});
+  }
+
+  void SetFaults(double rate) {
+    fabric_.control.Ask(
+        {{"cmd", "faults"}, {"duplicate", rate}, {"reorder", rate}});
+  }
+
+  json Run(json spec) {
+    spec.update({{"cmd", "run"},
+                 {"service", "survey-link"},
+                 {"address", "10.20.0.1"},
+                 {"port", kPort},
+                 {"bytes", {100, 4000}}});
+    callers_.control.Ask(spec);
+    EXPECT_TRUE(callers_.control.Ask({{"cmd", "wait"}})["settled"]);
+    return callers_.control.Ask({{"cmd", "report"}})["runs"].back();
+  }
+
+  int64_t Violations(const std::string& kind) {
+    const json report = upstreams_.control.Ask({{"cmd", "report"}});
+    return report.at(kind).at("count");
+  }
+
+  std::string folder_ = Folder();
+  running fabric_{"fabric", {"--seed", "3"}, folder_};
+  running upstreams_{"upstreams", {"--fabric", fabric_.data}, folder_};
+  running callers_{"callers", {"--fabric", fabric_.data}, folder_};
+  std::unique_ptr<rewriter> rewriter_;
+};
+
+TEST_F(StandIns, BreakNothingUnderDuplicationAndReordering) {
+  Use(RewriteRight);
+  SetFaults(0.02);
+  for (const char* proto : {"tcp", "udp"}) {
+    const json run = Run({{"flows", 2000},
+                          {"rate", 1000},
+                          {"concurrency", 200},
+                          {"protocol", proto},
+                          {"idempotent", false}});
+    // A datagram doubled before the rewriter runs twice: nobody stops it here.
+    EXPECT_EQ(run["completed"], 2000) << run.dump(1);
+  }
+  EXPECT_EQ(Violations("crossed"), 0);
+  EXPECT_EQ(Violations("on_two"), 0);
+  EXPECT_EQ(Violations("over_slots"), 0);
+  EXPECT_EQ(Violations("over_connections"), 0);
+}
+
+TEST_F(StandIns, KeepFeedsThroughLossAndCloseThemCleanly) {
+  Use(RewriteRight);
+  fabric_.control.Ask({{"cmd", "faults"}, {"drop", 0.01}});
+  const json run = Run({{"flows", 500},
+                        {"rate", 2000},
+                        {"concurrency", 500},
+                        {"kind", "feed"},
+                        {"push_ms", 100},
+                        {"lines", 20},
+                        {"line_ms", 50}});
+  EXPECT_EQ(run["alive"], 500) << run.dump(1);
+  std::this_thread::sleep_for(3s);
+  const json end = callers_.control.Ask({{"cmd", "stop_feeds"}});
+  EXPECT_EQ(end["runs"][0]["completed"], 500) << end.dump(1);
+  EXPECT_EQ(end["runs"][0]["echoes"], 500 * 20);
+}
+
+TEST_F(StandIns, FindWorkThatCrossesServicesOrLimits) {
+  Use(RewriteRight);
+  upstreams_.control.Ask({{"cmd", "limits"},
+                          {"rows",
+                           {{{"address", "10.30.1.1"},
+                             {"service", "archive"},
+                             {"slots", 1},
+                             {"connections", 2}}}}});
+  Run({{"flows", 10}, {"rate", 10000}, {"ms", {200, 200}}});
+  EXPECT_EQ(Violations("crossed"), 10);
+  EXPECT_EQ(Violations("over_slots"), 9);
+  EXPECT_EQ(Violations("over_connections"), 8);
+}
+
+TEST_F(StandIns, FindARequestThatRunsTwice) {
+  Use(RewriteRight);
+  fabric_.control.Ask({{"cmd", "faults"}, {"duplicate", 1.0}});
+  Run({{"flows", 10}, {"protocol", "udp"}, {"idempotent", false}});
+  EXPECT_EQ(Violations("doubled"), 10);
+  Run({{"flows", 10}, {"protocol", "udp"}, {"idempotent", true}});
+  EXPECT_EQ(Violations("doubled"), 10);
+}
+
+TEST_F(StandIns, FindAFlowOnTwoUpstreams) {
+  Use([](const packet_view& packet, byte_buffer& ip) {
+    RewriteRight(packet, ip);
+    const std::string text(packet.payload.begin(), packet.payload.end());
+    if (text == "line=3\n") RewriteDestination(ip, {kUpstream + 1, kPort});
+  });
+  Run({{"flows", 10}, {"kind", "feed"}, {"lines", 5}, {"line_ms", 50}});
+  std::this_thread::sleep_for(1s);
+  const json run = callers_.control.Ask({{"cmd", "report"}})["runs"][0];
+  EXPECT_EQ(run["broken"], 10) << run.dump(1);
+  EXPECT_EQ(Violations("on_two"), 10);
+  EXPECT_EQ(Violations("strays"), 10);
+}
+
+TEST_F(StandIns, FindAnswersThatAreNotWhole) {
+  Use([](const packet_view& packet, byte_buffer& ip) {
+    RewriteRight(packet, ip);
+    if (packet.destination.address != kService && !packet.payload.empty())
+      ip.back() = '#';
+  });
+  EXPECT_EQ(Run({{"flows", 10}})["wrong"], 10);
+  EXPECT_EQ(Run({{"flows", 10}, {"protocol", "udp"}})["wrong"], 10);
+}
+
+TEST_F(StandIns, TellRefusedFromBrokenAndTimedOut) {
+  Use(RewriteRight);
+  const auto set_mode = [&](const char* mode) {
+    upstreams_.control.Ask(
+        {{"cmd", "upstream"}, {"address", "10.30.1.1"}, {"mode", mode}});
+  };
+  set_mode("shed");
+  EXPECT_EQ(Run({{"flows", 10}})["refused"], 10);
+  set_mode("blackhole");
+  EXPECT_EQ(Run({{"flows", 10}, {"timeout_ms", 1000}})["timeouts"], 10);
+  set_mode("ok");
+  const json ids = callers_.control.Ask({{"cmd", "refused"}})["ids"];
+  EXPECT_EQ(ids.size(), 10U);
+  EXPECT_TRUE(
+      upstreams_.control.Ask({{"cmd", "ran"}, {"ids", ids}})["ran"].empty());
+}
+
+}  // namespace
+}  // namespace radishyard
--- /dev/null
+++ b/test/support/control_client.cc
@@ -0,0 +1,31 @@
+// A blocking stream with an expiry serves, as tests ask one thing at a time.
+#include "support/control_client.h"
+
+#include <chrono>
+#include <stdexcept>
+#include <string>
+
+namespace radishyard {
+namespace {
+
+constexpr std::chrono::seconds kTimeout{180};
+
+}  // namespace
+
+control_client::control_client(uint16_t port)
+    : stream_(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port)) {
+}
+
+nlohmann::json control_client::Ask(const nlohmann::json& command) {
+  stream_.expires_after(kTimeout);
+  stream_ << command.dump() << "\n" << std::flush;
+  std::string line;
+  if (!std::getline(stream_, line))
+    throw std::runtime_error("no answer to " + command.dump());
+  nlohmann::json answer = nlohmann::json::parse(line);
+  if (answer.contains("error"))
+    throw std::runtime_error(command.dump() + ": " + answer.dump());
+  return answer;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/test/support/http_client.h
@@ -0,0 +1,22 @@
+// HTTP requests of tests to admin pages and to the platform.
+#pragma once
+#include <optional>
+#include <string>
+
+#include "base/failure.h"
+#include "packet/flow_key.h"
+
+namespace radishyard {
+
+struct http_answer {
+  unsigned status = 0;
+  std::string body;
+};
+
+/// \brief One request over a connection of its own, within 10 s.
+std::optional<http_answer> HttpGet(const endpoint& at, const std::string& path,
+                                   failure& why);
+std::optional<http_answer> HttpPost(const endpoint& at, const std::string& path,
+                                    const std::string& body, failure& why);
+
+}  // namespace radishyard
--- /dev/null
+++ b/test/support/packet_port.cc
@@ -0,0 +1,84 @@
+// Non-blocking reads until the socket is empty, so that one wake-up serves many
+// datagrams.
+#include "support/packet_port.h"
+
+#include <stdexcept>
+#include <utility>
+
+namespace radishyard {
+namespace {
+
+using asio::ip::udp;
+
+constexpr int kBufferBytes = 8 << 20;
+constexpr int kBatch = 512;  // Datagrams read before timers get their turn.
+
+udp::endpoint ToUdp(const endpoint& e) {
+  return {asio::ip::address_v4(e.address), e.port};
+}
+
+}  // namespace
+
+endpoint ParseEndpoint(const std::string& text) {
+  const size_t colon = text.find(':');
+  endpoint parsed;
+  if (colon == std::string::npos ||
+      !ParseAddress(text.substr(0, colon), parsed.address)) {
+    throw std::invalid_argument("not an address and port: " + text);
+  }
+  parsed.port = static_cast<uint16_t>(std::stoul(text.substr(colon + 1)));
+  return parsed;
+}
+
+packet_port::packet_port(asio::io_context& io, uint16_t port)
+    : socket_(io, udp::endpoint(asio::ip::address_v4::loopback(), port)) {
+  socket_.set_option(udp::socket::receive_buffer_size(kBufferBytes));
+  socket_.set_option(udp::socket::send_buffer_size(kBufferBytes));
+  socket_.non_blocking(true);
+}
+
+void packet_port::Start(handler receive) {
+  receive_ = std::move(receive);
+  Wait();
+}
+
+void packet_port::Wait() {
+  socket_.async_wait(udp::socket::wait_read, [this](const error_code& error) {
+    if (error) return;
+    ReadBatch();
+    Wait();
+  });
+}
+
+void packet_port::ReadBatch() {
+  for (int i = 0; i < kBatch; ++i) {
+    udp::endpoint from;
+    error_code error;
+    const size_t bytes =
+        socket_.receive_from(asio::buffer(buffer_), from, 0, error);
+    if (error == asio::error::would_block) return;
+    if (error) continue;  // A receiver that is gone; the next read succeeds.
+    ++received_;
+    receive_(byte_span(buffer_).first(bytes),
+             {from.address().to_v4().to_uint(), from.port()});
+  }
+}
+
+void packet_port::Send(byte_span datagram, const endpoint& to) {
+  error_code error;
+  socket_.send_to(asio::buffer(datagram.data(), datagram.size()), ToUdp(to), 0,
+                  error);
+  if (error) ++unsent_;
+}
+
+void packet_port::SendInner(byte_span ip, const endpoint& to) {
+  std::array<uint8_t, kMaxEnvelopeBytes> envelope{};
+  const size_t bytes = EncodeEnvelope({}, envelope);
+  const std::array<asio::const_buffer, 2> parts = {
+      asio::buffer(envelope.data(), bytes), asio::buffer(ip.data(), ip.size())};
+  error_code error;
+  socket_.send_to(parts, ToUdp(to), 0, error);
+  if (error) ++unsent_;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/test/support/run_record.cc
@@ -0,0 +1,129 @@
+// Every violation is counted at the moment it happens, so that a report needs
+// no search.
+#include "support/run_record.h"
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace radishyard {
+namespace {
+
+constexpr size_t kMaxExamples = 5;
+// In a report even where none occurred.
+constexpr std::array<const char*, 6> kViolations = {
+    "strays", "doubled", "crossed", "on_two", "over_slots", "over_connections"};
+
+}  // namespace
+
+void violation::Add(std::string text) {
+  ++count;
+  if (examples.size() < kMaxExamples) examples.push_back(std::move(text));
+}
+
+upstream_host& run_record::Host(const std::string& address) {
+  uint32_t parsed = 0;
+  if (!ParseAddress(address, parsed))
+    throw std::invalid_argument("not an address: " + address);
+  return hosts_[parsed];
+}
+
+void run_record::SetLimits(const json& rows) {
+  for (const json& row : rows) {
+    upstream_host& host = Host(row.at("address").get<std::string>());
+    host.service = row.value("service", "");
+    host.ports = row.value("ports", std::set<uint16_t>());
+    host.slots = row.value("slots", INT64_MAX);
+    host.connections = row.value("connections", INT64_MAX);
+  }
+}
+
+void run_record::CountOpen(uint32_t address) {
+  upstream_host& host = Host(address);
+  host.most_open = std::max(host.most_open, ++host.open);
+  if (host.open > host.connections)
+    violations_["over_connections"].Add(AddressText(address));
+}
+
+void run_record::CountRunning(uint32_t address) {
+  upstream_host& host = Host(address);
+  host.most_running = std::max(host.most_running, ++host.running);
+  if (host.running > host.slots)
+    violations_["over_slots"].Add(AddressText(address));
+}
+
+void run_record::CountRun(const request& r, const flow_key& key) {
+  upstream_host& host = Host(key.service.address);
+  ++host.runs;
+  const bool is_port =
+      host.ports.empty() || host.ports.count(key.service.port) > 0;
+  const std::string what = "id=" + r.id + " service=" + r.service;
+  if (!host.service.empty() && (host.service != r.service || !is_port))
+    violations_["crossed"].Add(what + " at " + ToString(key.service) + " of " +
+                               host.service);
+  if (++runs_[r.id] == 1) return;
+  if (key.proto == protocol::kUdp && r.idempotent) {
+    ++repeated_;
+  } else {
+    violations_["doubled"].Add(what + " at " + ToString(key.service));
+  }
+}
+
+void run_record::CountPayload(const flow_key& key) {
+  const flow_key flow{key.caller, {}, key.proto};
+  const auto [first, is_new] = served_by_.try_emplace(flow, key.service);
+  if (is_new || first->second == key.service) return;
+  violations_["on_two"].Add(ToString(key) + " and " + ToString(first->second));
+  first->second = key.service;
+}
+
+void run_record::CountStray(const flow_key& key) {
+  ++Host(key.service.address).resets;
+  violations_["strays"].Add(ToString(key));
+}
+
+nlohmann::json run_record::Report() const {
+  json report = {{"ids", runs_.size()},
+                 {"repeated", repeated_},
+                 {"malformed", malformed_},
+                 {"upstreams", json::array()}};
+  for (const char* kind : kViolations) {
+    const auto found = violations_.find(kind);
+    const violation v =
+        found == violations_.end() ? violation{} : found->second;
+    report[kind] = {{"count", v.count}, {"examples", v.examples}};
+  }
+  for (const auto& [address, host] : hosts_) {
+    report["upstreams"].push_back({{"address", AddressText(address)},
+                                   {"service", host.service},
+                                   {"open", host.open},
+                                   {"most_open", host.most_open},
+                                   {"running", host.running},
+                                   {"most_running", host.most_running},
+                                   {"runs", host.runs},
+                                   {"resets", host.resets}});
+  }
+  return report;
+}
+
+nlohmann::json run_record::Ran(const json& ids) const {
+  json ran = json::array();
+  for (const std::string id : ids)
+    if (runs_.contains(id)) ran.push_back(id);
+  return ran;
+}
+
+void run_record::Reset() {
+  for (auto& [address, host] : hosts_) {
+    host.most_open = host.open;
+    host.most_running = host.running;
+    host.runs = host.resets = 0;
+  }
+  runs_.clear();
+  served_by_.clear();
+  repeated_ = malformed_ = 0;
+  violations_.clear();
+}
+
+}  // namespace radishyard
