--- a/test/support/platform_server.cc
+++ b/test/support/platform_server.cc
@@ -72,6 +72,8 @@
   session(platform_server& server, asio::ip::tcp::socket socket)
       : server_(server), stream_(std::move(socket)) {}
 
+  void Close() { stream_.close(); }
+
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMaxValueBytes);
@@ -199,11 +201,20 @@
   return clients.dump();
 }
 
+void platform_server::CloseConnections() {
+  for (const auto& close : closers_) close();
+}
+
 void platform_server::Accept() {
   acceptor_.async_accept(
       [this](error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
-        if (!error) std::make_shared<session>(*this, std::move(socket))->Read();
+        if (error) return Accept();
+        const auto next = std::make_shared<session>(*this, std::move(socket));
+        closers_.emplace_back([weak = std::weak_ptr(next)] {
+          if (const auto open = weak.lock()) open->Close();
+        });
+        next->Read();
         Accept();
       });
 }
--- a/test/support/platform_server.h
+++ b/test/support/platform_server.h
@@ -1,9 +1,11 @@
 // The platform stand-in's HTTP face: serves a fake_platform, one fake_store per
 // client name, and the pages that switch faults and tell the calls.
 #pragma once
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/asio.h"
 #include "support/fake_store.h"
@@ -26,6 +28,10 @@
   fake_store& Client(const std::string& name);
   /// \brief Switches the fault of every client, also of later ones.
   void SetFault(const store_fault& fault);
+  /// \brief Connections accepted since the start.
+  size_t connections_accepted() const { return closers_.size(); }
+  /// \brief Closes every connection, as a restart of the platform does.
+  void CloseConnections();
   /// \brief The body of /admin/calls.
   std::string CallsText() const;
 
@@ -36,6 +42,7 @@
   asio::ip::tcp::acceptor acceptor_;
   fake_platform platform_;
   store_fault fault_;
+  std::vector<std::function<void()>> closers_;  ///< One per connection.
   std::map<std::string, std::unique_ptr<fake_store>> clients_;
 };
 
