Replay traces over the pool and three baselines

Virtual time, true upstreams with speed, slots and faults; openings pass between pools, and a pool with a free slot pulls from one with a queue.

--- /dev/null
+++ b/test/standins/policy_report_main.cc
@@ -0,0 +1,207 @@
+// Prints the figures of the policy beside the baselines, as tables for
+// docs/measurements.md or, with --json, as one JSON object a line.
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "support/replay_metrics.h"
+#include "support/replay_scenarios.h"
+#include "support/replay_variants.h"
+
+namespace radishyard::test {
+namespace {
+
+using figures = std::vector<std::pair<std::string, double>>;
+using measure = std::function<figures(const replay_view&)>;
+
+bool as_json = false;
+
+const char* NameOf(workload w) {
+  return w == workload::kArmor ? "Armor" : "Atlas Colle";
+}
+
+void PrintRow(const std::string& title, workload w, const std::string& variant,
+              const figures& row, bool head) {
+  if (as_json) {
+    std::printf("{\"table\":\"%s\",\"workload\":\"%s\",\"variant\":\"%s\"",
+                title.c_str(), NameOf(w), variant.c_str());
+    for (const auto& [name, value] : row)
+      std::printf(",\"%s\":%.4g", name.c_str(), value);
+    std::printf("}\n");
+    return;
+  }
+  if (head) {
+    std::printf("\n### %s: %s\n\n| variant |", title.c_str(), NameOf(w));
+    for (const auto& f : row) std::printf(" %s |", f.first.c_str());
+    std::printf("\n|---|");
+    for (size_t i = 0; i < row.size(); ++i) std::printf("--:|");
+    std::printf("\n");
+  }
+  std::printf("| %s |", variant.c_str());
+  for (const auto& f : row) std::printf(" %.4g |", f.second);
+  std::printf("\n");
+}
+
+void Table(const std::string& title, const std::vector<variant>& variants,
+           const std::function<scenario(workload)>& make, const measure& draw) {
+  for (workload w : {workload::kArmor, workload::kAtlasColle}) {
+    scenario s = make(w);
+    bool head = true;
+    for (const variant& v : variants) {
+      replay_setup setup = s.setup;
+      v.apply(setup);
+      const replay_result result = Replay(setup, s.trace);
+      PrintRow(title, w, v.name, draw({setup, s.trace, result}), head);
+      head = false;
+    }
+  }
+}
+
+using kind = flow_outcome::kind;
+
+replay_view Window(const replay_view& v, int64_t from, int64_t to) {
+  return {v.setup, v.trace, v.result, from, to};
+}
+
+figures Waits(const replay_view& v) {
+  const auto done =
+      static_cast<double>(Count(v, flow_set::kAll, kind::kCompleted));
+  const auto total =
+      static_cast<double>(done + Count(v, flow_set::kAll, kind::kRefused) +
+                          Count(v, flow_set::kAll, kind::kFailed));
+  return {{"short p50 ms", WaitMs(v, flow_set::kShort, 50)},
+          {"short p99 ms", WaitMs(v, flow_set::kShort, 99)},
+          {"urgent p99 ms", WaitMs(v, flow_set::kUrgent, 99)},
+          {"long p99 ms", WaitMs(v, flow_set::kLong, 99)},
+          {"completed %", 100 * done / total},
+          {"limit violations", static_cast<double>(v.result.violations)}};
+}
+
+figures CrestFigures(const replay_view& v) {
+  const replay_view crest = Window(v, 10'500, 15'000);
+  const replay_view steady = Window(v, 2'000, 10'000);
+  const replay_view after = Window(v, 20'000, 40'000);
+  return {
+      {"served % of capacity", 100 * Served(crest)},
+      {"refused",
+       static_cast<double>(Count(v, flow_set::kAll, kind::kRefused))},
+      {"failed", static_cast<double>(Count(v, flow_set::kAll, kind::kFailed))},
+      {"latest refusal ms", LatestRefusalMs(v)},
+      {"crest short p99 ms", WaitMs(crest, flow_set::kShort, 99)},
+      {"crest urgent p99 ms", WaitMs(crest, flow_set::kUrgent, 99)},
+      {"steady p99 ms", WaitMs(steady, flow_set::kShort, 99)},
+      {"p99 5 s after ms", WaitMs(after, flow_set::kShort, 99)},
+      {"long completed",
+       static_cast<double>(Count(v, flow_set::kLong, kind::kCompleted))},
+      {"long refused",
+       static_cast<double>(Count(v, flow_set::kLong, kind::kRefused))},
+      {"limit violations", static_cast<double>(v.result.violations)}};
+}
+
+measure FaultFigures(int row) {
+  return [row](const replay_view& v) -> figures {
+    const replay_view late = Window(v, 12'000, 25'000);
+    const auto all = static_cast<double>(Placements(late, -1));
+    return {
+        {"its share %", 100 * static_cast<double>(Placements(late, row)) / all},
+        {"new flows 1 s..15 s",
+         static_cast<double>(Placements(Window(v, 11'000, 25'000), row))},
+        {"failed",
+         static_cast<double>(Count(v, flow_set::kAll, kind::kFailed))},
+        {"retries %", 100 * RetryShare(v)},
+        {"short p99 ms", WaitMs(late, flow_set::kShort, 99)},
+        {"p99 after ms",
+         WaitMs(Window(v, 27'000, 40'000), flow_set::kShort, 99)},
+        {"share after %",
+         100 * static_cast<double>(Placements(Window(v, 30'000, 40'000), row)) /
+             static_cast<double>(Placements(Window(v, 30'000, 40'000), -1))}};
+  };
+}
+
+void FaultTables(uint64_t seed) {
+  using fault = upstream_fault::kind;
+  const std::vector<std::pair<std::string, upstream_fault>> faults = {
+      {"one upstream slows to 1/8", {3, 0, 0, fault::kSlow, 0.125}},
+      {"one upstream swallows openings", {3, 0, 0, fault::kBlackHole, 1}},
+      {"one upstream fails fast", {3, 0, 0, fault::kFailFast, 1}},
+      {"one upstream sheds half", {3, 0, 0, fault::kShed, 0.5}}};
+  for (const auto& [name, what] : faults) {
+    Table(
+        name, AllVariants(),
+        [&f = what, seed](workload w) { return WithFault(w, f, seed); },
+        FaultFigures(3));
+  }
+}
+
+void OtherTables(uint64_t seed) {
+  Table(
+      "10,000 feeds", AllVariants(),
+      [seed](workload w) { return ManyFeeds(w, seed); },
+      [](const replay_view& v) -> figures {
+        return {{"imbalance %", 100 * Imbalance(Window(v, 0, 50'000))},
+                {"limit violations", static_cast<double>(v.result.violations)}};
+      });
+  Table(
+      "join at 70% load", AllVariants(),
+      [seed](workload w) { return Join(w, 0.7, seed); },
+      [](const replay_view& v) -> figures {
+        const replay_view cold = Window(v, 10'000, 15'000);
+        return {{"its share % while cold",
+                 100.0 * static_cast<double>(Placements(cold, 3)) /
+                     static_cast<double>(Placements(cold, -1))},
+                {"short p99 ms while cold", WaitMs(cold, flow_set::kShort, 99)},
+                {"short p99 ms after",
+                 WaitMs(Window(v, 20'000, 30'000), flow_set::kShort, 99)}};
+      });
+  Table(
+      "one greedy caller", AllVariants(),
+      [seed](workload w) { return GreedyCaller(w, seed); },
+      [](const replay_view& v) -> figures {
+        const replay_view late = Window(v, 5'000, 30'000);
+        return {{"its share %", 100 * CallerShare(late, kGreedyCaller)},
+                {"served % of capacity", 100 * Served(late)},
+                {"short p99 ms", WaitMs(late, flow_set::kShort, 99)},
+                {"latest refusal ms", LatestRefusalMs(v)}};
+      });
+}
+
+void AllTables(uint64_t seed) {
+  Table(
+      "crest at twice the capacity", AllVariants(),
+      [seed](workload w) { return Crest(w, seed); }, CrestFigures);
+  Table(
+      "crest with an owner lost, a slow and a silent upstream", AllVariants(),
+      [seed](workload w) { return CrestWithLoss(w, seed); }, CrestFigures);
+  for (int load : {70, 80, 90}) {
+    for (bool with_long : {false, true}) {
+      Table(
+          "steady " + std::to_string(load) +
+              (with_long ? "%, 3% of requests long" : "%, none long"),
+          AllVariants(),
+          [=](workload w) {
+            return SteadyLoad(w, load / 100.0, with_long ? 0.03 : 0, seed);
+          },
+          Waits);
+    }
+  }
+  FaultTables(seed);
+  OtherTables(seed);
+}
+
+}  // namespace
+}  // namespace radishyard::test
+
+int main(int argc, char** argv) {
+  uint64_t seed = 1;
+  for (int i = 1; i < argc; ++i) {
+    if (std::strcmp(argv[i], "--json") == 0) {
+      radishyard::test::as_json = true;
+    } else {
+      seed = std::strtoull(argv[i], nullptr, 10);
+    }
+  }
+  radishyard::test::AllTables(seed);
+  return 0;
+}
--- /dev/null
+++ b/test/support/replay_metrics.h
@@ -0,0 +1,49 @@
+// Figures drawn from a replay.
+#pragma once
+#include <cstdint>
+#include <vector>
+
+#include "support/replay.h"
+
+namespace radishyard::test {
+
+/// \brief A replay with its inputs and a window of time to look at.
+struct replay_view {
+  const replay_setup& setup;
+  const std::vector<trace_flow>& trace;
+  const replay_result& result;
+  int64_t from_ms = 0;
+  int64_t to_ms = 1'000'000;
+};
+
+enum class flow_set { kShort, kUrgent, kLong, kAll };
+
+/// \brief Wait from the arrival to the start at the upstream, in milliseconds,
+/// of the requests of `set` that arrived in the window.
+double WaitMs(const replay_view& v, flow_set set, double percentile);
+
+/// \brief Requests of `set` that arrived in the window and ended as `what`.
+size_t Count(const replay_view& v, flow_set set, flow_outcome::kind what);
+
+/// \brief Work completed by requests in the window over the capacity.
+double Served(const replay_view& v);
+
+/// \brief Longest time to a refusal, in milliseconds.
+double LatestRefusalMs(const replay_view& v);
+
+/// \brief Largest deviation of flows open at `to_ms` per unit of weight from
+/// their mean, over upstreams.
+double Imbalance(const replay_view& v);
+
+/// \brief Largest share of second placements on top of first ones in 10 s.
+double RetryShare(const replay_view& v);
+
+/// \brief Placements of `kind` at `row` in the window; all rows where `row` is
+/// -1.
+size_t Placements(const replay_view& v, int row,
+                  port_kind kind = port_kind::kRequest);
+
+/// \brief Share of `caller` in the slot time used in the window.
+double CallerShare(const replay_view& v, uint32_t caller);
+
+}  // namespace radishyard::test
