Move pools without moving flows: export, import, inherited counts, passed openings

Cause: a pool that changes its owner must keep every flow on its upstream, and an opening that waits in one pool must not wait while another has room. Chosen: the old owner sends what it still receives on with the upstream as a hint and streams its flows in delta-coded batches; the new owner asks the old one about flows that it does not know until the stream has ended, so a copy of a non-idempotent request meets the digest of its first run.

--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -33,7 +33,7 @@
 
 // Data endpoint of the traffic thread that serves the pool at `m`.
 endpoint ThreadEndpoint(const member& m, const pool_name& name) {
-  const uint64_t hash = NameHash(name.service_name + "/" + name.domain);
+  const uint64_t hash = NameHash(name.service + "/" + name.domain);
   endpoint at = m.data;
   at.port = static_cast<uint16_t>(at.port +
                                   hash % std::max<uint16_t>(m.data_threads, 1));
@@ -45,22 +45,21 @@
   const bool is_owner = pool.owner == inputs.self;
   if (order.empty() || order.front() != inputs.self) return;
   route.role = is_owner ? pool_role::kOwner : pool_role::kActing;
-  const auto until =
-      inputs.unsafe_until.find({route.service_name, route.domain});
+  const auto until = inputs.unsafe_until.find(route.name);
   if (is_owner && until != inputs.unsafe_until.end())
     route.unsafe_until = until->second;
 }
 
 void SetOwner(pool_route& route, const view_inputs& inputs,
               const member_index& members) {
-  const auto held = inputs.rosters.find(route.domain);
+  const auto held = inputs.rosters.find(route.name.domain);
   if (held == inputs.rosters.end()) return;
   const pool_assignment* const pool =
-      FindPool(held->second, route.service_name);
+      FindPool(held->second, route.name.service);
   if (pool == nullptr) return;
-  const pool_name name{route.service_name, route.domain};
+  const pool_name& name = route.name;
   const std::vector<member_id> order =
-      RouteOrder(held->second, route.service_name, inputs.alive);
+      RouteOrder(held->second, route.name.service, inputs.alive);
   route.epoch = pool->since_epoch;
   SetRole(route, inputs, *pool, order);
   if (order.empty()) return;
@@ -87,8 +86,7 @@
   std::map<std::string, uint16_t> pool_of_domain;
   for (const std::string& domain : DomainsOf(*table)) {
     pool_route route;
-    route.service_name = table->name;
-    route.domain = domain;
+    route.name = {table->name, domain};
     route.table = table;
     route.tag = DomainTag(domain);
     route.weight = PoolWeight(*table, domain);
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -13,13 +13,6 @@
 
 namespace radishyard {
 
-/// \brief A pool's name: service and failure domain.
-struct pool_name {
-  std::string service_name;
-  std::string domain;
-  auto operator<=>(const pool_name&) const = default;
-};
-
 /// \brief What the view depends on besides the table.
 struct view_inputs {
   member_id self;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -59,8 +59,8 @@
     connections += up.connections;
     slots += up.slots;
   }
-  return {{"service", served.service},
-          {"domain", served.domain},
+  return {{"service", served.name.service},
+          {"domain", served.name.domain},
           {"owner", true},
           {"connections", connections},
           {"slots", slots},
--- a/src/flow/flow_record.h
+++ b/src/flow/flow_record.h
@@ -25,6 +25,8 @@
   kHoldsSlot = 0x04,        ///< Counts against the upstream's slots.
   kHoldsConnection = 0x08,  ///< Counts against the upstream's connections.
   kWitnessSent = 0x10,      ///< The standby has been told of this flow.
+  kWasPassed =
+      0x40,  ///< Another pool passed its opening here; not passed on again.
   kPayloadSent = 0x20,  ///< Payload went to the upstream: never placed again.
 };
 
@@ -36,7 +38,9 @@
   uint32_t upstream = 0;      ///< Address of the upstream.
   uint32_t opened_ms = 0;     ///< When the present upstream was chosen.
   uint32_t last_seen_ms = 0;  ///< Last packet in either direction.
-  uint16_t pool = 0;          ///< Index of the pool at this thread.
+  /// Index of the pool at this thread; for kPassed the tag of the pool that it
+  /// went to.
+  uint16_t pool = 0;  ///< Index of the pool at this thread.
   port_kind kind = port_kind::kFeed;
   priority_class priority = priority_class::kNormal;
   flow_phase phase = flow_phase::kQueued;
--- a/src/traffic/duplicate_filter.h
+++ b/src/traffic/duplicate_filter.h
@@ -27,6 +27,8 @@
   /// duplicate.
   bool Add(uint64_t digest, time_point now);
 
+  bool Has(uint64_t digest) const { return seen_.contains(digest); }
+
   /// \brief Digests held, for the hand-over of a pool.
   std::vector<uint64_t> List() const { return {seen_.begin(), seen_.end()}; }
   size_t size() const { return seen_.size(); }
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -28,14 +28,16 @@
   served_of_view_.assign(view_->pools.size(), kNotServed);
   for (size_t i = 0; i < view_->pools.size(); ++i) {
     const pool_route& route = view_->pools[i];
-    const auto found = std::find_if(
-        served_.begin(), served_.end(), [&route](const auto& pool) {
-          return pool->service == route.service_name &&
-                 pool->domain == route.domain;
-        });
+    const auto found = std::ranges::find_if(
+        served_,
+        [&route](const auto& pool) { return pool->name == route.name; });
     if (found != served_.end())
       served_of_view_[i] = static_cast<uint16_t>(found - served_.begin());
-    if (route.role != pool_role::kNone) Serve(static_cast<uint16_t>(i), now);
+    if (route.role != pool_role::kNone) {
+      Serve(static_cast<uint16_t>(i), now);
+    } else if (found != served_.end() && route.reachable) {
+      MoveAway(**found, route, now);
+    }
   }
 }
 
@@ -45,11 +47,11 @@
   if (index == kNotServed) {
     index = static_cast<uint16_t>(served_.size());
     served_.push_back(std::make_unique<served_pool>());
-    served_.back()->service = route.service_name;
-    served_.back()->domain = route.domain;
+    served_.back()->name = route.name;
   }
   served_pool& pool = *served_[index];
-  if (route.table) Configure(pool.state, *route.table, route.domain, now);
+  pool.moved_to.reset();
+  if (route.table) Configure(pool.state, *route.table, route.name.domain, now);
   return pool;
 }
 
@@ -65,22 +67,55 @@
 flow_owner::outcome flow_owner::HandleKnown(inbound& in, uint32_t slot,
                                             time_point now) {
   flow_record& flow = flows_.At(slot);
-  const bool reopens = in.packet.IsSyn() || in.packet.proto == protocol::kUdp;
-  if (flow.phase == flow_phase::kClosed && reopens) {
-    Remove(slot);
-    return HandleUnknown(in, now);
+  const bool serves = Route(in).role != pool_role::kNone;
+  const bool is_over = flow.phase == flow_phase::kClosed && in.IsOpening();
+  if (serves && (is_over || flow.phase == flow_phase::kPassed)) {
+    const bool begins_anew =
+        is_over || in.packet.IsSyn() || PassedPoolIsServed(flow);
+    if (begins_anew) {
+      Remove(slot);
+      return HandleUnknown(in, now);
+    }
   }
   if (flow.phase == flow_phase::kPassed) {
     FollowPassed(in, flow);
     return outcome::kDone;
   }
+  const auto& moved_to = served_[flow.pool]->moved_to;
+  if (moved_to && (flow.phase != flow_phase::kClosed || in.IsOpening())) {
+    FollowMoved(in, flow, *moved_to);
+    return outcome::kDone;
+  }
+  KeepOnUpstream(in, slot, now);
+  return outcome::kDone;
+}
+
+// A packet of a flow that has its upstream, or waits for one.
+void flow_owner::KeepOnUpstream(inbound& in, uint32_t slot, time_point now) {
+  flow_record& flow = flows_.At(slot);
   if (flow.phase == flow_phase::kQueued)
-    return outcome::kDone;  // The first copy waits already.
-  if (in.IsUnsafe() && !MayPlace(in, now)) return outcome::kDone;
+    return;  // The first copy waits already.
+  if (in.IsUnsafe()) {
+    if (AsksPrevious(in)) {
+      AskPrevious(in);
+      return;
+    }
+    if (!MayPlace(in, now)) return;
+  }
   ForwardToUpstream(in, flow, now);
-  if (in.packet.Has(kRst) && in.packet.proto == protocol::kTcp)
-    End(slot, flow_end::kAbandoned, now);
-  return outcome::kDone;
+  if (in.packet.proto != protocol::kTcp) return;
+  if (in.packet.Has(kRst)) End(slot, flow_end::kAbandoned, now);
+  if (flow.Has(kCallerFin) && flow.Has(kUpstreamFin))
+    End(slot, flow_end::kCompleted, now);
+}
+
+bool flow_owner::PassedPoolIsServed(const flow_record& flow) const {
+  const auto port = view_->ports.find({flow.key.proto, flow.key.service});
+  return port != view_->ports.end() &&
+         std::ranges::any_of(port->second.pools, [this, &flow](uint16_t index) {
+           const pool_route& route = view_->pools[index];
+           return route.tag == flow.pool && route.role != pool_role::kNone;
+         });
 }
 
 void flow_owner::ForwardToUpstream(inbound& in, flow_record& flow,
@@ -95,7 +130,10 @@
 }
 
 void flow_owner::FollowPassed(const inbound& in, const flow_record& flow) {
-  for (const pool_route& route : view_->pools) {
+  const auto port = view_->ports.find({in.key.proto, in.key.service});
+  if (port == view_->ports.end()) return;
+  for (const uint16_t index : port->second.pools) {
+    const pool_route& route = view_->pools[index];
     if (route.tag != flow.pool || !route.reachable) continue;
     sink_.ToBalancer(route.owner,
                      {forward_kind::kPassedOpening,
@@ -105,15 +143,39 @@
   }
 }
 
-flow_owner::outcome flow_owner::HandleUnknown(inbound& in, time_point now) {
+// The flow's pool has moved: its new owner learns the flow from the packet. A
+// copy of a request that ran here is not sent on.
+void flow_owner::FollowMoved(const inbound& in, const flow_record& flow,
+                             const endpoint& to) {
+  if (IsDuplicate(in)) {
+    ++counters_.duplicates;
+    return;
+  }
+  ++counters_.forwarded;
+  sink_.ToBalancer(
+      to,
+      {forward_kind::kUnknownFlow, static_cast<uint8_t>(in.Hops() + 1),
+       Route(in).tag, flow.upstream, 0},
+      in.bytes);
+}
+
+bool flow_owner::AsksPrevious(const inbound& in) const {
+  return Route(in).previous && !in.CameAs(forward_kind::kUnknownFlow);
+}
+
+void flow_owner::AskPrevious(const inbound& in) {
   const pool_route& route = Route(in);
-  assert(route.role != pool_role::kNone && "the pool must be served here");
-  if (route.previous && !in.CameAs(forward_kind::kUnknownFlow)) {
-    sink_.ToBalancer(
-        *route.previous,
-        {forward_kind::kToPrevious, static_cast<uint8_t>(in.Hops() + 1),
-         route.tag, in.Hint(), 0},
-        in.bytes);
+  sink_.ToBalancer(
+      *route.previous,
+      {forward_kind::kToPrevious, static_cast<uint8_t>(in.Hops() + 1),
+       route.tag, in.Hint(), 0},
+      in.bytes);
+}
+
+flow_owner::outcome flow_owner::HandleUnknown(inbound& in, time_point now) {
+  assert(Route(in).role != pool_role::kNone && "the pool must be served here");
+  if (AsksPrevious(in)) {
+    AskPrevious(in);
     return outcome::kDone;
   }
   if (!in.IsOpening()) return outcome::kUnknownFlow;
@@ -146,6 +208,7 @@
   flow.kind = in.port.kind;
   flow.priority = in.port.priority;
   flow.last_seen_ms = Ms(now);
+  if (in.CameAs(forward_kind::kPassedOpening)) flow.Set(kWasPassed);
   held_[slot].assign(in.bytes.begin(), in.bytes.end());
   Trace(in, "owner", "open", now);
   Settle(slot,
@@ -219,19 +282,9 @@
 
 uint32_t flow_owner::AdoptFlow(const inbound& in, uint32_t upstream,
                                time_point now) {
-  const uint32_t slot = flows_.Insert(in.key);
-  flow_record& flow = flows_.At(slot);
-  flow.upstream = upstream;
-  flow.pool = ServedIndex(in.pool);
-  flow.kind = in.port.kind;
-  flow.priority = in.port.priority;
-  flow.phase = flow_phase::kOpen;
-  flow.opened_ms = flow.last_seen_ms = Ms(now);
-  flow.Set(kPayloadSent);
-  flow.Set(kHoldsConnection);
-  radishyard::Adopt(served_[flow.pool]->state, Held(flow), now);
-  ++counters_.adopted;
-  return slot;
+  return AdoptEntry(
+      {in.key, upstream, in.port.kind, in.port.priority, kHoldsConnection},
+      ServedIndex(in.pool), now);
 }
 
 void flow_owner::Release(flow_record& flow, flow_end how, time_point now) {
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -4,10 +4,12 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "flow/flow_batch.h"
 #include "flow/flow_table.h"
 #include "flow/witness_cache.h"
 #include "pool/pool_state.h"
@@ -28,8 +30,7 @@
 
 /// \brief Load of one served pool, for the control thread.
 struct served_load {
-  std::string service;
-  std::string domain;
+  pool_name name;
   pool_load load;
 };
 
@@ -58,6 +59,12 @@
   /// \brief True if the flow has a record here.
   bool Knows(const flow_key& key) const { return flows_.Find(key).has_value(); }
 
+  /// \brief True for a copy of a non-idempotent request that was taken in here.
+  bool IsDuplicate(const inbound& in) const {
+    return in.IsUnsafe() && duplicates_.Has(duplicate_filter::DigestOf(
+                                in.key, in.packet.payload));
+  }
+
   /// \brief A caller's packet for a flow that is known here, or for a pool that
   /// is served here.
   outcome HandleCaller(inbound& in, time_point now);
@@ -74,15 +81,46 @@
   /// flows.
   void Tick(time_point now);
 
+  /// \brief Flows and digests of a pool that has moved to another balancer, for
+  /// its new owner.
+  flow_batch Export(const pool_name& name) const;
+
+  /// \brief Takes up what the previous owner exported. Flows that are known
+  /// already stay as they are.
+  void Import(const pool_name& name, const flow_batch& batch, time_point now);
+
+  /// \brief Forgets the flows of a pool that were handed over.
+  void Forget(const pool_name& name);
+
+  /// \brief Counts that the previous owner reported before it was lost.
+  void Inherit(const pool_name& name, const std::vector<upstream_load>& counts,
+               time_point now);
+
+  /// \brief Flows that the standby should know of and has not been told: those
+  /// open for `age`. \returns at most `most` flows, marked as told.
+  std::vector<flow_entry> NewWitnessed(const pool_name& name, duration age,
+                                       size_t most, time_point now);
+
+  /// \brief The standby of the pool has changed: all its flows are to be told
+  /// again.
+  void ForgetWitnessed(const pool_name& name);
+
+  /// \brief Free slots of other pools, as their owners reported them.
+  void SetFreeSlots(std::map<pool_name, uint32_t> free) {
+    free_slots_ = std::move(free);
+  }
+
   std::vector<served_load> Loads(time_point now) const;
   const flow_table& flows() const { return flows_; }
   size_t OpenFlows() const { return flows_.size() - closed_; }
 
  private:
   struct served_pool {
-    std::string service;
-    std::string domain;
+    pool_name name;
     pool_state state;
+    std::optional<endpoint> moved_to;  // Set while another balancer serves it
+                                       // and flows remain here.
+    uint32_t witness_at = 0;  // Slot where the search for untold flows goes on.
   };
   struct opening_timer {
     uint32_t slot;
@@ -111,6 +149,14 @@
   outcome HandleUnknown(inbound& in, time_point now);
   void ForwardToUpstream(inbound& in, flow_record& flow, time_point now);
   void FollowPassed(const inbound& in, const flow_record& flow);
+  void FollowMoved(const inbound& in, const flow_record& flow,
+                   const endpoint& to);
+  void MoveAway(served_pool& pool, const pool_route& route, time_point now);
+  void KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
+  bool PassedPoolIsServed(const flow_record& flow) const;
+  served_pool* FindServed(const pool_name& name) const;
+  bool AsksPrevious(const inbound& in) const;
+  void AskPrevious(const inbound& in);
   bool MayPlace(const inbound& in, time_point now);
   void Place(inbound& in, time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
@@ -122,6 +168,7 @@
   void ReplaceOpening(uint32_t slot, time_point now);
   void LearnFromUpstream(const inbound& in, time_point now);
   uint32_t AdoptFlow(const inbound& in, uint32_t upstream, time_point now);
+  uint32_t AdoptEntry(const flow_entry& entry, uint16_t pool, time_point now);
   void ForwardToCaller(inbound& in);
 
   void End(uint32_t slot, flow_end how, time_point now);
@@ -133,6 +180,9 @@
   void SweepIdle(time_point now);
   uint32_t IdleLimitMs(const flow_record& flow) const;
   void PollPools(time_point now);
+  void PassWaiting(served_pool& pool, time_point now);
+  std::optional<uint16_t> PoolWithRoom(const flow_record& flow) const;
+  bool PassOne(served_pool& pool, time_point now);
   void Trace(const inbound& in, const char* name, const char* result,
              time_point now);
 
@@ -149,9 +199,10 @@
       served_of_view_;  // By index of the view; kNotServed if none.
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_;
-  std::deque<opening_timer> openings_;  // In order of `due`.
-  std::deque<linger_timer> lingering_;  // In order of `due`.
-  size_t closed_ = 0;                   // Records in phase kClosed or kPassed.
+  std::map<pool_name, uint32_t> free_slots_;  // Of pools of others.
+  std::deque<opening_timer> openings_;        // In order of `due`.
+  std::deque<linger_timer> lingering_;        // In order of `due`.
+  size_t closed_ = 0;  // Records in phase kClosed or kPassed.
   uint32_t sweep_at_ = 0;
   time_point swept_at_;
 };
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -7,19 +7,24 @@
 namespace radishyard {
 
 flow_owner::outcome flow_owner::HandleUpstream(inbound& in, time_point now) {
-  if (const auto slot = flows_.Find(in.key)) {
-    HandleAnswer(in, *slot, now);
-    return outcome::kDone;
+  auto slot = flows_.Find(in.key);
+  if (slot && flows_.At(*slot).phase == flow_phase::kPassed) {
+    Remove(*slot);  // The pool that it was passed to is served here by now.
+    slot.reset();
   }
-  const pool_route& route = Route(in);
-  if (route.previous && !in.CameAs(forward_kind::kUnknownFlow)) {
-    sink_.ToBalancer(*route.previous,
-                     {forward_kind::kToPrevious,
-                      static_cast<uint8_t>(in.Hops() + 1), route.tag, 0, 0},
-                     in.bytes);
-    return outcome::kDone;
+  if (slot) {
+    const flow_record& flow = flows_.At(*slot);
+    const auto& moved_to = served_[flow.pool]->moved_to;
+    if (moved_to && flow.phase != flow_phase::kClosed) {
+      FollowMoved(in, flow, *moved_to);
+    } else {
+      HandleAnswer(in, *slot, now);
+    }
+  } else if (AsksPrevious(in)) {
+    AskPrevious(in);
+  } else {
+    LearnFromUpstream(in, now);
   }
-  LearnFromUpstream(in, now);
   return outcome::kDone;
 }
 
--- /dev/null
+++ b/src/traffic/flow_owner_moves.cc
@@ -0,0 +1,139 @@
+// Pools that move: hand-over of flows, inherited counts, and what the standby
+// is told.
+#include <algorithm>
+
+#include "traffic/flow_owner.h"
+
+namespace radishyard {
+namespace {
+
+constexpr uint32_t kWitnessSearch = 20000;  // Slots looked at in one call.
+
+}  // namespace
+
+flow_owner::served_pool* flow_owner::FindServed(const pool_name& name) const {
+  const auto found = std::ranges::find_if(
+      served_, [&name](const auto& pool) { return pool->name == name; });
+  return found == served_.end() ? nullptr : found->get();
+}
+
+// Another balancer serves the pool from now on. Openings that wait go there at
+// once; the other flows follow by Export().
+void flow_owner::MoveAway(served_pool& pool, const pool_route& route,
+                          time_point now) {
+  pool.moved_to = route.owner;
+  while (const auto waiting = PopForPeer(pool.state, now)) {
+    const auto slot = static_cast<uint32_t>(waiting->token);
+    ++counters_.passed;
+    sink_.ToBalancer(route.owner,
+                     {forward_kind::kUnknownFlow, 1, route.tag, 0, 0},
+                     held_[slot]);
+    Remove(slot);
+  }
+}
+
+flow_batch flow_owner::Export(const pool_name& name) const {
+  flow_batch batch;
+  const served_pool* const pool = FindServed(name);
+  if (pool == nullptr) return batch;
+  for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
+    if (!flows_.Holds(slot)) continue;
+    const flow_record& flow = flows_.At(slot);
+    const bool is_open =
+        flow.phase == flow_phase::kOpen || flow.phase == flow_phase::kOpening;
+    if (!is_open || served_[flow.pool].get() != pool) continue;
+    const auto fins = static_cast<uint8_t>(
+        flow.marks & (kCallerFin | kUpstreamFin | kHoldsConnection));
+    batch.flows.push_back(
+        {flow.key, flow.upstream, flow.kind, flow.priority, fins});
+  }
+  batch.digests = duplicates_.List();
+  return batch;
+}
+
+void flow_owner::Import(const pool_name& name, const flow_batch& batch,
+                        time_point now) {
+  const auto found = std::ranges::find_if(
+      served_, [&name](const auto& pool) { return pool->name == name; });
+  if (found == served_.end()) return;
+  for (const uint64_t digest : batch.digests) duplicates_.Add(digest, now);
+  for (const flow_entry& entry : batch.flows) {
+    if (flows_.Find(entry.key)) continue;
+    AdoptEntry(entry, static_cast<uint16_t>(found - served_.begin()), now);
+  }
+}
+
+uint32_t flow_owner::AdoptEntry(const flow_entry& entry, uint16_t pool,
+                                time_point now) {
+  const uint32_t slot = flows_.Insert(entry.key);
+  flow_record& flow = flows_.At(slot);
+  flow.upstream = entry.upstream;
+  flow.pool = pool;
+  flow.kind = entry.kind;
+  flow.priority = entry.priority;
+  flow.marks = entry.marks;
+  flow.Set(kPayloadSent);
+  flow.phase = flow_phase::kOpen;
+  flow.opened_ms = flow.last_seen_ms = Ms(now);
+  if (flow.Has(kHoldsConnection)) Adopt(served_[pool]->state, Held(flow), now);
+  ++counters_.adopted;
+  return slot;
+}
+
+void flow_owner::Forget(const pool_name& name) {
+  served_pool* const pool = FindServed(name);
+  if (pool == nullptr || !pool->moved_to) return;
+  for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
+    if (!flows_.Holds(slot)) continue;
+    const flow_record& flow = flows_.At(slot);
+    const bool is_here =
+        flow.phase != flow_phase::kPassed && served_[flow.pool].get() == pool;
+    if (is_here) Remove(slot);
+  }
+  pool->state = {};
+}
+
+void flow_owner::Inherit(const pool_name& name,
+                         const std::vector<upstream_load>& counts,
+                         time_point now) {
+  served_pool* const pool = FindServed(name);
+  if (pool == nullptr) return;
+  for (const upstream_load& up : counts)
+    SetInherited(pool->state, up.address, up.connections, up.slots, now);
+}
+
+std::vector<flow_entry> flow_owner::NewWitnessed(const pool_name& name,
+                                                 duration age, size_t most,
+                                                 time_point now) {
+  std::vector<flow_entry> fresh;
+  served_pool* const pool = FindServed(name);
+  const uint32_t limit = flows_.SlotLimit();
+  if (pool == nullptr || pool->moved_to || limit == 0) return fresh;
+  const auto least_ms = static_cast<uint32_t>(ToMs(age));
+  for (uint32_t i = 0;
+       i < std::min(limit, kWitnessSearch) && fresh.size() < most; ++i) {
+    pool->witness_at = (pool->witness_at + 1) % limit;
+    if (!flows_.Holds(pool->witness_at)) continue;
+    flow_record& flow = flows_.At(pool->witness_at);
+    const bool is_due = flow.phase == flow_phase::kOpen &&
+                        !flow.Has(kWitnessSent) &&
+                        flow.key.proto == protocol::kTcp &&
+                        Ms(now) - flow.opened_ms >= least_ms;
+    if (!is_due || served_[flow.pool].get() != pool) continue;
+    flow.Set(kWitnessSent);
+    fresh.push_back({flow.key, flow.upstream, flow.kind, flow.priority, 0});
+  }
+  return fresh;
+}
+
+void flow_owner::ForgetWitnessed(const pool_name& name) {
+  const served_pool* const pool = FindServed(name);
+  for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
+    if (!flows_.Holds(slot)) continue;
+    flow_record& flow = flows_.At(slot);
+    if (flow.phase == flow_phase::kOpen && served_[flow.pool].get() == pool)
+      flow.Clear(kWitnessSent);
+  }
+}
+
+}  // namespace radishyard
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -21,12 +21,70 @@
 
 void flow_owner::PollPools(time_point now) {
   for (const auto& pool : served_) {
+    if (pool->moved_to) continue;
     for (const open_decision& decision : Poll(pool->state, now)) {
       Settle(static_cast<uint32_t>(decision.token), decision, now);
     }
+    PassWaiting(*pool, now);
   }
 }
 
+// Openings that wait here go to pools of the service that have room, one for
+// each free slot.
+void flow_owner::PassWaiting(served_pool& pool, time_point now) {
+  while (!pool.state.queue.empty() && PassOne(pool, now)) {
+  }
+}
+
+bool flow_owner::PassOne(served_pool& pool, time_point now) {
+  const auto first =
+      static_cast<uint32_t>(pool.state.queue.front().request.token);
+  if (!PoolWithRoom(flows_.At(first))) return false;
+  const auto waiting = PopForPeer(pool.state, now);
+  if (!waiting) return false;
+  const auto slot = static_cast<uint32_t>(waiting->token);
+  flow_record& flow = flows_.At(slot);
+  const auto to = PoolWithRoom(flow);
+  if (!to || flow.Has(kWasPassed)) {
+    Settle(slot,
+           Open(pool.state, {flow.key, flow.kind, flow.priority, slot}, now),
+           now);
+    return false;
+  }
+  const pool_route& route = view_->pools[*to];
+  --free_slots_[route.name];
+  ++counters_.passed;
+  sink_.ToBalancer(route.owner,
+                   {forward_kind::kPassedOpening, 1, route.tag, 0, 0},
+                   held_[slot]);
+  held_.erase(slot);
+  flow.phase = flow_phase::kPassed;
+  flow.pool = route.tag;
+  ++closed_;
+  return true;
+}
+
+// Index in the view of the pool with the most free slots among the other pools
+// of the service.
+std::optional<uint16_t> flow_owner::PoolWithRoom(
+    const flow_record& flow) const {
+  const auto port = view_->ports.find({flow.key.proto, flow.key.service});
+  if (port == view_->ports.end()) return std::nullopt;
+  std::optional<uint16_t> best;
+  uint32_t most = 0;
+  for (const uint16_t index : port->second.pools) {
+    const pool_route& route = view_->pools[index];
+    const auto free = free_slots_.find(route.name);
+    if (route.role != pool_role::kNone || !route.reachable ||
+        free == free_slots_.end())
+      continue;
+    if (free->second <= most) continue;
+    most = free->second;
+    best = index;
+  }
+  return best;
+}
+
 void flow_owner::CheckOpenings(time_point now) {
   while (!openings_.empty() && openings_.front().due <= now) {
     const opening_timer timer = openings_.front();
@@ -90,7 +148,7 @@
 std::vector<served_load> flow_owner::Loads(time_point now) const {
   std::vector<served_load> loads;
   for (const auto& pool : served_)
-    loads.push_back({pool->service, pool->domain, Load(pool->state, now)});
+    if (!pool->moved_to) loads.push_back({pool->name, Load(pool->state, now)});
   return loads;
 }
 
--- a/src/traffic/routing_view.h
+++ b/src/traffic/routing_view.h
@@ -25,10 +25,16 @@
             ///< idempotent openings.
 };
 
+/// \brief A pool's name: service and failure domain.
+struct pool_name {
+  std::string service;
+  std::string domain;
+  auto operator<=>(const pool_name&) const = default;
+};
+
 /// \brief A pool as seen from this balancer.
 struct pool_route {
-  std::string service_name;
-  std::string domain;
+  pool_name name;
   std::shared_ptr<const service> table;  ///< Rows of the service.
   uint16_t tag = 0;  ///< Same on every balancer; picks the traffic thread.
   uint64_t weight =
@@ -39,11 +45,8 @@
   endpoint owner;          ///< Data endpoint of the one who serves it.
   std::optional<endpoint>
       previous;  ///< Asks here for flows that were not handed over yet.
-  std::optional<endpoint>
-      handed_to;  ///< This balancer handed the pool over to that one.
   time_point unsafe_until{};  ///< Until when this balancer may place work that
                               ///< must run at most once.
-  uint32_t free_slots = 0;    ///< As last reported by the owner.
 };
 
 /// \brief A port of a service and the pools that serve it.
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -201,17 +201,25 @@
   }
 }
 
+// The previous owner does not know the flow either; the new one goes on by
+// itself.
 void traffic_core::Bounce(inbound& in) {
+  if (owner_.IsDuplicate(in)) {
+    ++counters_.duplicates;
+    return;
+  }
+  const uint32_t hint = in.Hint() != 0 ? in.Hint() : witnesses_.Get(in.key);
   sink_.ToBalancer(
       in.from,
       {forward_kind::kUnknownFlow, static_cast<uint8_t>(in.Hops() + 1),
-       in.forward->pool, in.Hint(), 0},
+       in.forward->pool, hint, 0},
       in.bytes);
 }
 
 void traffic_core::AnswerWitness(inbound& in) {
   uint32_t upstream = witnesses_.Get(in.key);
-  if (const auto slot = owner_.flows().Find(in.key))
+  const auto slot = owner_.flows().Find(in.key);
+  if (slot && owner_.flows().At(*slot).phase != flow_phase::kClosed)
     upstream = owner_.flows().At(*slot).upstream;
   if (upstream == 0) return;
   ++counters_.witness_answered;
--- /dev/null
+++ b/test/flow_test.cc
@@ -0,0 +1,91 @@
+// Flow table, witness cache and flow batches.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "flow/flow_batch.h"
+#include "flow/flow_table.h"
+#include "flow/witness_cache.h"
+
+namespace radishyard {
+namespace {
+
+flow_key Key(uint32_t n) {
+  return {{0x0a010000 + n / 50000, static_cast<uint16_t>(1024 + n % 50000)},
+          {0x0a140001, 7000},
+          protocol::kTcp};
+}
+
+TEST(FlowTable, KeepsSlotsStableUnderChange) {
+  flow_table flows;
+  std::mt19937 random(7);
+  std::map<uint32_t, uint32_t> slot_of;
+  for (int i = 0; i < 100000; ++i) {
+    const uint32_t n = random() % 5000;
+    const auto known = slot_of.find(n);
+    if (known == slot_of.end()) {
+      slot_of[n] = flows.Insert(Key(n));
+    } else {
+      ASSERT_EQ(flows.Find(Key(n)), known->second);
+      flows.Erase(known->second);
+      slot_of.erase(known);
+    }
+  }
+  EXPECT_EQ(flows.size(), slot_of.size());
+  for (const auto& [n, slot] : slot_of) EXPECT_EQ(flows.At(slot).key, Key(n));
+}
+
+TEST(WitnessCache, RemembersTheLatestAndForgetsTheOldest) {
+  witness_cache seen(1024);
+  for (uint32_t n = 0; n < 100000; ++n) seen.Put(Key(n), n + 1, n);
+  uint32_t known = 0;
+  for (uint32_t n = 99000; n < 100000; ++n) {
+    const uint32_t upstream = seen.Get(Key(n));
+    if (upstream == n + 1) ++known;
+  }
+  EXPECT_GT(known, 700U);
+  seen.Drop(Key(99999));
+  EXPECT_EQ(seen.Get(Key(99999)), 0U);
+}
+
+flow_batch RandomBatch(uint32_t count) {
+  std::mt19937 random(11);
+  flow_batch batch;
+  for (uint32_t n = 0; n < count; ++n) {
+    flow_entry e{Key(random() % 1000000), static_cast<uint32_t>(0x0a1e0101 + random() % 14)};
+    if (random() % 2 == 0) e.kind = port_kind::kRequest;
+    batch.flows.push_back(e);
+    if (n % 8 == 0) batch.digests.push_back(random());
+  }
+  return batch;
+}
+
+TEST(FlowBatch, SurvivesTheRoundTrip) {
+  flow_batch batch = RandomBatch(5000);
+  failure why;
+  auto decoded = DecodeFlows(EncodeFlows(batch), why);
+  ASSERT_TRUE(decoded);
+  for (flow_batch* b : {&batch, &*decoded}) {
+    std::ranges::sort(b->flows);
+    std::ranges::sort(b->digests);
+  }
+  EXPECT_EQ(*decoded, batch);
+}
+
+TEST(FlowBatch, MutatedBatchesNeverCrash) {
+  const std::vector<uint8_t> whole = EncodeFlows(RandomBatch(50));
+  std::mt19937 random(13);
+  for (int round = 0; round < 50000; ++round) {
+    std::vector<uint8_t> mutant = whole;
+    mutant.resize(random() % (whole.size() + 1));
+    if (!mutant.empty())
+      mutant[random() % mutant.size()] = static_cast<uint8_t>(random());
+    failure why;
+    DecodeFlows(mutant, why);
+  }
+}
+
+}  // namespace
+}  // namespace radishyard
--- a/test/support/traffic_bench.cc
+++ b/test/support/traffic_bench.cc
@@ -27,8 +27,7 @@
   view->balancers = {kPeer};
   view->witnesses = {kPeer};
   for (const char* domain : {"rennes", "vannes"}) {
-    pool_route pool{
-        .service_name = "survey-link", .domain = domain, .table = table};
+    pool_route pool{.name = {"survey-link", domain}, .table = table};
     pool.tag = static_cast<uint16_t>(view->pools.size() + 1);
     pool.weight = PoolWeight(*table, domain);
     pool.reachable = true;
