Add the operators' tool radishyardctl

Cause: operators drive the balancers by files under version control and need to know of every edit whether it was accepted.

Each service is one conditional write with an edit id. A lost answer is settled by reading the id back, and where it is not found by sending the same conditional write again: it names the version that it replaces, so it can take effect once only. The record keeps the last 16 edits with their versions, so an edit is also found after another one replaced it, and "not accepted" is said only where the history shows which other edit replaced the version. Ruled out: taking another id at a higher version as a refusal, since the edit may have been accepted and replaced in between; and keeping state beside the tool.

--- /dev/null
+++ b/src/ctl/balancer_pages.cc
@@ -0,0 +1,46 @@
+// One HTTP client per balancer, all in progress at once.
+#include "ctl/balancer_pages.h"
+
+#include <memory>
+
+#include "store/http_client.h"
+
+namespace radishyard {
+namespace {
+
+using internal::http_client;
+using internal::http_result;
+
+constexpr unsigned kHttpOk = 200;
+
+balancer_page ToPage(const http_result& result) {
+  if (!result.answer) return {std::nullopt, result.reason};
+  if (result.answer->status == kHttpOk) return {result.answer->body, ""};
+  return {std::nullopt,
+          "answered HTTP " + std::to_string(result.answer->status)};
+}
+
+}  // namespace
+
+std::vector<balancer_page> FetchStatusPages(
+    asio::io_context& io, const std::vector<endpoint>& addresses,
+    duration timeout) {
+  std::vector<balancer_page> pages(addresses.size(),
+                                   {std::nullopt, "no answer in time"});
+  std::vector<std::unique_ptr<http_client>> clients;
+  size_t open = addresses.size();
+  for (size_t i = 0; i < addresses.size(); ++i) {
+    clients.push_back(std::make_unique<http_client>(io, addresses[i], timeout));
+    clients.back()->Send({.target = "/status"},
+                         [&pages, &open, i](const http_result& result) {
+                           pages[i] = ToPage(result);
+                           --open;
+                         });
+  }
+  io.restart();
+  while (open > 0 && io.run_one() > 0) {
+  }
+  return pages;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/ctl/balancer_status.cc
@@ -0,0 +1,58 @@
+// Tolerant reading of status pages.
+#include "ctl/balancer_status.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "table/json_check.h"
+#include "table/json_read.h"
+
+namespace radishyard {
+namespace {
+
+using internal::Member;
+using internal::Read;
+using nlohmann::json;
+
+// The number `key` of each member of `object`.
+std::map<std::string, uint64_t> NumberOfEach(const json& object,
+                                             const char* key) {
+  std::map<std::string, uint64_t> numbers;
+  if (!object.is_object()) return numbers;
+  for (const auto& [name, row] : object.items()) Read(row, key, numbers[name]);
+  return numbers;
+}
+
+pool_status ReadPool(const json& row) {
+  pool_status pool;
+  Read(row, "service", pool.service);
+  Read(row, "domain", pool.domain);
+  Read(row, "owner", pool.is_owner);
+  Read(row, "connections", pool.connections);
+  Read(row, "slots", pool.slots);
+  Read(row, "queued", pool.queued);
+  return pool;
+}
+
+}  // namespace
+
+std::optional<balancer_status> ParseStatus(std::string_view text) {
+  findings ignored;
+  const std::optional<json> page = internal::ParseJson(text, ignored);
+  if (!page || !page->is_object()) return std::nullopt;
+  balancer_status status;
+  Read(*page, "balancer", status.balancer);
+  Read(*page, "domain", status.domain);
+  Read(*page, "incarnation", status.incarnation);
+  status.versions = NumberOfEach(Member(*page, "services"), "version");
+  status.epochs = NumberOfEach(Member(*page, "rosters"), "epoch");
+  const json& flows = Member(*page, "flows");
+  Read(flows, "open", status.open_flows);
+  Read(flows, "queued", status.queued_flows);
+  const json& pools = Member(*page, "pools");
+  if (!pools.is_array()) return status;
+  for (const json& row : pools) status.pools.push_back(ReadPool(row));
+  return status;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/ctl/command_line.h
@@ -0,0 +1,38 @@
+// The command line of radishyardctl.
+#pragma once
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/failure.h"
+#include "base/time.h"
+#include "packet/flow_key.h"
+
+namespace radishyard {
+
+enum class output_format : uint8_t { kText, kJson };
+
+/// \brief A parsed command line.
+struct command_line {
+  std::string command;
+  std::vector<std::string> arguments;  ///< After the command.
+  std::vector<std::string> files;      ///< Each -f.
+  std::string base;                    ///< --base
+  bool merge = false;                  ///< --merge
+  std::optional<uint64_t> after;       ///< --after
+  std::optional<endpoint> platform;    ///< --platform
+  duration timeout = 2000ms;           ///< --timeout, of each call
+  output_format output = output_format::kText;
+  bool wants_version = false;  ///< --version
+  auto operator<=>(const command_line&) const = default;
+};
+
+/// \brief Parses the arguments of main. --help and --usage print their text and
+/// end the process.
+/// \returns nothing where the line is wrong, with the reason.
+std::optional<command_line> ParseCommandLine(int argc, const char** argv,
+                                             failure& why);
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/ctl/edit.cc
@@ -0,0 +1,150 @@
+// Submitting and settling edits.
+#include "ctl/edit.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <random>
+#include <utility>
+
+#include "table/table_json.h"
+
+namespace radishyard {
+namespace {
+
+constexpr int kMaxAttempts = 5;
+constexpr milliseconds kRetryDelay{50};
+
+std::optional<stored_service> Decode(const stored_object& object,
+                                     findings& found) {
+  findings mine;
+  std::optional<service_record> record =
+      ParseRecord(object.value, object.version, mine);
+  for (const finding& f : mine.list())
+    found.Add(object.key + "#" + f.place, f.reason);
+  if (!record) return std::nullopt;
+  return stored_service{std::move(*record), EarlierEdits(object.value)};
+}
+
+bool Contains(const std::vector<past_edit>& edits, const std::string& id) {
+  return std::any_of(edits.begin(), edits.end(),
+                     [&](const past_edit& edit) { return edit.id == id; });
+}
+
+// True where the edits kept show which edit replaced the version `expected`, or
+// created the service.
+bool ShowsWhatReplaced(const stored_service& now, uint64_t expected) {
+  if (expected == 0) return now.earlier.size() < kMaxEarlierEdits;
+  return std::any_of(
+      now.earlier.begin(), now.earlier.end(),
+      [&](const past_edit& edit) { return edit.version == expected; });
+}
+
+std::vector<past_edit> History(const std::optional<stored_service>& base) {
+  if (!base) return {};
+  std::vector<past_edit> edits{{base->record.edit_id, base->record.version}};
+  edits.insert(edits.end(), base->earlier.begin(), base->earlier.end());
+  return edits;
+}
+
+std::optional<edit_outcome> ReadBack(blocking_store& store,
+                                     const std::string& name,
+                                     const edit_outcome& pending) {
+  failure ignored;
+  const std::optional<stored_service> now = ReadService(store, name, ignored);
+  if (!now) return std::nullopt;
+  return Settle(*now, pending.edit_id, pending.expected);
+}
+
+}  // namespace
+
+std::optional<stored_service> ReadService(blocking_store& store,
+                                          const std::string& name,
+                                          failure& why) {
+  const std::optional<stored_object> object = store.Get(ServiceKey(name), why);
+  if (!object) {
+    if (why.kind == failure_kind::kNotFound)
+      why.text = "the store has no service " + name;
+    return std::nullopt;
+  }
+  findings found;
+  std::optional<stored_service> stored = Decode(*object, found);
+  if (!stored) why = {failure_kind::kInvalid, found.Text()};
+  return stored;
+}
+
+std::optional<std::vector<stored_service>> ReadServices(blocking_store& store,
+                                                        failure& why) {
+  const std::optional<object_batch> batch =
+      store.List(std::string(kServicePrefix), why);
+  if (!batch) return std::nullopt;
+  findings found;
+  std::vector<stored_service> services;
+  for (const stored_object& object : batch->objects) {
+    std::optional<stored_service> stored = Decode(object, found);
+    if (stored) services.push_back(std::move(*stored));
+  }
+  if (found.empty()) return services;
+  why = {failure_kind::kInvalid, found.Text()};
+  return std::nullopt;
+}
+
+std::string RandomEditId() {
+  std::random_device random;
+  std::string id;
+  for (int word = 0; word < 4; ++word) {
+    std::array<char, 9> text{};
+    std::snprintf(text.data(), text.size(), "%08x", random());
+    id += text.data();
+  }
+  return id;
+}
+
+std::optional<edit_outcome> Settle(const stored_service& now,
+                                   const std::string& edit_id,
+                                   uint64_t expected) {
+  edit_outcome outcome{
+      edit_state::kAccepted, now.record.version, expected, edit_id, {}};
+  if (now.record.edit_id == edit_id) return outcome;
+  if (Contains(now.earlier, edit_id)) {
+    outcome.why.text = "since replaced by a later edit";
+    return outcome;
+  }
+  // A write on its way fails once its expected version has been replaced.
+  if (now.record.version <= expected) return std::nullopt;
+  if (!ShowsWhatReplaced(now, expected)) return std::nullopt;
+  outcome.state = edit_state::kNotAccepted;
+  outcome.why = {failure_kind::kConflict, "another edit came first"};
+  return outcome;
+}
+
+edit_outcome Submit(blocking_store& store, const service& value,
+                    const std::optional<stored_service>& base,
+                    const std::string& edit_id) {
+  edit_outcome outcome;
+  outcome.edit_id = edit_id;
+  outcome.expected = base ? base->record.version : 0;
+  const std::string text = RecordJson(value, edit_id, History(base));
+  bool is_in_doubt = false;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    if (attempt > 0) store.Sleep(kRetryDelay * attempt);
+    const std::optional<uint64_t> version =
+        store.Put(ServiceKey(value.name), text, outcome.expected, outcome.why);
+    if (version) {
+      outcome.state = edit_state::kAccepted;
+      outcome.version = *version;
+      return outcome;
+    }
+    if (outcome.why.kind == failure_kind::kUnknown) is_in_doubt = true;
+    if (!is_in_doubt) {
+      outcome.state = edit_state::kNotAccepted;
+      return outcome;
+    }
+    const auto settled = ReadBack(store, value.name, outcome);
+    if (settled) return *settled;
+  }
+  outcome.why.kind = failure_kind::kUnknown;
+  return outcome;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/ctl/run_command.cc
@@ -0,0 +1,104 @@
+// The table of commands.
+#include "ctl/run_command.h"
+
+#include <array>
+
+#include "ctl/table_commands.h"
+
+namespace radishyard {
+namespace {
+
+using run_function = command_result (*)(const command_line&,
+                                        const command_context&);
+
+struct command_entry {
+  const char* name;
+  size_t least_arguments;
+  size_t most_arguments;
+  bool needs_files;
+  bool needs_platform;
+  run_function run;
+};
+
+constexpr size_t kAnyNumber = 100'000;
+
+command_result RunValidate(const command_line& line, const command_context&) {
+  return Validate(line.arguments);
+}
+
+command_result RunDiff(const command_line& line, const command_context& c) {
+  return DiffFiles(c.store, line.files);
+}
+
+command_result RunApply(const command_line& line, const command_context& c) {
+  return Apply(c.store, {line.files, line.base, line.merge}, c.new_edit_id);
+}
+
+command_result RunGet(const command_line& line, const command_context& c) {
+  if (line.arguments.empty()) return GetServices(c.store);
+  return GetService(c.store, line.arguments[0]);
+}
+
+template <upstream_state kState>
+command_result RunMark(const command_line& line, const command_context& c) {
+  return MarkUpstream(c.store, line.arguments[0], line.arguments[1], kState,
+                      c.new_edit_id);
+}
+
+command_result RunDelete(const command_line& line, const command_context& c) {
+  return DeleteService(c.store, line.arguments[0], c.new_edit_id);
+}
+
+command_result RunSettle(const command_line& line, const command_context& c) {
+  return SettleEdit(c.store, line.arguments[0], line.arguments[1], line.after);
+}
+
+command_result RunStatus(const command_line&, const command_context& c) {
+  return Status(c.store, c.fetch);
+}
+
+command_result RunFlows(const command_line&, const command_context& c) {
+  return Flows(c.store, c.fetch);
+}
+
+constexpr std::array kCommands{
+    command_entry{"validate", 1, kAnyNumber, false, false, RunValidate},
+    command_entry{"diff", 0, 0, true, true, RunDiff},
+    command_entry{"apply", 0, 0, true, true, RunApply},
+    command_entry{"get", 0, 1, false, true, RunGet},
+    command_entry{"drain", 2, 2, false, true,
+                  RunMark<upstream_state::kLeaving>},
+    command_entry{"join", 2, 2, false, true, RunMark<upstream_state::kJoining>},
+    command_entry{"activate", 2, 2, false, true,
+                  RunMark<upstream_state::kActive>},
+    command_entry{"delete", 1, 1, false, true, RunDelete},
+    command_entry{"settle", 2, 2, false, true, RunSettle},
+    command_entry{"status", 0, 0, false, true, RunStatus},
+    command_entry{"flows", 0, 0, false, true, RunFlows}};
+
+command_result Usage(const std::string& text) {
+  return {exit_code::kUsage,
+          text + "; see radishyardctl --help\n",
+          {{"error", text}}};
+}
+
+}  // namespace
+
+command_result RunCommand(const command_line& line,
+                          const command_context& context) {
+  if (line.command.empty()) return Usage("no command is given");
+  for (const command_entry& entry : kCommands) {
+    if (line.command != entry.name) continue;
+    const size_t count = line.arguments.size();
+    if (count < entry.least_arguments || count > entry.most_arguments)
+      return Usage(line.command + ": wrong number of arguments");
+    if (entry.needs_files && line.files.empty())
+      return Usage(line.command + " needs -f FILE");
+    if (entry.needs_platform && !line.platform)
+      return Usage(line.command + " needs --platform ADDRESS:PORT");
+    return entry.run(line, context);
+  }
+  return Usage("unknown command " + line.command);
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/ctl/table_commands.cc
@@ -0,0 +1,165 @@
+// Reading commands, and edits of one row by read, change and conditional write.
+#include "ctl/table_commands.h"
+
+#include <functional>
+#include <utility>
+
+#include "ctl/edit.h"
+#include "ctl/outcome_report.h"
+#include "ctl/service_files.h"
+#include "ctl/table_merge.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMaxEditAttempts = 8;
+
+// Changes the service in place; the reason where it cannot.
+using change_function = std::function<std::optional<failure>(service&)>;
+
+command_result ReportOne(const std::string& name, const edit_outcome& edit) {
+  return Report({{name, edit, {}, {}}});
+}
+
+// Reads, changes and writes; starts again where another edit came first, since
+// a change of one field stays right on top of any other edit.
+command_result EditService(blocking_store& store, const std::string& name,
+                           const change_function& change,
+                           const edit_id_source& new_edit_id) {
+  edit_outcome edit;
+  for (int attempt = 0; attempt < kMaxEditAttempts; ++attempt) {
+    failure why;
+    const std::optional<stored_service> base = ReadService(store, name, why);
+    if (!base) return FailedBy(why);
+    service value = base->record.value;
+    if (const std::optional<failure> reason = change(value))
+      return FailedBy(*reason);
+    if (value == base->record.value) {
+      edit.state = edit_state::kUnchanged;
+      edit.version = base->record.version;
+      edit.why = {};
+      edit.edit_id.clear();
+      return ReportOne(name, edit);
+    }
+    edit = Submit(store, value, base, new_edit_id());
+    const bool has_lost_race = edit.state == edit_state::kNotAccepted &&
+                               edit.why.kind == failure_kind::kConflict;
+    if (!has_lost_race) break;
+  }
+  return ReportOne(name, edit);
+}
+
+std::string Summary(const stored_service& s) {
+  const service& value = s.record.value;
+  std::string line =
+      value.name + ": version " + std::to_string(s.record.version) + ", " +
+      AddressText(value.address) + ", " + std::to_string(value.ports.size()) +
+      " ports, " + std::to_string(value.upstreams.size()) + " upstreams";
+  if (value.deleted) line += ", deleted";
+  return line + "\n";
+}
+
+}  // namespace
+
+command_result Validate(const std::vector<std::string>& files) {
+  findings found;
+  const std::vector<named_file> loaded = LoadFiles(files, found);
+  if (!found.empty()) return FoundFaults(found);
+  const std::string count = std::to_string(loaded.size());
+  return {exit_code::kDone,
+          count + " files are valid\n",
+          {{"findings", json::array()}}};
+}
+
+command_result DiffFiles(blocking_store& store,
+                         const std::vector<std::string>& files) {
+  findings found;
+  const std::vector<named_file> loaded = LoadFiles(files, found);
+  if (!found.empty()) return FoundFaults(found);
+  command_result result;
+  result.json["services"] = json::array();
+  for (const named_file& file : loaded) {
+    const std::string& name = file.content.value.name;
+    failure why;
+    const std::optional<stored_service> stored = ReadService(store, name, why);
+    if (!stored && why.kind != failure_kind::kNotFound) return FailedBy(why);
+    const service before =
+        stored ? stored->record.value : service{.name = name};
+    const auto changes = Diff(before, file.content.value);
+    result.json["services"].push_back(
+        {{"service", name}, {"changes", ChangeJson(changes)}});
+    if (changes.empty()) continue;
+    result.code = exit_code::kNotDone;
+    result.text += name + (stored ? ":\n" : ": is new\n") + ChangeText(changes);
+  }
+  return result;
+}
+
+command_result GetServices(blocking_store& store) {
+  failure why;
+  const auto services = ReadServices(store, why);
+  if (!services) return FailedBy(why);
+  command_result result;
+  result.json["services"] = json::array();
+  for (const stored_service& s : *services) {
+    result.text += Summary(s);
+    result.json["services"].push_back(json::parse(FileJson(s.record)));
+  }
+  return result;
+}
+
+command_result GetService(blocking_store& store, const std::string& name) {
+  failure why;
+  const std::optional<stored_service> stored = ReadService(store, name, why);
+  if (!stored) return FailedBy(why);
+  const std::string text = FileJson(stored->record);
+  return {exit_code::kDone, text + "\n", json::parse(text)};
+}
+
+command_result MarkUpstream(blocking_store& store, const std::string& name,
+                            const std::string& upstream_name,
+                            upstream_state state,
+                            const edit_id_source& new_edit_id) {
+  const auto mark = [&](service& s) -> std::optional<failure> {
+    for (upstream& u : s.upstreams) {
+      if (u.name != upstream_name) continue;
+      u.state = state;
+      return std::nullopt;
+    }
+    return failure{failure_kind::kNotFound,
+                   name + " has no upstream " + upstream_name};
+  };
+  return EditService(store, name, mark, new_edit_id);
+}
+
+command_result DeleteService(blocking_store& store, const std::string& name,
+                             const edit_id_source& new_edit_id) {
+  const auto mark = [](service& s) -> std::optional<failure> {
+    s.deleted = true;
+    return std::nullopt;
+  };
+  return EditService(store, name, mark, new_edit_id);
+}
+
+command_result SettleEdit(blocking_store& store, const std::string& edit_id,
+                          const std::string& name,
+                          std::optional<uint64_t> after) {
+  edit_outcome edit;
+  edit.edit_id = edit_id;
+  edit.expected = after.value_or(0);
+  failure why;
+  const std::optional<stored_service> now = ReadService(store, name, why);
+  if (!now && why.kind != failure_kind::kNotFound) return FailedBy(why);
+  std::optional<edit_outcome> settled;
+  if (now) settled = Settle(*now, edit_id, edit.expected);
+  if (settled && (after || settled->state == edit_state::kAccepted))
+    return ReportOne(name, *settled);
+  edit.why = {failure_kind::kUnknown,
+              "the store does not have this edit, but "
+              "it may still be on its way"};
+  return ReportOne(name, edit);
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/ctl/table_commands.h
@@ -0,0 +1,46 @@
+// Commands that read or edit single services: validate, diff, get, join, drain,
+// activate, delete and settle.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ctl/apply.h"
+#include "ctl/blocking_store.h"
+#include "ctl/command_result.h"
+#include "table/service.h"
+
+namespace radishyard {
+
+/// \brief Checks files without the store.
+command_result Validate(const std::vector<std::string>& files);
+
+/// \brief What `apply` would change; kNotDone where there are differences.
+command_result DiffFiles(blocking_store& store,
+                         const std::vector<std::string>& files);
+
+/// \brief The services of the store, one line each.
+command_result GetServices(blocking_store& store);
+
+/// \brief One service in the form of an operator's file, with its version.
+command_result GetService(blocking_store& store, const std::string& name);
+
+/// \brief Marks one upstream; tried again where other edits come first.
+command_result MarkUpstream(blocking_store& store, const std::string& name,
+                            const std::string& upstream_name,
+                            upstream_state state,
+                            const edit_id_source& new_edit_id);
+
+/// \brief Marks a service as deleted; its record stays.
+command_result DeleteService(blocking_store& store, const std::string& name,
+                             const edit_id_source& new_edit_id);
+
+/// \brief Tells whether an edit was accepted.
+/// \param after version that the edit was made from, as `unknown` printed it;
+/// without it, an edit whose id is not found remains unknown.
+command_result SettleEdit(blocking_store& store, const std::string& edit_id,
+                          const std::string& name,
+                          std::optional<uint64_t> after);
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/ctl/table_merge.h
@@ -0,0 +1,39 @@
+// Differences between two forms of a service, and the three-way merge of two
+// operators' edits. Rows are matched by name (upstreams) or by protocol and
+// port (ports), never by position.
+#pragma once
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/finding.h"
+#include "table/service.h"
+
+namespace radishyard {
+
+/// \brief One field or row that differs. Empty text stands for "not there".
+struct table_change {
+  std::string place;  ///< Such as "/upstreams/survey-3/weight".
+  std::string before;
+  std::string after;
+  auto operator<=>(const table_change&) const = default;
+};
+
+/// \brief What leads from `before` to `after`, sorted by place. The order of
+/// rows is no difference.
+std::vector<table_change> Diff(const service& before, const service& after);
+
+/// \brief Applies the edits base -> mine and base -> theirs together.
+///
+/// \code
+/// // base: weight 10; mine: weight 12; theirs: slots 3 -> both are kept.
+/// findings conflicts;
+/// std::optional<service> both = Merge(base, mine, theirs, conflicts);
+/// \endcode
+/// \returns nothing where both edits change the same field in different ways,
+/// or where the merged service is not valid; `conflicts` tells where.
+std::optional<service> Merge(const service& base, const service& mine,
+                             const service& theirs, findings& conflicts);
+
+}  // namespace radishyard
--- a/src/table/table_json.cc
+++ b/src/table/table_json.cc
@@ -32,6 +32,7 @@
 constexpr int64_t kMaxIdleTimeoutSeconds = 86'400;
 constexpr size_t kMaxPorts = 64;
 constexpr size_t kMaxUpstreams = 1024;
+constexpr int64_t kMaxVersion = int64_t{1} << 53;
 constexpr size_t kMaxEditIdBytes = 64;
 
 constexpr enum_names<protocol, 2> kProtocols{
@@ -87,14 +88,31 @@
       {"service", "address", "ports", "upstreams"});
 }
 
+json EditIdSchema() {
+  return {{"type", "string"}, {"minLength", 1}, {"maxLength", kMaxEditIdBytes}};
+}
+
+json PastEditSchema() {
+  return ObjectSchema(
+      {{"id", EditIdSchema()}, {"version", IntegerSchema(1, kMaxVersion)}},
+      {"id", "version"});
+}
+
 json RecordSchema() {
   json schema = ServiceSchema();
-  schema["properties"]["edit_id"] = {
-      {"type", "string"}, {"minLength", 1}, {"maxLength", kMaxEditIdBytes}};
+  schema["properties"]["edit_id"] = EditIdSchema();
+  schema["properties"]["earlier_edits"] =
+      ArraySchema(PastEditSchema(), kMaxEarlierEdits);
   schema["required"].push_back("edit_id");
   return schema;
 }
 
+json FileSchema() {
+  json schema = ServiceSchema();
+  schema["properties"]["version"] = IntegerSchema(0, kMaxVersion);
+  return schema;
+}
+
 service_port ReadPort(const json& row) {
   service_port p;
   Read(row, "port", p.port);
@@ -261,6 +279,22 @@
   return mine.empty() ? s : std::nullopt;
 }
 
+std::optional<service_file> ParseServiceFile(std::string_view text,
+                                             findings& found) {
+  static const internal::json_schema schema{FileSchema()};
+  findings mine;
+  const std::optional<json> document = internal::ParseJson(text, mine);
+  service_file file;
+  if (document) {
+    file.value = ReadAndCheck(*document, schema, mine);
+    const json& version = Member(*document, "version");
+    if (version.is_number_unsigned()) file.version = version.get<uint64_t>();
+  }
+  found.Append(mine);
+  if (!mine.empty()) return std::nullopt;
+  return file;
+}
+
 std::optional<service_record> ParseRecord(std::string_view text,
                                           uint64_t version, findings& found) {
   static const internal::json_schema schema{RecordSchema()};
@@ -277,11 +311,40 @@
   return record;
 }
 
+std::vector<past_edit> EarlierEdits(std::string_view text) {
+  findings ignored;
+  const std::optional<json> document = internal::ParseJson(text, ignored);
+  std::vector<past_edit> edits;
+  if (!document) return edits;
+  const json& list = Member(*document, "earlier_edits");
+  if (!list.is_array()) return edits;
+  for (const json& row : list) {
+    past_edit edit;
+    Read(row, "id", edit.id);
+    Read(row, "version", edit.version);
+    edits.push_back(std::move(edit));
+  }
+  return edits;
+}
+
 std::string ToJson(const service& s) { return Dump(ServiceJson(s), 2); }
 
-std::string RecordJson(const service& s, const std::string& edit_id) {
+std::string FileJson(const service_record& record) {
+  json file = ServiceJson(record.value);
+  file["version"] = record.version;
+  return Dump(file, 2);
+}
+
+std::string RecordJson(const service& s, const std::string& edit_id,
+                       const std::vector<past_edit>& earlier) {
   json record = ServiceJson(s);
   record["edit_id"] = edit_id;
+  json edits = json::array();
+  for (const past_edit& edit : earlier) {
+    if (edits.size() == kMaxEarlierEdits) break;
+    edits.push_back({{"id", edit.id}, {"version", edit.version}});
+  }
+  record["earlier_edits"] = std::move(edits);
   return Dump(record, -1);
 }
 
--- a/src/table/table_json.h
+++ b/src/table/table_json.h
@@ -1,9 +1,13 @@
 // The JSON form of services, as operators write them and as the store holds
 // them.
 #pragma once
+#include <compare>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/finding.h"
 #include "table/service.h"
@@ -24,14 +28,46 @@
 /// \brief The service as indented JSON, every field written out.
 std::string ToJson(const service& s);
 
+/// \brief A service as an operator's file gives it, with the version that the
+/// file was made from, where the file names one.
+struct service_file {
+  service value;
+  std::optional<uint64_t> version;
+  auto operator<=>(const service_file&) const = default;
+};
+
+/// \brief Reads an operator's file: a service with an optional "version".
+std::optional<service_file> ParseServiceFile(std::string_view json,
+                                             findings& found);
+
+/// \brief The file form of a record: the service and its version.
+std::string FileJson(const service_record& record);
+
 /// \brief Reads the value of the store's object "services/<name>": a service
 /// with the id of the edit that wrote it.
 /// \param version of the store's object.
 std::optional<service_record> ParseRecord(std::string_view json,
                                           uint64_t version, findings& found);
 
+/// \brief An edit before the last one, and the version that it wrote.
+struct past_edit {
+  std::string id;
+  uint64_t version = 0;
+  auto operator<=>(const past_edit&) const = default;
+};
+
+/// \brief Most earlier edits that a record keeps.
+inline constexpr size_t kMaxEarlierEdits = 16;
+
+/// \brief The edits before the last one, newest first, as a valid record keeps
+/// them; they tell whether an edit without an answer took effect.
+std::vector<past_edit> EarlierEdits(std::string_view json);
+
 /// \brief The store's value for a service written by the edit `edit_id`.
-std::string RecordJson(const service& s, const std::string& edit_id);
+/// \param earlier edits before it, newest first; the oldest beyond
+/// kMaxEarlierEdits are left out.
+std::string RecordJson(const service& s, const std::string& edit_id,
+                       const std::vector<past_edit>& earlier = {});
 
 /// \brief Key of a service's object in the store.
 std::string ServiceKey(const std::string& name);
--- a/test/table_test.cc
+++ b/test/table_test.cc
@@ -53,6 +53,9 @@
   EXPECT_EQ(ParseService(ToJson(*s), found), s);
   const auto record = ParseRecord(RecordJson(*s, "e1"), 7, found);
   EXPECT_EQ(record, (service_record{*s, 7, "e1"}));
+  EXPECT_EQ(EarlierEdits(RecordJson(*s, "e3", {{"e2", 2}, {"e1", 1}})),
+            (std::vector<past_edit>{{"e2", 2}, {"e1", 1}}));
+  EXPECT_EQ(ParseServiceFile(FileJson(*record), found), (service_file{*s, 7}));
 }
 
 struct bad_input {
