Add the world: all processes of a test behind one object

Cause: process tests need platform, fabric, upstreams, callers and daemons with settings files, and one verdict over all that was promised.

Free ports now come from below the system's own range: with seven daemons that connect to each other, a port found by binding to 0 can be taken by an outgoing connection before its use. Stand-ins of tests start through one class.

--- a/test/standins/callers_main.cc
+++ b/test/standins/callers_main.cc
@@ -81,7 +81,7 @@
     if (const auto refused = ParseUnreachable(frame->inner)) {
       const auto found = flows_.find(*refused);
       if (found != flows_.end())
-        End(found->second, outcome::kRefused, "port unreachable", now);
+        End(found->second, flow_outcome::kRefused, "port unreachable", now);
       return;
     }
     const auto packet = ParsePacket(frame->inner, why);
@@ -178,7 +178,7 @@
     const size_t head = text.find('\n') + 1;
     const std::string line = text.substr(0, head);
     if (head == 0 || Field(line, "id") != f->asked.id) {
-      End(f, outcome::kWrong, "answer of another request: " + line, now);
+      End(f, flow_outcome::kWrong, "answer of another request: " + line, now);
       return;
     }
     f->parts[std::stoul(Field(line, "part"))] = text.substr(head);
@@ -206,11 +206,11 @@
     if (f->run.spec.is_feed) ReadFeed(f, now);
     const tcp_state state = f->stream->state();
     if (state == tcp_state::kReset) {
-      EndDead(f, "reset", f->is_accepted ? outcome::kBroken : outcome::kRefused,
+      EndDead(f, "reset", f->is_accepted ? flow_outcome::kBroken : flow_outcome::kRefused,
               now);
     } else if (state == tcp_state::kFailed) {
       EndDead(f, "nothing acknowledged",
-              f->is_accepted ? outcome::kBroken : outcome::kTimedOut, now);
+              f->is_accepted ? flow_outcome::kBroken : flow_outcome::kTimedOut, now);
     } else if (f->stream->peer_closed()) {
       OnPeerClosed(f, now);
     }
@@ -261,7 +261,7 @@
       if (f->upstream.empty()) f->upstream = Field(line, "upstream");
       if (line != MakeFeedLine(f->asked, f->upstream, f->next_seq++, echo)) {
         f->stream->Abort();
-        End(f, outcome::kWrong, "feed line: " + line, now);
+        End(f, flow_outcome::kWrong, "feed line: " + line, now);
       }
       f->run.echoes += echo.empty() ? 0 : 1;
       f->last_push = now;
@@ -272,9 +272,9 @@
     if (!f->run.spec.is_feed) {
       EndAnswered(f, now);
     } else if (f->is_closing) {
-      End(f, outcome::kCompleted, "", now);
+      End(f, flow_outcome::kCompleted, "", now);
     } else {
-      End(f, outcome::kBroken, "feed ended by its upstream", now);
+      End(f, flow_outcome::kBroken, "feed ended by its upstream", now);
     }
     f->stream->Close(now);
   }
@@ -288,11 +288,11 @@
 
   void EndAnswered(const flow_ptr& f, time_point now) {
     if (IsWholeAnswer(f->asked, f->received)) {
-      End(f, outcome::kCompleted, "", now);
+      End(f, flow_outcome::kCompleted, "", now);
       return;
     }
     const bool is_part = f->received.size() < f->asked.bytes;
-    End(f, outcome::kWrong,
+    End(f, flow_outcome::kWrong,
         (is_part ? "partial answer: " : "wrong answer: ") +
             f->received.substr(0, 80),
         now);
@@ -309,16 +309,16 @@
     }
     if (f->stream) f->stream->Abort();
     EndDead(f, f->is_accepted ? "silence" : "never accepted",
-            f->is_accepted ? outcome::kBroken : outcome::kTimedOut, now);
+            f->is_accepted ? flow_outcome::kBroken : flow_outcome::kTimedOut, now);
   }
 
-  void EndDead(const flow_ptr& f, const std::string& reason, outcome how,
+  void EndDead(const flow_ptr& f, const std::string& reason, flow_outcome how,
                time_point now) {
     End(f, how, reason, now);
     flows_.erase(f->key);
   }
 
-  void End(const flow_ptr& f, outcome how, const std::string& reason,
+  void End(const flow_ptr& f, flow_outcome how, const std::string& reason,
            time_point now) {
     if (f->is_done) return;
     f->is_done = true;
--- a/test/standins/fabric_main.cc
+++ b/test/standins/fabric_main.cc
@@ -77,8 +77,8 @@
 
   void AddCommands() {
     frame_.Command("edges", [this](const json& c) {
-      callers_ = ParseEndpoint(c.at("callers"));
-      upstreams_ = ParseEndpoint(c.at("upstreams"));
+      callers_ = RequireEndpoint(c.at("callers"));
+      upstreams_ = RequireEndpoint(c.at("upstreams"));
       return json{{"ok", true}};
     });
     frame_.Command("balancers", [this](const json& c) {
@@ -114,7 +114,7 @@
  private:
   static std::vector<endpoint> ParseList(const json& list) {
     std::vector<endpoint> parsed;
-    for (const std::string text : list) parsed.push_back(ParseEndpoint(text));
+    for (const std::string text : list) parsed.push_back(RequireEndpoint(text));
     return parsed;
   }
 
--- a/test/standins_test.cc
+++ b/test/standins_test.cc
@@ -3,14 +3,11 @@
 // faulty one is found out.
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <filesystem>
 #include <functional>
 #include <thread>
 
-#include "support/control_client.h"
 #include "support/packet_port.h"
-#include "support/process.h"
+#include "support/stand_in_process.h"
 
 namespace radishyard {
 namespace {
@@ -61,48 +58,25 @@
   std::thread thread_;
 };
 
-// A stand-in process with its two ports.
-struct running {
-  running(const std::string& name, const std::vector<std::string>& arguments,
-          const std::string& folder)
-      : child(RY_BIN_DIR "/" + name, arguments, folder + "/" + name + ".log"),
-        line(child.WaitForLine("listening", 10s).value()),
-        data("127.0.0.1:" + std::to_string(NumberAfter(line, "data="))),
-        control(NumberAfter(line, "control=")) {}
-  process child;
-  std::string line;
-  std::string data;
-  control_client control;
-};
-
 class StandIns : public testing::Test {  // NOLINT
  protected:
-  static std::string Folder() {
-    const std::string name =
-        testing::UnitTest::GetInstance()->current_test_info()->name();
-    std::string folder = testing::TempDir() + "/standins." + name;
-    std::filesystem::create_directories(folder);
-    return folder;
-  }
-
   void Use(const rewrite_rule& rule) {
-    rewriter_ = std::make_unique<rewriter>(ParseEndpoint(fabric_.data), rule);
-    fabric_.control.Ask({{"cmd", "edges"},
-                         {"callers", callers_.data},
-                         {"upstreams", upstreams_.data}});
-    fabric_.control.Ask(
-        {{"cmd", "balancers"}, {"list", {rewriter_->address()}}});
-    upstreams_.control.Ask({{"cmd", "limits"},
-                            {"rows",
-                             {{{"address", "10.30.1.1"},
-                               {"service", "survey-link"},
-                               {"slots", 1000},
-                               {"connections", 2000}}}}});
+    rewriter_ =
+        std::make_unique<rewriter>(RequireEndpoint(fabric_.data()), rule);
+    fabric_.Ask({{"cmd", "edges"},
+                 {"callers", callers_.data()},
+                 {"upstreams", upstreams_.data()}});
+    fabric_.Ask({{"cmd", "balancers"}, {"list", {rewriter_->address()}}});
+    upstreams_.Ask({{"cmd", "limits"},
+                    {"rows",
+                     {{{"address", "10.30.1.1"},
+                       {"service", "survey-link"},
+                       {"slots", 1000},
+                       {"connections", 2000}}}}});
   }
 
   void SetFaults(double rate) {
-    fabric_.control.Ask(
-        {{"cmd", "faults"}, {"duplicate", rate}, {"reorder", rate}});
+    fabric_.Ask({{"cmd", "faults"}, {"duplicate", rate}, {"reorder", rate}});
   }
 
   json Run(json spec) {
@@ -111,20 +85,21 @@
                  {"address", "10.20.0.1"},
                  {"port", kPort},
                  {"bytes", {100, 4000}}});
-    callers_.control.Ask(spec);
-    EXPECT_TRUE(callers_.control.Ask({{"cmd", "wait"}})["settled"]);
-    return callers_.control.Ask({{"cmd", "report"}})["runs"].back();
+    callers_.Ask(spec);
+    EXPECT_TRUE(callers_.Ask({{"cmd", "wait"}})["settled"]);
+    return callers_.Ask({{"cmd", "report"}})["runs"].back();
   }
 
   int64_t Violations(const std::string& kind) {
-    const json report = upstreams_.control.Ask({{"cmd", "report"}});
+    const json report = upstreams_.Ask({{"cmd", "report"}});
     return report.at(kind).at("count");
   }
 
-  std::string folder_ = Folder();
-  running fabric_{"fabric", {"--seed", "3"}, folder_};
-  running upstreams_{"upstreams", {"--fabric", fabric_.data}, folder_};
-  running callers_{"callers", {"--fabric", fabric_.data}, folder_};
+  std::string folder_ = TestFolder();
+  stand_in_process fabric_{"fabric", {"--seed", "3"}, folder_};
+  stand_in_process upstreams_{
+      "upstreams", {"--fabric", fabric_.data()}, folder_};
+  stand_in_process callers_{"callers", {"--fabric", fabric_.data()}, folder_};
   std::unique_ptr<rewriter> rewriter_;
 };
 
@@ -148,7 +123,7 @@
 
 TEST_F(StandIns, KeepFeedsThroughLossAndCloseThemCleanly) {
   Use(RewriteRight);
-  fabric_.control.Ask({{"cmd", "faults"}, {"drop", 0.01}});
+  fabric_.Ask({{"cmd", "faults"}, {"drop", 0.01}});
   const json run = Run({{"flows", 500},
                         {"rate", 2000},
                         {"concurrency", 500},
@@ -158,19 +133,19 @@
                         {"line_ms", 50}});
   EXPECT_EQ(run["alive"], 500) << run.dump(1);
   std::this_thread::sleep_for(3s);
-  const json end = callers_.control.Ask({{"cmd", "stop_feeds"}});
+  const json end = callers_.Ask({{"cmd", "stop_feeds"}});
   EXPECT_EQ(end["runs"][0]["completed"], 500) << end.dump(1);
   EXPECT_EQ(end["runs"][0]["echoes"], 500 * 20);
 }
 
 TEST_F(StandIns, FindWorkThatCrossesServicesOrLimits) {
   Use(RewriteRight);
-  upstreams_.control.Ask({{"cmd", "limits"},
-                          {"rows",
-                           {{{"address", "10.30.1.1"},
-                             {"service", "archive"},
-                             {"slots", 1},
-                             {"connections", 2}}}}});
+  upstreams_.Ask({{"cmd", "limits"},
+                  {"rows",
+                   {{{"address", "10.30.1.1"},
+                     {"service", "archive"},
+                     {"slots", 1},
+                     {"connections", 2}}}}});
   Run({{"flows", 10}, {"rate", 10000}, {"ms", {200, 200}}});
   EXPECT_EQ(Violations("crossed"), 10);
   EXPECT_EQ(Violations("over_slots"), 9);
@@ -179,7 +154,7 @@
 
 TEST_F(StandIns, FindARequestThatRunsTwice) {
   Use(RewriteRight);
-  fabric_.control.Ask({{"cmd", "faults"}, {"duplicate", 1.0}});
+  fabric_.Ask({{"cmd", "faults"}, {"duplicate", 1.0}});
   Run({{"flows", 10}, {"protocol", "udp"}, {"idempotent", false}});
   EXPECT_EQ(Violations("doubled"), 10);
   Run({{"flows", 10}, {"protocol", "udp"}, {"idempotent", true}});
@@ -194,7 +169,7 @@
   });
   Run({{"flows", 10}, {"kind", "feed"}, {"lines", 5}, {"line_ms", 50}});
   std::this_thread::sleep_for(1s);
-  const json run = callers_.control.Ask({{"cmd", "report"}})["runs"][0];
+  const json run = callers_.Ask({{"cmd", "report"}})["runs"][0];
   EXPECT_EQ(run["broken"], 10) << run.dump(1);
   EXPECT_EQ(Violations("on_two"), 10);
   EXPECT_EQ(Violations("strays"), 10);
@@ -213,7 +188,7 @@
 TEST_F(StandIns, TellRefusedFromBrokenAndTimedOut) {
   Use(RewriteRight);
   const auto set_mode = [&](const char* mode) {
-    upstreams_.control.Ask(
+    upstreams_.Ask(
         {{"cmd", "upstream"}, {"address", "10.30.1.1"}, {"mode", mode}});
   };
   set_mode("shed");
@@ -221,10 +196,9 @@
   set_mode("blackhole");
   EXPECT_EQ(Run({{"flows", 10}, {"timeout_ms", 1000}})["timeouts"], 10);
   set_mode("ok");
-  const json ids = callers_.control.Ask({{"cmd", "refused"}})["ids"];
+  const json ids = callers_.Ask({{"cmd", "refused"}})["ids"];
   EXPECT_EQ(ids.size(), 10U);
-  EXPECT_TRUE(
-      upstreams_.control.Ask({{"cmd", "ran"}, {"ids", ids}})["ran"].empty());
+  EXPECT_TRUE(upstreams_.Ask({{"cmd", "ran"}, {"ids", ids}})["ran"].empty());
 }
 
 }  // namespace
--- a/test/support/flow_run.cc
+++ b/test/support/flow_run.cc
@@ -89,22 +89,22 @@
   last_accepted = now;
 }
 
-void flow_run::CountEnd(outcome how, const std::string& flow,
+void flow_run::CountEnd(flow_outcome how, const std::string& flow,
                         const std::string& reason, duration took) {
   ++ended[how];
   --open;
-  if (how == outcome::kCompleted) latency_ms.push_back(Ms(took));
-  if (how == outcome::kRefused) {
+  if (how == flow_outcome::kCompleted) latency_ms.push_back(Ms(took));
+  if (how == flow_outcome::kRefused) {
     refusal_ms.push_back(Ms(took));
     if (refused_ids.size() < kMaxRefusedIds) refused_ids.push_back(flow);
   }
-  if (how != outcome::kCompleted && examples.size() < kMaxExamples)
+  if (how != flow_outcome::kCompleted && examples.size() < kMaxExamples)
     examples.push_back("id=" + flow + " after_ms=" +
                        std::to_string(ToMs(took)) + " " + reason);
 }
 
 json flow_run::Report() const {
-  const auto count = [&](outcome how) {
+  const auto count = [&](flow_outcome how) {
     const auto found = ended.find(how);
     return found == ended.end() ? 0U : found->second;
   };
@@ -115,11 +115,11 @@
           {"open", open},
           {"accepted", accepted},
           {"alive", alive},
-          {"completed", count(outcome::kCompleted)},
-          {"refused", count(outcome::kRefused)},
-          {"broken", count(outcome::kBroken)},
-          {"wrong", count(outcome::kWrong)},
-          {"timeouts", count(outcome::kTimedOut)},
+          {"completed", count(flow_outcome::kCompleted)},
+          {"refused", count(flow_outcome::kRefused)},
+          {"broken", count(flow_outcome::kBroken)},
+          {"wrong", count(flow_outcome::kWrong)},
+          {"timeouts", count(flow_outcome::kTimedOut)},
           {"retried", retried},
           {"latency_ms", Percentiles(latency_ms)},
           {"refusal_ms", Percentiles(refusal_ms)},
--- a/test/support/flow_run.h
+++ b/test/support/flow_run.h
@@ -47,7 +47,7 @@
 run_spec ParseRunSpec(const nlohmann::json& command);
 
 /// \brief How a flow ended.
-enum class outcome {
+enum class flow_outcome {
   kCompleted,
   kRefused,   ///< RST to SYN, or ICMP "port unreachable".
   kBroken,    ///< RST or silence after it was accepted.
@@ -68,7 +68,7 @@
   uint32_t accepted = 0;
   uint32_t alive = 0;  ///< Feeds accepted and not ended; 0 for requests.
   uint32_t retried = 0;
-  std::map<outcome, uint32_t> ended;
+  std::map<flow_outcome, uint32_t> ended;
   std::vector<double> latency_ms;  ///< Of completed requests.
   std::vector<double> refusal_ms;
   std::vector<std::string> examples;  ///< Of what was not completed.
@@ -82,7 +82,7 @@
   bool IsSettled() const;
   request NextRequest();
   void CountAccepted(time_point now);
-  void CountEnd(outcome how, const std::string& id, const std::string& reason,
+  void CountEnd(flow_outcome how, const std::string& id, const std::string& reason,
                 duration took);
   nlohmann::json Report() const;
 };
--- a/test/support/loopback.cc
+++ b/test/support/loopback.cc
@@ -1,19 +1,39 @@
-// Finds free loopback ports by binding port 0.
+// Takes ports below the range from which the system gives out ports by itself,
+// so that no outgoing connection gets one between its choice and its use.
 #include "support/loopback.h"
 
+#include <unistd.h>
+
+#include <atomic>
+
 #include "base/asio.h"
 
 namespace radishyard {
+namespace {
 
-uint16_t FreePort() {
+constexpr uint32_t kFirstPort = 12'000;
+constexpr uint32_t kPorts = 20'000;
+constexpr uint32_t kStride = 7'919;  // Sets processes with near ids apart.
+
+bool IsFree(uint16_t port) {
+  const auto loopback = asio::ip::address_v4::loopback();
   asio::io_context io;
+  asio::ip::tcp::acceptor tcp(io, asio::ip::tcp::v4());
+  asio::ip::udp::socket udp(io, asio::ip::udp::v4());
+  error_code no_tcp;
+  error_code no_udp;
+  tcp.bind({loopback, port}, no_tcp);
+  udp.bind({loopback, port}, no_udp);
+  return !no_tcp && !no_udp;
+}
+
+}  // namespace
+
+uint16_t FreePort() {
+  static std::atomic<uint32_t> next = static_cast<uint32_t>(getpid()) * kStride;
   for (;;) {
-    asio::ip::tcp::acceptor tcp(io, {asio::ip::address_v4::loopback(), 0});
-    const uint16_t port = tcp.local_endpoint().port();
-    asio::ip::udp::socket udp(io, asio::ip::udp::v4());
-    boost::system::error_code error;
-    udp.bind({asio::ip::address_v4::loopback(), port}, error);
-    if (!error) return port;
+    const auto port = static_cast<uint16_t>(kFirstPort + next++ % kPorts);
+    if (IsFree(port)) return port;
   }
 }
 
--- a/test/support/packet_port.h
+++ b/test/support/packet_port.h
@@ -10,7 +10,7 @@
 namespace radishyard {
 
 /// \brief Parses "127.0.0.1:9000"; throws std::invalid_argument otherwise.
-endpoint ParseEndpoint(const std::string& text);
+endpoint RequireEndpoint(const std::string& text);
 
 /// \brief A UDP socket on 127.0.0.1 with large buffers, read in batches.
 class packet_port {
--- /dev/null
+++ b/test/support/stand_in_process.cc
@@ -0,0 +1,44 @@
+// Ports are read from the line that a stand-in prints.
+#include "support/stand_in_process.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <stdexcept>
+
+namespace radishyard {
+namespace {
+
+constexpr auto kStart = 10s;
+
+std::string RequireLine(const process& child) {
+  auto line = child.WaitForLine("listening", kStart);
+  if (!line) throw std::runtime_error("no start: " + child.Output());
+  return *line;
+}
+
+}  // namespace
+
+std::string BinaryPath(const std::string& name) {
+  const auto self = std::filesystem::read_symlink("/proc/self/exe");
+  return self.parent_path() / name;
+}
+
+std::string TestFolder() {
+  const auto* test = testing::UnitTest::GetInstance()->current_test_info();
+  std::string folder = testing::TempDir() + "/radishyard." +
+                       test->test_suite_name() + "." + test->name();
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder);
+  return folder;
+}
+
+stand_in_process::stand_in_process(const std::string& name,
+                                   const std::vector<std::string>& arguments,
+                                   const std::string& folder)
+    : child_(BinaryPath(name), arguments, folder + "/" + name + ".log"),
+      line_(RequireLine(child_)),
+      data_("127.0.0.1:" + std::to_string(NumberAfter(line_, "data="))),
+      control_(NumberAfter(line_, "control=")) {}
+
+}  // namespace radishyard
--- /dev/null
+++ b/test/support/world.cc
@@ -0,0 +1,303 @@
+// Settings are written to the test's folder, readiness is read from the admin
+// pages.
+#include "support/world.h"
+
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <ostream>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "support/http_client.h"
+#include "support/loopback.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t kLoopback = 0x7f000001;
+constexpr auto kStart = 10s;
+constexpr auto kPoll = 50ms;
+constexpr auto kCtlTimeout = 30s;
+
+json Page(const endpoint& at, const std::string& path) {
+  failure why;
+  const auto answer = HttpGet(at, path, why);
+  if (!answer || answer->status != 200) return nullptr;
+  return json::parse(answer->body, nullptr, false);
+}
+
+json Address(const endpoint& e) {
+  return {{"address", AddressText(e.address)}, {"port", e.port}};
+}
+
+endpoint PlatformAt(const process& platform) {
+  const auto line = platform.WaitForLine("platform listening", kStart);
+  if (!line) throw std::runtime_error("no platform: " + platform.Output());
+  return {kLoopback, NumberAfter(*line, "port=")};
+}
+
+bool WaitFor(const std::function<bool()>& holds, duration timeout) {
+  const time_point until = std::chrono::steady_clock::now() + timeout;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() >= until) return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+// Every (service, domain) that some upstream of the table is in.
+std::set<std::string> PoolsOf(const json& objects) {
+  std::set<std::string> pools;
+  for (const json& object : objects) {
+    const json row = json::parse(object["value"].get<std::string>());
+    for (const json& up : row.value("upstreams", json::array()))
+      pools.insert(row["service"].get<std::string>() + " " +
+                   up["domain"].get<std::string>());
+  }
+  return pools;
+}
+
+}  // namespace
+
+std::vector<balancer_spec> ArmorBalancers() {
+  return {{"rennes-1", "rennes"},   {"rennes-2", "rennes"},
+          {"rennes-3", "rennes"},   {"quimper-1", "quimper"},
+          {"quimper-2", "quimper"}, {"vannes-1", "vannes"},
+          {"vannes-2", "vannes"}};
+}
+
+balancer::balancer(const balancer_spec& spec, std::string folder)
+    : spec_(spec),
+      folder_(std::move(folder)),
+      data_{kLoopback, FreePort()},
+      control_{kLoopback, FreePort()},
+      admin_{kLoopback, FreePort()} {}
+
+void balancer::WriteSettings(const json& shared) const {
+  json settings = shared;
+  settings["name"] = spec_.name;
+  settings["domain"] = spec_.domain;
+  settings["size"] = spec_.size;
+  settings["data"] = Address(data_);
+  settings["control"] = Address(control_);
+  settings["admin"] = Address(admin_);
+  std::ofstream(SettingsFile()) << settings.dump(2) << "\n";
+}
+
+void balancer::Start() {
+  const std::string run = std::to_string(++starts_);
+  child_ = std::make_unique<process>(
+      BinaryPath("radishyardd"),
+      std::vector<std::string>{"--settings", SettingsFile()},
+      folder_ + "/" + name() + "." + run + ".log");
+  is_frozen_ = false;
+}
+
+bool balancer::Stop(duration timeout) {
+  if (!child_) return false;
+  child_->Signal(SIGTERM);
+  const bool is_clean = child_->Wait(timeout) == 0;
+  child_.reset();
+  return is_clean;
+}
+
+void balancer::Kill() { child_.reset(); }
+
+void balancer::Freeze() {
+  if (child_) child_->Signal(SIGSTOP);
+  is_frozen_ = true;
+}
+
+void balancer::Thaw() {
+  if (child_) child_->Signal(SIGCONT);
+  is_frozen_ = false;
+}
+
+json balancer::Status() const { return Page(admin_, "/status"); }
+
+std::string balancer::Log() const {
+  std::ostringstream text;
+  text << std::ifstream(folder_ + "/" + name() + "." + std::to_string(starts_) +
+                        ".log")
+              .rdbuf();
+  return text.str();
+}
+
+bool verdict::IsClean() const {
+  return broken + wrong + timeouts + doubled + crossed + on_two + over_slots +
+             over_connections + refused_but_ran ==
+         0;
+}
+
+std::ostream& operator<<(std::ostream& out, const verdict& v) {
+  return out << "completed=" << v.completed << " refused=" << v.refused
+             << " broken=" << v.broken << " wrong=" << v.wrong
+             << " timeouts=" << v.timeouts << " alive=" << v.alive
+             << " doubled=" << v.doubled << " crossed=" << v.crossed
+             << " on_two=" << v.on_two << " over_slots=" << v.over_slots
+             << " over_connections=" << v.over_connections
+             << " refused_but_ran=" << v.refused_but_ran << "\n"
+             << v.details;
+}
+
+world::world(const std::vector<balancer_spec>& balancers, uint32_t seed,
+             const json& settings)
+    : platform_(BinaryPath("platform"), {}, folder_ + "/platform.log"),
+      platform_at_(PlatformAt(platform_)),
+      fabric_("fabric", {"--seed", std::to_string(seed)}, folder_),
+      upstreams_("upstreams", {"--fabric", fabric_.data()}, folder_),
+      callers_("callers", {"--fabric", fabric_.data()}, folder_) {
+  settings_ = {{"fabric", {fabric_.data()}},
+               {"platform", ToString(platform_at_)},
+               {"peers", json::array()}};
+  std::set<std::string> domains;
+  for (const balancer_spec& spec : balancers) domains.insert(spec.domain);
+  settings_["domains"] = domains;
+  settings_.update(settings);
+  for (const balancer_spec& spec : balancers) Add(spec);
+  fabric_.Ask({{"cmd", "edges"},
+               {"callers", callers_.data()},
+               {"upstreams", upstreams_.data()}});
+  Spray();
+}
+
+// A balancer is told of the peers before it; the rosters name the rest.
+balancer& world::Add(const balancer_spec& spec) {
+  balancer& added = balancers_.emplace_back(spec, folder_);
+  added.WriteSettings(settings_);
+  added.Start();
+  settings_["peers"].push_back(added.control());
+  return added;
+}
+
+balancer& world::Balancer(const std::string& name) {
+  for (balancer& b : balancers_)
+    if (b.name() == name) return b;
+  throw std::invalid_argument("no balancer " + name);
+}
+
+void world::Spray() {
+  json list = json::array();
+  for (const balancer& b : balancers_)
+    if (b.is_running()) list.push_back(b.data());
+  fabric_.Ask({{"cmd", "balancers"}, {"list", list}});
+}
+
+ctl_result world::Ctl(std::vector<std::string> arguments) {
+  arguments.insert(arguments.begin(), {"--platform", ToString(platform_at_)});
+  process tool(BinaryPath("radishyardctl"), arguments,
+               folder_ + "/ctl." + std::to_string(++ctl_runs_) + ".log");
+  const std::optional<int> code = tool.Wait(kCtlTimeout);
+  return {code.value_or(-1), tool.Output()};
+}
+
+ctl_result world::Apply(const std::vector<std::string>& files) {
+  std::vector<std::string> arguments = {"apply"};
+  for (const std::string& file : files) {
+    SetLimits(file);
+    arguments.insert(arguments.end(), {"-f", file});
+  }
+  return Ctl(arguments);
+}
+
+void world::SetLimits(const std::string& file) {
+  const json table = json::parse(std::ifstream(file));
+  json ports = json::array();
+  for (const json& port : table["ports"])
+    ports.push_back(port.value("upstream_port", port["port"].get<int>()));
+  json rows = json::array();
+  for (const json& up : table["upstreams"])
+    rows.push_back({{"address", up["address"]},
+                    {"service", table["service"]},
+                    {"slots", up["slots"]},
+                    {"connections", up["connections"]},
+                    {"ports", ports}});
+  upstreams_.Ask({{"cmd", "limits"}, {"rows", rows}});
+}
+
+bool world::WaitInForce(duration timeout) {
+  return WaitFor([this] { return IsInForce(); }, timeout);
+}
+
+bool world::WaitIdle(duration timeout) {
+  return WaitFor([this] { return IsIdle(); }, timeout);
+}
+
+bool world::IsIdle() {
+  for (const balancer& b : balancers_) {
+    if (!b.is_running() || b.is_frozen()) continue;
+    const json status = b.Status();
+    if (!status.is_object()) return false;
+    for (const json& pool : status["pools"])
+      if (pool["connections"] != 0 || pool["slots"] != 0) return false;
+  }
+  return true;
+}
+
+bool world::IsInForce() {
+  const json objects = PlatformPage("/v1/objects?prefix=services/");
+  if (!objects.is_object()) return false;
+  std::multiset<std::string> owned;
+  for (const balancer& b : balancers_) {
+    if (!b.is_running() || b.is_frozen()) continue;
+    const json status = b.Status();
+    if (!status.is_object()) return false;
+    for (const json& object : objects["objects"]) {
+      const std::string name = object["key"].get<std::string>().substr(9);
+      if (!status["services"].contains(name) ||
+          status["services"][name]["version"] != object["version"])
+        return false;
+    }
+    for (const json& pool : status["pools"])
+      owned.insert(pool["service"].get<std::string>() + " " +
+                   pool["domain"].get<std::string>());
+  }
+  const std::set<std::string> pools = PoolsOf(objects["objects"]);
+  return owned == std::multiset<std::string>(pools.begin(), pools.end());
+}
+
+bool world::Platform(const std::string& page, const json& body) {
+  failure why;
+  const auto answer = HttpPost(platform_at_, page, body.dump(), why);
+  return answer && answer->status == 200;
+}
+
+json world::PlatformPage(const std::string& page) {
+  return Page(platform_at_, page);
+}
+
+verdict world::Verdict() {
+  verdict v;
+  const json callers = callers_.Ask({{"cmd", "report"}});
+  for (const json& run : callers["runs"]) {
+    v.completed += run["completed"].get<int64_t>();
+    v.refused += run["refused"].get<int64_t>();
+    v.broken += run["broken"].get<int64_t>();
+    v.wrong += run["wrong"].get<int64_t>();
+    v.timeouts += run["timeouts"].get<int64_t>();
+    v.alive += run["alive"].get<int64_t>();
+    v.details += run.dump() + "\n";
+  }
+  const json report = upstreams_.Ask({{"cmd", "report"}});
+  const auto count = [&](const char* kind) {
+    v.details += std::string(kind) + " " + report[kind].dump() + "\n";
+    return report[kind]["count"].get<int64_t>();
+  };
+  v.doubled = count("doubled");
+  v.crossed = count("crossed");
+  v.on_two = count("on_two");
+  v.over_slots = count("over_slots");
+  v.over_connections = count("over_connections");
+  json ran = callers_.Ask({{"cmd", "refused"}});
+  ran["cmd"] = "ran";
+  ran = upstreams_.Ask(ran)["ran"];
+  v.refused_but_ran = static_cast<int64_t>(ran.size());
+  return v;
+}
+
+}  // namespace radishyard
