--- /dev/null
+++ b/src/control/peer_hub.cc
@@ -0,0 +1,156 @@
+// Heartbeats over dialed links, answers over accepted ones.
+#include "control/peer_hub.h"
+
+#include <algorithm>
+
+#include "observe/log.h"
+#include "roster/rendezvous.h"
+
+namespace radishyard {
+namespace {
+
+constexpr size_t kPeersAtBaseInterval = 8;
+
+template <typename... Fs>
+struct overloaded : Fs... {
+  using Fs::operator()...;
+};
+template <typename... Fs>
+overloaded(Fs...) -> overloaded<Fs...>;
+
+}  // namespace
+
+uint64_t ToWireMs(time_point at) { return static_cast<uint64_t>(ToMs(at.time_since_epoch())); }
+
+time_point FromWireMs(uint64_t ms) { return AtMs(static_cast<int64_t>(ms)); }
+
+duration peer_hub::IntervalFor(duration base, size_t peers) {
+  return base * static_cast<int64_t>(1 + peers / kPeersAtBaseInterval);
+}
+
+peer_hub::peer_hub(asio::io_context& io, const member& self, duration heartbeat_every, hub_handlers handlers)
+    : io_(io),
+      self_(self),
+      heartbeat_every_(heartbeat_every),
+      handlers_(std::move(handlers)),
+      counters_(std::make_shared<peer_counters>()),
+      server_(io, self.control, AcceptHandlers(), counters_) {}
+
+link_handlers peer_hub::AcceptHandlers() {
+  link_handlers handlers;
+  handlers.on_open = [](peer_link&) {};
+  handlers.on_message = [this](peer_link& link, const peer_message& message) { Take(link, message); };
+  handlers.on_close = [](peer_link&, const failure&) {};
+  return handlers;
+}
+
+link_handlers peer_hub::DialHandlers(const member_id& id) {
+  link_handlers handlers;
+  handlers.on_open = [this, id](peer_link& link) {
+    link.Send(hello{self_});
+    const auto peer = peers_.find(id);
+    if (peer == peers_.end()) return;
+    peer->second.is_open = true;
+    peer->second.sent.clear();
+    peer->second.due = {};
+  };
+  handlers.on_message = [this](peer_link& link, const peer_message& message) { Take(link, message); };
+  handlers.on_close = [this, id](peer_link&, const failure& why) {
+    const auto peer = peers_.find(id);
+    if (peer != peers_.end()) peer->second.is_open = false;
+    Log(severity::kDebug, "peer_link_closed", {{"peer", id.name}, {"reason", why.text}});
+  };
+  return handlers;
+}
+
+void peer_hub::SetPeers(const std::vector<hub_peer>& peers) {
+  std::set<member_id> wanted;
+  for (const hub_peer& peer : peers) wanted.insert(peer.who.id);
+  std::erase_if(peers_, [&wanted](const auto& entry) { return !wanted.contains(entry.first); });
+  for (const hub_peer& peer : peers) {
+    dialed_peer& dialed = peers_[peer.who.id];
+    if (dialed.peer.gets_counts != peer.gets_counts) dialed.sent.clear();
+    dialed.peer = peer;
+    if (dialed.connector) continue;
+    const uint64_t seed = NameHash(self_.id.name + ">" + peer.who.id.name);
+    dialed.connector = std::make_unique<peer_connector>(io_, peer.who.control, DialHandlers(peer.who.id), counters_, seed);
+    dialed.connector->Start();
+  }
+}
+
+void peer_hub::Tick(time_point now) {
+  const duration interval = IntervalFor(heartbeat_every_, peers_.size());
+  for (auto& [id, peer] : peers_) {
+    if (!peer.is_open || now < peer.due) continue;
+    peer.due = now + (peer.peer.gets_counts ? heartbeat_every_ : interval);
+    Beat(peer, now);
+  }
+}
+
+void peer_hub::Beat(dialed_peer& peer, time_point now) {
+  heartbeat beat = handlers_.make_heartbeat();
+  beat.sender = self_.id;
+  beat.sequence = ++peer.sequence;
+  beat.sent_ms = ToWireMs(now);
+  beat.loads = Deltas(peer);
+  peer.connector->Send(beat);
+}
+
+std::vector<pool_delta> peer_hub::Deltas(dialed_peer& peer) {
+  std::vector<pool_delta> deltas;
+  for (auto& [name, counts] : handlers_.loads(peer.peer.who, peer.peer.gets_counts)) {
+    const auto before = peer.sent.find(name);
+    const pool_counts* const known = before == peer.sent.end() ? nullptr : &before->second;
+    if (known != nullptr && *known == counts) continue;
+    deltas.push_back(DeltaOf(name.service, name.domain, known, counts));
+    peer.sent[name] = counts;
+  }
+  return deltas;
+}
+
+bool peer_hub::Send(const member_id& to, const peer_message& message) {
+  const auto peer = peers_.find(to);
+  return peer != peers_.end() && peer->second.is_open && peer->second.connector->Send(message);
+}
+
+void peer_hub::SendAll(const peer_message& message) {
+  for (auto& [id, peer] : peers_) {
+    if (peer.is_open) peer.connector->Send(message);
+  }
+}
+
+std::optional<time_point> peer_hub::HeardAt(const member_id& id) const {
+  const auto found = heard_.find(id);
+  if (found == heard_.end()) return std::nullopt;
+  return found->second;
+}
+
+void peer_hub::Take(peer_link& link, const peer_message& message) {
+  const time_point now = std::chrono::steady_clock::now();
+  std::visit(overloaded{[&](const hello& m) { heard_[m.self.id] = now; },
+                        [&](const heartbeat& m) {
+                          heard_[m.sender] = now;
+                          TakeHeartbeat(link, m);
+                        },
+                        [&](const heartbeat_ack& m) {
+                          heard_[m.sender] = now;
+                          handlers_.on_ack(m);
+                        },
+                        [&](const auto&) {
+                          if (link.peer()) handlers_.on_message(link.peer()->id, message);
+                        }},
+             message);
+}
+
+void peer_hub::TakeHeartbeat(peer_link& link, const heartbeat& beat) {
+  for (const pool_delta& delta : beat.loads) Apply(reported_[{delta.service, delta.domain}], delta);
+  heartbeat_ack ack;
+  ack.sender = self_.id;
+  ack.sequence = beat.sequence;
+  ack.sent_ms = beat.sent_ms;
+  handlers_.complete_ack(beat, ack);
+  link.Send(ack);
+  handlers_.on_heartbeat(beat);
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/control/peer_hub.h
@@ -0,0 +1,103 @@
+// Links to other balancers: who is dialed, heartbeats and their answers, who was heard when, and
+// the loads that owners report.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/asio.h"
+#include "base/time.h"
+#include "peer/peer_connector.h"
+#include "peer/peer_server.h"
+#include "peer/pool_delta.h"
+#include "traffic/routing_view.h"
+
+namespace radishyard {
+
+/// \brief A balancer to keep a link to.
+struct hub_peer {
+  member who;
+  bool gets_counts = false;  ///< It may take a pool over from this balancer: reports hold exact counts.
+  auto operator<=>(const hub_peer&) const = default;
+};
+
+/// \brief What the hub asks for and tells. All on the control thread.
+struct hub_handlers {
+  /// The common part of a heartbeat: epochs, digest, reachability.
+  std::function<heartbeat()> make_heartbeat;
+  /// Loads to report to a peer; `with_counts` as in hub_peer.
+  std::function<std::map<pool_name, pool_counts>(const member& to, bool with_counts)> loads;
+  /// Fills `epoch` and `accepts_owner`.
+  std::function<void(const heartbeat&, heartbeat_ack&)> complete_ack;
+  std::function<void(const heartbeat&)> on_heartbeat;
+  std::function<void(const heartbeat_ack&)> on_ack;
+  std::function<void(const member_id& from, const peer_message&)> on_message;
+};
+
+/// \brief The links of one balancer. It dials every peer; heartbeats go over the dialed links and
+/// are answered on the link on which they came.
+class peer_hub {
+ public:
+  peer_hub(asio::io_context& io, const member& self, duration heartbeat_every, hub_handlers handlers);
+
+  /// \brief Dials new peers and drops those that are not listed.
+  void SetPeers(const std::vector<hub_peer>& peers);
+
+  /// \brief Sends the heartbeats that are due.
+  void Tick(time_point now);
+
+  /// \brief Queues a message on the dialed link. False while it is down.
+  bool Send(const member_id& to, const peer_message& message);
+
+  /// \brief Sends to every dialed peer.
+  void SendAll(const peer_message& message);
+
+  /// \brief When a message of this run came last; nothing if never.
+  std::optional<time_point> HeardAt(const member_id& id) const;
+
+  /// \brief Latest report of each pool that another balancer serves.
+  const std::map<pool_name, pool_counts>& Reported() const { return reported_; }
+
+  const peer_counters& counters() const { return *counters_; }
+
+  /// \brief Interval of heartbeats for this number of peers: it grows with them, so that the cost
+  /// of control stays within its bound.
+  static duration IntervalFor(duration base, size_t peers);
+
+ private:
+  struct dialed_peer {
+    hub_peer peer;
+    std::unique_ptr<peer_connector> connector;
+    std::map<pool_name, pool_counts> sent;  // What the peer knows from this link.
+    bool is_open = false;
+    uint64_t sequence = 0;
+    time_point due{};
+  };
+
+  link_handlers DialHandlers(const member_id& id);
+  link_handlers AcceptHandlers();
+  void Beat(dialed_peer& peer, time_point now);
+  std::vector<pool_delta> Deltas(dialed_peer& peer);
+  void Take(peer_link& link, const peer_message& message);
+  void TakeHeartbeat(peer_link& link, const heartbeat& beat);
+
+  asio::io_context& io_;
+  member self_;
+  duration heartbeat_every_;
+  hub_handlers handlers_;
+  std::shared_ptr<peer_counters> counters_;
+  peer_server server_;
+  std::map<member_id, dialed_peer> peers_;
+  std::map<member_id, time_point> heard_;
+  std::map<pool_name, pool_counts> reported_;
+};
+
+/// \brief Milliseconds of the monotonic clock, as heartbeats carry them.
+uint64_t ToWireMs(time_point at);
+/// \brief The instant of a wire value; at most 1 ms before the one that was sent.
+time_point FromWireMs(uint64_t ms);
+
+}  // namespace radishyard
--- a/src/control/roster_keeper.cc
+++ b/src/control/roster_keeper.cc
@@ -47,43 +47,40 @@
   on_change_(held);
 }
 
-void roster_keeper::Propose(const roster& next, time_point now,
-                            const proposal_handler& handler) {
+void roster_keeper::Propose(const roster& next, const proposal_handler& handler) {
   assert(!proposing_ && "one proposal at a time");
   proposing_ = true;
   const uint64_t expected = Of(next.domain).version;
-  const auto settle = [this, next, now, handler](
-                          std::optional<uint64_t> version, const failure& why) {
+  const auto settle = [this, next, handler](std::optional<uint64_t> version, const failure& why) {
     if (version) {
       proposing_ = false;
       Confirm(next, *version);
-      handler(proposal_end::kConfirmed, now);
+      handler(proposal_end::kConfirmed, *version);
     } else if (why.kind == failure_kind::kUnavailable) {
       proposing_ = false;
-      handler(proposal_end::kFailed, now);
+      handler(proposal_end::kFailed, 0);
     } else {
-      ReadBack(next.domain, now, handler);
+      const bool is_conflict = why.kind == failure_kind::kConflict;
+      ReadBack(next.domain, is_conflict ? proposal_end::kConflict : proposal_end::kUnknown, handler);
     }
   };
   store_.Put(KeyOf(next.domain), ToJson(next), expected, settle);
 }
 
-// After a conflict or a lost answer: what does the store hold? Even if it is
-// what was proposed, a read may be stale, so it confirms nothing.
-void roster_keeper::ReadBack(const std::string& domain, time_point sent_at,
-                             const proposal_handler& handler) {
-  store_.Get(KeyOf(domain), [=, this](std::optional<stored_object> object,
-                                      const failure& why) {
+// What does the store hold? Even if it is what was proposed, a read may be stale, so it confirms
+// nothing.
+void roster_keeper::ReadBack(const std::string& domain, proposal_end end, const proposal_handler& handler) {
+  store_.Get(KeyOf(domain), [=, this](std::optional<stored_object> object, const failure& why) {
     if (!object && why.kind != failure_kind::kNotFound) {
       timer_.expires_after(kReadBackAfter);
       timer_.async_wait([=, this](error_code error) {
-        if (!error) ReadBack(domain, sent_at, handler);
+        if (!error) ReadBack(domain, end, handler);
       });
       return;
     }
     proposing_ = false;
     if (object) Take(*object);
-    handler(proposal_end::kLost, sent_at);
+    handler(end, 0);
   });
 }
 
--- a/src/control/roster_keeper.h
+++ b/src/control/roster_keeper.h
@@ -22,9 +22,9 @@
 /// \brief How a proposal ended.
 enum class proposal_end : uint8_t {
   kConfirmed,  ///< The store holds it.
-  kLost,  ///< Another update came first, or the answer was lost; the roster has
-          ///< been read.
-  kFailed,  ///< Certainly not carried out.
+  kConflict,   ///< Another update came first; the newer roster has been read.
+  kUnknown,    ///< The answer was lost; the roster has been read since.
+  kFailed,     ///< Certainly not carried out.
 };
 
 /// \brief Rosters by domain. Only higher versions are taken up.
@@ -44,8 +44,7 @@
   /// \brief Writes `next` if the store still has the version that is held. A
   /// lost answer is settled by reading back until the store answers. \warning
   /// One proposal at a time.
-  void Propose(const roster& next, time_point now,
-               const proposal_handler& handler);
+  void Propose(const roster& next, const proposal_handler& handler);
   bool IsProposing() const { return proposing_; }
 
   /// \brief The domain's roster; an empty one with version 0 if none is known.
@@ -57,7 +56,7 @@
   }
 
  private:
-  void ReadBack(const std::string& domain, time_point sent_at,
+  void ReadBack(const std::string& domain, proposal_end end,
                 const proposal_handler& handler);
   void Confirm(const roster& next, uint64_t version);
 
