--- /dev/null
+++ b/src/peer/peer_codec.cc
@@ -0,0 +1,304 @@
+// The codec over msgpack-cxx; the only source that includes it. Each struct is
+// an array of its fields in the order that its Fields() function gives.
+#include "peer/peer_codec.h"
+
+#include <array>
+#include <concepts>
+#include <limits>
+#include <msgpack.hpp>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+namespace radishyard {
+namespace {
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+constexpr size_t kHeadBytes = 2;  // Version and type.
+/// Bounds of one msgpack value: they limit what a hostile array length can make
+/// the decoder allocate.
+constexpr size_t kMaxArray = 1U << 14;
+constexpr size_t kMaxDepth = 8;
+
+template <typename T, typename U>
+concept is = std::same_as<std::remove_const_t<T>, U>;
+
+/// A struct with a Fields() function.
+template <typename T>
+concept record = std::is_class_v<T>;
+
+template <is<endpoint> T>
+auto Fields(T& m) {
+  return std::tie(m.address, m.port);
+}
+template <is<member_id> T>
+auto Fields(T& m) {
+  return std::tie(m.name, m.incarnation);
+}
+template <is<member> T>
+auto Fields(T& m) {
+  return std::tie(m.id, m.domain, m.size, m.data, m.data_threads, m.control,
+                  m.admin, m.leaving);
+}
+template <is<hello> T>
+auto Fields(T& m) {
+  return std::tie(m.self);
+}
+template <is<domain_epoch> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.epoch);
+}
+template <is<upstream_count> T>
+auto Fields(T& m) {
+  return std::tie(m.address, m.connections, m.slots);
+}
+template <is<pool_delta> T>
+auto Fields(T& m) {
+  return std::tie(m.service, m.domain, m.full, m.counts, m.queue_length,
+                  m.free_slots);
+}
+template <is<domain_reachability> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.down);
+}
+template <is<heartbeat> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.sequence, m.sent_ms, m.epochs, m.table_digest,
+                  m.loads, m.reachability);
+}
+template <is<heartbeat_ack> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.sequence, m.sent_ms, m.epoch, m.accepts_owner);
+}
+template <is<service_version> T>
+auto Fields(T& m) {
+  return std::tie(m.name, m.version);
+}
+template <is<table_digest> T>
+auto Fields(T& m) {
+  return std::tie(m.services);
+}
+template <is<table_record> T>
+auto Fields(T& m) {
+  return std::tie(m.value, m.version, m.edit_id);
+}
+template <is<table_records> T>
+auto Fields(T& m) {
+  return std::tie(m.records);
+}
+template <is<roster_record> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.store_version, m.value);
+}
+template <is<handover_chunk> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.service, m.epoch, m.index, m.last, m.flows);
+}
+template <is<handover_ack> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.service, m.epoch, m.index);
+}
+template <is<flow_witness> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.service, m.flows);
+}
+
+void Write(packer& to, bool value) { to.pack(value); }
+
+template <std::unsigned_integral T>
+void Write(packer& to, T value) {
+  to.pack(value);
+}
+
+void Write(packer& to, const std::string& value) {
+  to.pack_str(static_cast<uint32_t>(value.size()));
+  to.pack_str_body(value.data(), static_cast<uint32_t>(value.size()));
+}
+
+void Write(packer& to, const byte_blob& value) {
+  to.pack_bin(static_cast<uint32_t>(value.size()));
+  to.pack_bin_body(reinterpret_cast<const char*>(value.data()),
+                   static_cast<uint32_t>(value.size()));
+}
+
+template <record T>
+void Write(packer& to, const T& value);
+
+template <typename T>
+void Write(packer& to, const std::vector<T>& list) {
+  to.pack_array(static_cast<uint32_t>(list.size()));
+  for (const T& item : list) Write(to, item);
+}
+
+template <record T>
+void Write(packer& to, const T& value) {
+  std::apply(
+      [&to](const auto&... field) {
+        to.pack_array(sizeof...(field));
+        (Write(to, field), ...);
+      },
+      Fields(value));
+}
+
+/// True if `text` is well-formed enough to go into JSON and logs: each lead
+/// byte has its continuation bytes, no code is overlong or a surrogate.
+bool IsUtf8(std::string_view text) {
+  constexpr std::array<uint32_t, 4> lowest = {0, 0x80, 0x800, 0x10000};
+  size_t at = 0;
+  while (at < text.size()) {
+    const auto lead = static_cast<uint8_t>(text[at++]);
+    if (lead < 0x80) continue;
+    const size_t more = lead >= 0xF0 ? 3 : lead >= 0xE0 ? 2 : 1;
+    if (lead < 0xC2 || lead > 0xF4 || at + more > text.size()) return false;
+    uint32_t code = lead & (0x3FU >> more);
+    for (size_t i = 0; i < more; ++i) {
+      const auto next = static_cast<uint8_t>(text[at++]);
+      if ((next & 0xC0) != 0x80) return false;
+      code = code << 6 | (next & 0x3F);
+    }
+    const bool surrogate = code >= 0xD800 && code < 0xE000;
+    if (code < lowest[more] || code > 0x10FFFF || surrogate) return false;
+  }
+  return true;
+}
+
+bool Read(const msgpack::object& from, bool& value) {
+  if (from.type != msgpack::type::BOOLEAN) return false;
+  value = from.via.boolean;
+  return true;
+}
+
+template <std::unsigned_integral T>
+bool Read(const msgpack::object& from, T& value) {
+  if (from.type != msgpack::type::POSITIVE_INTEGER) return false;
+  if (from.via.u64 > std::numeric_limits<T>::max()) return false;
+  value = static_cast<T>(from.via.u64);
+  return true;
+}
+
+bool Read(const msgpack::object& from, std::string& value) {
+  if (from.type != msgpack::type::STR) return false;
+  value.assign(from.via.str.ptr, from.via.str.size);
+  return IsUtf8(value);
+}
+
+bool Read(const msgpack::object& from, byte_blob& value) {
+  if (from.type != msgpack::type::BIN) return false;
+  const auto* first = reinterpret_cast<const uint8_t*>(from.via.bin.ptr);
+  value.assign(first, first + from.via.bin.size);
+  return true;
+}
+
+template <record T>
+bool Read(const msgpack::object& from, T& value);
+
+template <typename T>
+bool Read(const msgpack::object& from, std::vector<T>& list) {
+  if (from.type != msgpack::type::ARRAY) return false;
+  for (uint32_t i = 0; i < from.via.array.size; ++i) {
+    T item{};
+    if (!Read(from.via.array.ptr[i], item)) return false;
+    list.push_back(std::move(item));
+  }
+  return true;
+}
+
+template <record T>
+bool Read(const msgpack::object& from, T& value) {
+  if (from.type != msgpack::type::ARRAY) return false;
+  const msgpack::object_array& array = from.via.array;
+  return std::apply(
+      [&array](auto&... field) {
+        uint32_t i = 0;
+        return array.size >= sizeof...(field) &&
+               (Read(array.ptr[i++], field) && ...);
+      },
+      Fields(value));
+}
+
+/// Reads alternative `I` of peer_message where `index` names it.
+template <size_t I = 0>
+std::optional<peer_message> ReadAlternative(size_t index,
+                                            const msgpack::object& from) {
+  if constexpr (I < std::variant_size_v<peer_message>) {
+    if (index != I) return ReadAlternative<I + 1>(index, from);
+    std::variant_alternative_t<I, peer_message> value;
+    if (Read(from, value)) return value;
+  }
+  return std::nullopt;
+}
+
+/// Strings and blobs stay in the payload until they are copied out.
+bool IsReferenced(msgpack::type::object_type /*type*/, size_t /*size*/,
+                  void* /*unused*/) {
+  return true;
+}
+
+/// The one msgpack value that `body` consists of.
+std::optional<msgpack::object_handle> Unpack(std::string_view body) {
+  const msgpack::unpack_limit limit(kMaxArray, 0, kMaxPayloadBytes,
+                                    kMaxPayloadBytes, 0, kMaxDepth);
+  try {
+    msgpack::object_handle handle;
+    size_t end = 0;
+    msgpack::unpack(handle, body.data(), body.size(), end, IsReferenced,
+                    nullptr, limit);
+    if (end != body.size()) return std::nullopt;
+    return handle;
+  } catch (const msgpack::unpack_error&) {
+    return std::nullopt;
+  }
+}
+
+std::nullopt_t Refuse(failure& why, const char* text) {
+  why = {failure_kind::kInvalid, text};
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string> EncodeFrame(const peer_message& message,
+                                       failure& why) {
+  msgpack::sbuffer body;
+  packer to(body);
+  std::visit([&to](const auto& value) { Write(to, value); }, message);
+  const size_t size = kHeadBytes + body.size();
+  if (size > kMaxPayloadBytes) return Refuse(why, "message is above 1 MB");
+  std::string frame;
+  frame.reserve(kLengthBytes + size);
+  for (int shift = 24; shift >= 0; shift -= 8)
+    frame += static_cast<char>(size >> shift & 0xFF);
+  frame += static_cast<char>(kPeerProtocolVersion);
+  frame += static_cast<char>(message.index() + 1);
+  return frame.append(body.data(), body.size());
+}
+
+std::optional<peer_message> DecodePayload(std::string_view payload,
+                                          failure& why) {
+  if (payload.size() > kMaxPayloadBytes) return Refuse(why, "payload is large");
+  if (payload.size() <= kHeadBytes) return Refuse(why, "payload is cut short");
+  if (static_cast<uint8_t>(payload[0]) != kPeerProtocolVersion)
+    return Refuse(why, "protocol version is unknown");
+  const size_t type = static_cast<uint8_t>(payload[1]);
+  if (type == 0 || type > std::variant_size_v<peer_message>)
+    return Refuse(why, "message type is unknown");
+  const auto body = Unpack(payload.substr(kHeadBytes));
+  if (!body) return Refuse(why, "body is no msgpack value");
+  std::optional<peer_message> message = ReadAlternative(type - 1, body->get());
+  if (!message) return Refuse(why, "a field is missing or of a wrong type");
+  return message;
+}
+
+frame_view NextFrame(std::string_view bytes) {
+  if (bytes.size() < kLengthBytes) return {};
+  size_t length = 0;
+  for (size_t i = 0; i < kLengthBytes; ++i)
+    length = length << 8 | static_cast<uint8_t>(bytes[i]);
+  if (length > kMaxPayloadBytes) return {frame_view::status::kTooLarge, {}, 0};
+  if (bytes.size() - kLengthBytes < length) return {};
+  return {frame_view::status::kWhole, bytes.substr(kLengthBytes, length),
+          kLengthBytes + length};
+}
+
+}  // namespace radishyard
