--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -11,6 +11,7 @@
 #include "control/roster_keeper.h"
 #include "control/store_follower.h"
 #include "control/view_builder.h"
+#include "roster/assign.h"
 #include "settings/settings.h"
 #include "store/object_store.h"
 #include "table/table_set.h"
@@ -54,7 +55,6 @@
   void PublishIfChanged();
   bool ServesNothing() const;
 
-  asio::io_context& io_;
   asio::steady_timer tick_;
   settings config_;
   member self_;
