--- a/src/peer/peer_connector.cc
+++ b/src/peer/peer_connector.cc
@@ -44,8 +44,8 @@
         error ? Retry() : Open();
       });
   timer_.expires_after(kDialTimeout);
-  timer_.async_wait([this](error_code cancelled) {
-    if (cancelled || !dialing_) return;
+  timer_.async_wait([this, alive = Alive()](error_code cancelled) {
+    if (cancelled || alive.expired() || !dialing_) return;
     dialing_->close();
     Retry();
   });
@@ -53,14 +53,16 @@
 
 void peer_connector::Open() {
   link_handlers handlers = handlers_;
-  handlers.on_message = [this](peer_link& link, peer_message message) {
+  handlers.on_message = [this, user = handlers_.on_message](
+                            peer_link& link, peer_message message) {
     attempts_ = 0;
-    if (handlers_.on_message) handlers_.on_message(link, std::move(message));
+    if (user) user(link, std::move(message));
   };
-  handlers.on_close = [this](peer_link& link, const failure& why) {
+  handlers.on_close = [this, user = handlers_.on_close](peer_link& link,
+                                                        const failure& why) {
     link_.reset();
     Retry();
-    if (handlers_.on_close) handlers_.on_close(link, why);
+    if (user) user(link, why);
   };
   link_ = std::make_shared<peer_link>(std::move(*dialing_), std::move(handlers),
                                       counters_);
@@ -71,8 +73,8 @@
 void peer_connector::Retry() {
   dialing_.reset();
   timer_.expires_after(BackoffDelay(policy_, attempts_++, seed_));
-  timer_.async_wait([this](error_code cancelled) {
-    if (!cancelled) Dial();
+  timer_.async_wait([this, alive = Alive()](error_code cancelled) {
+    if (!cancelled && !alive.expired()) Dial();
   });
 }
 
--- a/src/peer/peer_connector.h
+++ b/src/peer/peer_connector.h
@@ -43,6 +43,7 @@
   void Dial();
   void Open();
   void Retry();
+  std::weak_ptr<bool> Alive() const { return alive_; }
 
   asio::io_context& io_;
   endpoint address_;
@@ -54,6 +55,9 @@
   std::shared_ptr<asio::ip::tcp::socket> dialing_;  ///< Null if not dialing.
   std::shared_ptr<peer_link> link_;
   unsigned attempts_ = 0;
+  /// Expires with this object; a completed timer may still have its handler
+  /// queued then.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace radishyard
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr size_t kMaxQueuedBytes = 4 * kMaxPayloadBytes;
-constexpr size_t kReadBytes = 16U << 10;
+constexpr size_t kReadBytes = 8U << 10;
 /// Buffers above this are given back to the heap once empty.
 constexpr size_t kKeptBytes = 64U << 10;
 
@@ -23,7 +23,7 @@
 peer_link::peer_link(asio::ip::tcp::socket socket, link_handlers handlers,
                      std::shared_ptr<peer_counters> counters)
     : socket_(std::move(socket)),
-      handlers_(std::move(handlers)),
+      handlers_(std::make_shared<link_handlers>(std::move(handlers))),
       counters_(std::move(counters)) {
   error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -31,7 +31,8 @@
 
 void peer_link::Start() {
   const auto self = shared_from_this();
-  if (handlers_.on_open) handlers_.on_open(*this);
+  const auto handlers = handlers_;
+  if (handlers->on_open) handlers->on_open(*this);
   if (open_) Read();
 }
 
@@ -52,6 +53,11 @@
 }
 
 void peer_link::Close() {
+  handlers_.reset();
+  CloseSocket();
+}
+
+void peer_link::CloseSocket() {
   open_ = false;
   error_code ignored;
   socket_.close(ignored);
@@ -100,7 +106,8 @@
   ++counters_->messages_received;
   if (const auto* greeting = std::get_if<hello>(&*message))
     peer_ = greeting->self;
-  if (handlers_.on_message) handlers_.on_message(*this, std::move(*message));
+  const auto handlers = handlers_;
+  if (handlers->on_message) handlers->on_message(*this, std::move(*message));
 }
 
 void peer_link::Write() {
@@ -119,12 +126,13 @@
 
 void peer_link::Fail(failure_kind kind, const std::string& text) {
   if (!open_) return;
-  Close();
-  // The handler may be in the middle of a Send of its own.
+  CloseSocket();
+  // The user may be in the middle of a Send.
   asio::post(socket_.get_executor(),
              [self = shared_from_this(), why = failure{kind, text}] {
-               if (self->handlers_.on_close)
-                 self->handlers_.on_close(*self, why);
+               const auto handlers = self->handlers_;
+               if (handlers && handlers->on_close)
+                 handlers->on_close(*self, why);
              });
 }
 
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -60,10 +60,13 @@
   void TakeFrames();
   void Take(std::string_view payload);
   void Write();
+  void CloseSocket();
   void Fail(failure_kind kind, const std::string& text);
 
   asio::ip::tcp::socket socket_;
-  link_handlers handlers_;
+  /// Null once the user has closed the link. Calls hold a copy, since a handler
+  /// may close the link.
+  std::shared_ptr<const link_handlers> handlers_;
   std::shared_ptr<peer_counters> counters_;
   std::string received_;  ///< Bytes not yet taken as frames.
   std::string waiting_;   ///< Frames to be written next.
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -36,19 +36,19 @@
 }
 
 void peer_server::Accept() {
-  acceptor_.async_accept(
-      [this](error_code error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) return;
-        if (!error) {
-          Add(std::move(socket));
-          return Accept();
-        }
-        // Such as no file descriptor left: try again a little later.
-        pause_.expires_after(kAcceptPause);
-        pause_.async_wait([this](error_code cancelled) {
-          if (!cancelled) Accept();
-        });
-      });
+  acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](
+                             error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted || alive.expired()) return;
+    if (!error) {
+      Add(std::move(socket));
+      return Accept();
+    }
+    // Such as no file descriptor left: try again a little later.
+    pause_.expires_after(kAcceptPause);
+    pause_.async_wait([this, alive](error_code cancelled) {
+      if (!cancelled && !alive.expired()) Accept();
+    });
+  });
 }
 
 void peer_server::Add(asio::ip::tcp::socket socket) {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -43,6 +43,9 @@
   std::shared_ptr<peer_counters> counters_;
   uint16_t port_ = 0;
   std::vector<std::shared_ptr<peer_link>> links_;
+  /// Expires with this object; a completed accept may still have its handler
+  /// queued then.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace radishyard
--- /dev/null
+++ b/test/peer_test.cc
@@ -0,0 +1,291 @@
+// Messages survive the wire, malformed bytes do no harm, and links come back.
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <random>
+
+#include "peer/peer_codec.h"
+#include "peer/peer_connector.h"
+#include "peer/peer_server.h"
+#include "peer/pool_delta.h"
+
+namespace radishyard {
+namespace {
+
+constexpr uint32_t kLoopback = 0x7F000001;
+
+member Member(const std::string& name) {
+  return {{name, 1700000000}, "rennes",           4,   {0x0A000001, 6081}, 4,
+          {0x0A000001, 9100}, {0x0A000001, 9200}, true};
+}
+
+heartbeat Heartbeat(uint32_t upstreams) {
+  heartbeat beat{{"vm-rennes-1", 1700000000}, 900000, 86400000};
+  beat.epochs = {{"rennes", 310}, {"quimper", 290}, {"vannes", 305}};
+  beat.table_digest = 0x9E3779B97F4A7C15;
+  pool_delta load{"survey-link", "rennes", true, {}, 3, 9};
+  for (uint32_t i = 0; i < upstreams; ++i)
+    load.counts.push_back({0x0A010000 + i, 1200 + i, i % 3});
+  beat.loads = {load};
+  beat.reachability = {{"vannes", {"vm-vannes-1", "vm-vannes-2"}}};
+  return beat;
+}
+
+/// One message of each type, with what bytes of it are worth telling.
+std::vector<std::pair<std::string, peer_message>> Samples() {
+  table_digest digest;
+  for (int i = 0; i < 2500; ++i)
+    digest.services.push_back({"service-" + std::to_string(i), 100000U + i});
+  heartbeat idle = Heartbeat(0);
+  idle.loads.clear();
+  idle.reachability.clear();
+  const byte_blob flows(1024, 0xAB);
+  return {{"hello", hello{Member("vm-rennes-1")}},
+          {"heartbeat, no pool", idle},
+          {"heartbeat, 1 upstream changed", Heartbeat(1)},
+          {"heartbeat, 14 upstreams", Heartbeat(14)},
+          {"heartbeat_ack", heartbeat_ack{{"vm-2", 1700000000}, 9, 8, 7, true}},
+          {"table_digest, 2,500 services", digest},
+          {"table_records, 1 of 600 B",
+           table_records{{{std::string(600, ' '), 7, "edit-1"}}}},
+          {"roster_record, 2 kB",
+           roster_record{"rennes", 12, std::string(2000, ' ')}},
+          {"handover_chunk, 1 KiB of flows",
+           handover_chunk{"rennes", "archive", 311, 70000, true, flows}},
+          {"handover_ack", handover_ack{"rennes", "archive", 311, 70000}},
+          {"flow_witness, 1 KiB of flows",
+           flow_witness{"rennes", "archive", flows}}};
+}
+
+std::string Frame(const peer_message& message) {
+  failure why;
+  return EncodeFrame(message, why).value();
+}
+
+TEST(PeerCodec, KeepsEveryMessage) {
+  for (const auto& [name, message] : Samples()) {
+    const std::string frame = Frame(message);
+    const std::string stream = frame + "more";
+    const frame_view view = NextFrame(stream);
+    ASSERT_EQ(view.what, frame_view::status::kWhole) << name;
+    EXPECT_EQ(view.size, frame.size());
+    failure why;
+    EXPECT_EQ(DecodePayload(view.payload, why), message) << name << why.text;
+    std::cout << "bytes of " << name << ": " << frame.size() << "\n";
+  }
+}
+
+TEST(PeerCodec, GivesAReasonForEveryTruncation) {
+  for (const auto& [name, message] : Samples()) {
+    const std::string frame = Frame(message);
+    // Every cut of short frames; of longer ones, steps that are coprime to
+    // their fields' sizes.
+    const size_t step = 1 + frame.size() / 500;
+    for (size_t cut = 0; cut < frame.size(); cut += step) {
+      const std::string_view part = std::string_view(frame).substr(0, cut);
+      EXPECT_EQ(NextFrame(part).what, frame_view::status::kPartial);
+      if (cut < kLengthBytes) continue;
+      failure why;
+      EXPECT_FALSE(DecodePayload(part.substr(kLengthBytes), why)) << name;
+      EXPECT_EQ(why.kind, failure_kind::kInvalid);
+      EXPECT_FALSE(why.text.empty());
+    }
+  }
+}
+
+// Whatever decodes after a mutation must be a message that encodes again to
+// the same value; the rest must be refused with a reason.
+TEST(PeerCodec, SurvivesMutation) {
+  constexpr int kRounds = 4000;
+  std::mt19937_64 random(42);
+  size_t refused = 0;
+  for (const auto& [name, message] : Samples()) {
+    const std::string payload = Frame(message).substr(kLengthBytes);
+    if (payload.size() > 4000) continue;
+    for (int round = 0; round < kRounds; ++round) {
+      std::string bytes = payload;
+      for (uint64_t i = 1 + random() % 4; i > 0; --i)
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      if (random() % 4 == 0) bytes.resize(random() % bytes.size());
+      failure why;
+      const auto decoded = DecodePayload(bytes, why);
+      refused += decoded ? 0 : 1;
+      ASSERT_EQ(decoded.has_value(), why.kind == failure_kind::kNone);
+      if (!decoded) continue;
+      const std::string again = Frame(*decoded).substr(kLengthBytes);
+      ASSERT_EQ(DecodePayload(again, why), decoded);
+    }
+  }
+  EXPECT_GT(refused, 0U);
+}
+
+TEST(PeerCodec, RefusesHostileBodies) {
+  const std::string head = {1, 3};  // heartbeat_ack
+  const std::vector<std::string> bodies = {
+      std::string("\xdd\xff\xff\xff\xff", 5),  // array of 2^32 - 1
+      std::string("\xdb\xff\xff\xff\xff", 5),  // string of 2^32 - 1
+      std::string(500000, '\x91'),             // arrays 500,000 deep
+      std::string("\x95\x92\xa1\xff\x01\x01\x01\x01\xc3", 9),  // no UTF-8
+      std::string("\x95\x92\xa1v\x01\x01\x01\xff\xc3", 9),     // negative
+      std::string("\x94\x92\xa1v\x01\x01\x01\x01", 8),         // field missing
+      std::string("\x95\x92\xa1v\x01\x01\x01\x01\xc3\xc3", 10)};  // trailing
+  for (const std::string& body : bodies) {
+    failure why;
+    EXPECT_FALSE(DecodePayload(head + body, why));
+  }
+  // A field appended by a later release is skipped.
+  failure why;
+  EXPECT_TRUE(DecodePayload(
+      head + std::string("\x96\x92\xa1v\x01\x01\x01\x01\xc3\xc0", 10), why));
+  EXPECT_FALSE(
+      EncodeFrame(flow_witness{"", "", byte_blob(kMaxPayloadBytes)}, why));
+}
+
+TEST(PoolDelta, CarriesOnlyChangesAndEndsInTheSameCounts) {
+  std::mt19937 random(7);
+  pool_counts sent;
+  pool_counts known;
+  const pool_counts* before = nullptr;
+  for (int round = 0; round < 500; ++round) {
+    pool_counts now = sent;
+    if (now.counts.size() < 14 && random() % 4 == 0)
+      now.counts.push_back({round + 1U, 0, 0});
+    if (!now.counts.empty() && random() % 8 == 0)
+      now.counts.erase(now.counts.begin());
+    if (!now.counts.empty())
+      now.counts[random() % now.counts.size()].slots = random() % 3;
+    now.queue_length = random() % 5;
+    const pool_delta delta = DeltaOf("archive", "rennes", before, now);
+    EXPECT_TRUE(delta.full || delta.counts.size() <= 2);
+    Apply(known, delta);
+    ASSERT_EQ(known, now);
+    sent = now;
+    before = &sent;
+  }
+}
+
+TEST(Backoff, DoublesToItsBoundWithJitter) {
+  const backoff_policy policy{100ms, 5s};
+  for (unsigned attempt = 0; attempt < 100; ++attempt) {
+    const duration whole =
+        std::min<duration>(5s, 100ms * (int64_t{1} << std::min(attempt, 10U)));
+    const duration delay = BackoffDelay(policy, attempt, 1);
+    EXPECT_GE(delay, whole / 2);
+    EXPECT_LE(delay, whole);
+    EXPECT_EQ(delay, BackoffDelay(policy, attempt, 1));
+    EXPECT_NE(delay, BackoffDelay(policy, attempt, 2));
+  }
+}
+
+/// A server and what it was told.
+class peer_links : public testing::Test {
+ protected:
+  /// Runs the loop until `done` holds, for 5 s at most.
+  template <typename Condition>
+  bool RunUntil(Condition done) {
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (!done() && std::chrono::steady_clock::now() < end)
+      io_.run_one_for(10ms);
+    return done();
+  }
+
+  std::unique_ptr<peer_server> Listen(uint16_t port = 0) {
+    const link_handlers handlers{
+        [](peer_link& link) { link.Send(hello{Member("server")}); },
+        [this](peer_link& link, const peer_message& message) {
+          if (message.index() == 1) link.Send(heartbeat_ack{{"server", 1}});
+        },
+        [this](peer_link&, const failure& why) { server_lost_ = why; }};
+    return std::make_unique<peer_server>(io_, endpoint{kLoopback, port},
+                                         handlers, server_counters_);
+  }
+
+  std::unique_ptr<peer_connector> Dial(uint16_t port) {
+    const link_handlers handlers{
+        [](peer_link& link) { link.Send(hello{Member("client")}); },
+        [this](peer_link&, const peer_message& m) { seen_.push_back(m); },
+        [this](peer_link&, const failure&) { ++client_lost_; }};
+    auto connector = std::make_unique<peer_connector>(
+        io_, endpoint{kLoopback, port}, handlers, client_counters_, 1,
+        backoff_policy{5ms, 50ms});
+    connector->Start();
+    return connector;
+  }
+
+  /// Sends raw bytes to `server` and waits until it has closed the link.
+  void SendRaw(const peer_server& server, const std::string& bytes) {
+    asio::ip::tcp::socket raw(io_);
+    raw.connect({asio::ip::address_v4(kLoopback), server.port()});
+    asio::write(raw, asio::buffer(bytes));
+    raw.shutdown(asio::socket_base::shutdown_send);
+    server_lost_ = {};
+    EXPECT_TRUE(RunUntil([&] { return !server_lost_.text.empty(); }));
+    EXPECT_EQ(server.size(), 0U);
+  }
+
+  asio::io_context io_;
+  std::shared_ptr<peer_counters> server_counters_ =
+      std::make_shared<peer_counters>();
+  std::shared_ptr<peer_counters> client_counters_ =
+      std::make_shared<peer_counters>();
+  std::vector<peer_message> seen_;
+  failure server_lost_;
+  int client_lost_ = 0;
+};
+
+TEST_F(peer_links, ExchangeMessagesAndComeBackAfterALoss) {
+  auto server = Listen();
+  const uint16_t port = server->port();
+  const auto client = Dial(port);
+  ASSERT_TRUE(RunUntil([&] { return seen_.size() == 1; }));
+  EXPECT_EQ(client->link()->peer(), Member("server"));
+  for (int i = 0; i < 100; ++i) EXPECT_TRUE(client->Send(Heartbeat(14)));
+  ASSERT_TRUE(RunUntil([&] { return seen_.size() == 101; }));
+  server->ForEach(
+      [](peer_link& link) { EXPECT_EQ(link.peer(), Member("client")); });
+  EXPECT_EQ(client_counters_->messages_sent, 101U);
+  EXPECT_EQ(server_counters_->messages_received, 101U);
+  EXPECT_EQ(client_counters_->bytes_sent, server_counters_->bytes_received);
+  EXPECT_EQ(server_counters_->bytes_sent, client_counters_->bytes_received);
+
+  server.reset();
+  ASSERT_TRUE(RunUntil([&] { return client_lost_ == 1; }));
+  EXPECT_FALSE(client->Send(Heartbeat(1)));
+  ASSERT_TRUE(RunUntil([&] { return client->attempts() > 3; }));
+  server = Listen(port);
+  EXPECT_TRUE(RunUntil([&] { return seen_.size() == 102; }));
+  EXPECT_EQ(client->attempts(), 0U);
+}
+
+TEST_F(peer_links, MalformedFramesAreCountedAndNeverCrash) {
+  const auto server = Listen();
+  const std::string good = Frame(heartbeat{});
+  const std::string bad = std::string("\0\0\0\3\1\2\xc0", 7);
+  SendRaw(*server, good + bad + good);
+  EXPECT_EQ(server_counters_->messages_received, 2U) << "the next one is read";
+  EXPECT_EQ(server_counters_->malformed, 1U);
+  SendRaw(*server, good + good.substr(0, good.size() - 1));
+  EXPECT_EQ(server_counters_->messages_received, 3U);
+  SendRaw(*server, std::string("\0\x10\0\1", 4) + std::string(100, 'x'));
+  EXPECT_EQ(server_lost_.kind, failure_kind::kInvalid);
+  EXPECT_EQ(server_counters_->malformed, 2U);
+}
+
+TEST_F(peer_links, ALinkThatIsNotReadIsDropped) {
+  const auto server = Listen();
+  asio::ip::tcp::socket raw(io_);
+  raw.connect({asio::ip::address_v4(kLoopback), server->port()});
+  ASSERT_TRUE(RunUntil([&] { return server->size() == 1; }));
+  const flow_witness large{"", "", byte_blob(500000)};
+  bool queued = true;
+  for (int i = 0; i < 200 && queued; ++i) {
+    server->ForEach([&](peer_link& link) { queued = link.Send(large); });
+    io_.poll();
+  }
+  EXPECT_FALSE(queued);
+  EXPECT_TRUE(RunUntil([&] { return server->size() == 0; }));
+  EXPECT_EQ(server_counters_->overflows, 1U);
+}
+
+}  // namespace
+}  // namespace radishyard
