--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -1,18 +1,18 @@
-// Control loop: events from the store, a tick, and proposals.
+// The control loop, the table, and what the traffic threads are told.
 #include "control/controller.h"
 
 #include <algorithm>
 
 #include "observe/log.h"
-#include "roster/assign.h"
+#include "roster/links.h"
 #include "table/table_json.h"
 
 namespace radishyard {
 namespace {
 
 constexpr duration kTick = 50ms;
-constexpr duration kProposalSpacing = 150ms;  // Wait per rank before proposing.
-constexpr std::string_view kRosterPrefix = "rosters/";
+constexpr duration kLinger =
+    2s;  // A leaving balancer still forwards what the fabric sends it.
 
 member MemberOf(const settings& config, uint64_t incarnation) {
   member self;
@@ -30,17 +30,23 @@
 
 controller::controller(asio::io_context& io, object_store& store,
                        const settings& config, uint64_t incarnation,
-                       publish_handler publish)
+                       traffic_port& traffic)
     : tick_(io),
+      store_(store),
       config_(config),
       self_(MemberOf(config, incarnation)),
-      publish_(std::move(publish)),
+      traffic_(traffic),
       rosters_(io, store, [this](const held_roster& held) { OnRoster(held); }),
       follower_(
           io, store,
           [this](const stored_object& object) { TakeObject(object); },
-          [this](bool reachable) { OnContact(reachable); }) {
+          [this](bool reachable) { OnContact(reachable); }),
+      hub_(io, self_, config.limits.heartbeat, HubHandlers()),
+      handovers_(self_.id, HandoverHandlers()) {
+  liveness_.self = self_.id;
+  liveness_.times.interval = config.limits.heartbeat;
   alive_.insert(self_.id);
+  Lease(config.domain);
 }
 
 void controller::Start() {
@@ -48,43 +54,56 @@
   WaitForTick();
 }
 
-void controller::Leave(std::function<void()> done) {
-  self_.leaving = true;
-  left_ = std::move(done);
+void controller::WaitForTick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](error_code error) {
+    if (error) return;
+    Tick(std::chrono::steady_clock::now());
+    WaitForTick();
+  });
+}
+
+void controller::Tick(time_point now) {
+  UpdateLiveness(now);
+  UpdateLinks();
+  FollowIfWatcher();
+  PollVms(now);
+  ConsiderRoster(now);
+  PublishIfChanged();
+  PublishGrants(now);
+  hub_.Tick(now);
+  handovers_.Tick(now);
+  TellStandbys(now);
+  ContinueLeaving(now);
 }
 
 void controller::TakeObject(const stored_object& object) {
-  if (object.key.starts_with(kServicePrefix)) TakeService(object);
-  if (object.key.starts_with(kRosterPrefix)) rosters_.Take(object);
+  if (object.key.starts_with(kServicePrefix))
+    TakeService(object.value, object.version, true);
+  if (object.key.starts_with("rosters/") && rosters_.Take(object)) {
+    hub_.SendAll(roster_record{object.key.substr(sizeof("rosters/") - 1),
+                               object.version, object.value});
+  }
 }
 
-void controller::TakeService(const stored_object& object) {
+// Adopts a record and passes it on: what came from the store goes to all peers,
+// what came from another domain to the peers of the own one.
+void controller::TakeService(const std::string& value, uint64_t version,
+                             bool pass_on) {
   findings found;
-  std::optional<service_record> record =
-      ParseRecord(object.value, object.version, found);
+  std::optional<service_record> record = ParseRecord(value, version, found);
   if (!record) {
     Log(severity::kWarn, "service_malformed",
-        {{"key", object.key},
-         {"version", object.version},
-         {"findings", found.Text()}});
+        {{"version", version}, {"findings", found.Text()}});
     return;
   }
   const std::string name = record->value.name;
+  const std::string edit_id = record->edit_id;
   if (Adopt(table_, std::move(*record), found) != adoption::kAdopted) return;
   Log(severity::kInfo, "service_adopted",
-      {{"service", name},
-       {"version", object.version},
-       {"findings", found.Text()}});
-  changed_ = true;
-}
-
-void controller::OnRoster(const held_roster& held) {
-  Log(severity::kInfo, "roster_adopted",
-      {{"domain", held.value.domain},
-       {"epoch", held.value.epoch},
-       {"version", held.version}});
-  for (const member& m : held.value.members) alive_.insert(m.id);
+      {{"service", name}, {"version", version}, {"findings", found.Text()}});
   changed_ = true;
+  if (pass_on) hub_.SendAll(table_records{{{value, version, edit_id}}});
 }
 
 void controller::OnContact(bool reachable) {
@@ -94,84 +113,108 @@
       {{"reachable", reachable ? "yes" : "no"}});
 }
 
-void controller::WaitForTick() {
-  tick_.expires_after(kTick);
-  tick_.async_wait([this](error_code error) {
-    if (error) return;
-    Tick(std::chrono::steady_clock::now());
-    WaitForTick();
-  });
-}
-
-void controller::Tick(time_point now) {
-  ConsiderRoster(now);
-  PublishIfChanged();
-  if (left_ && ServesNothing()) std::exchange(left_, nullptr)();
-}
-
-assign_view controller::AssignView() const {
-  assign_view view;
-  view.self = self_.id;
-  view.alive = alive_;
-  for (const auto& [name, record] : table_.records) {
-    const service& table = record->value;
-    const bool has_rows = std::ranges::any_of(
-        table.upstreams,
-        [this](const upstream& row) { return row.domain == config_.domain; });
-    if (!table.deleted && has_rows) view.services.insert(name);
-  }
-  return view;
-}
-
-// The roster with this balancer listed, as it should be listed.
-roster controller::NextRoster(const held_roster& held) const {
-  roster next = Join(held.value, self_);
-  if (self_.leaving) next = MarkLeaving(next, self_.id);
-  return next;
-}
-
-void controller::ConsiderRoster(time_point now) {
-  if (rosters_.IsProposing() || !store_reachable_) return;
-  const held_roster held = rosters_.Of(config_.domain);
-  roster next = NextRoster(held);
-  const assign_view view = AssignView();
-  if (auto reassigned = Reassign(next, view)) next = std::move(*reassigned);
-  if (next == held.value) {
-    change_due_since_.reset();
-    return;
+// Few balancers of a domain watch the store; the others learn from them.
+void controller::FollowIfWatcher() {
+  if (IsDelegate() ||
+      FindMember(rosters_.Of(config_.domain).value, self_.id) == nullptr) {
+    follower_.Start();
+  } else {
+    follower_.Stop();
   }
-  if (!change_due_since_) change_due_since_ = now;
-  const bool lists_self = FindMember(held.value, self_.id) != nullptr;
-  const duration wait =
-      lists_self
-          ? static_cast<int64_t>(ProposalRank(next, view)) * kProposalSpacing
-          : duration{};
-  if (now - *change_due_since_ < wait) return;
-  change_due_since_.reset();
-  next.epoch = held.value.epoch + 1;
-  rosters_.Propose(next, now, [](proposal_end end, time_point) {
-    Log(severity::kInfo, "roster_proposal",
-        {{"confirmed", end == proposal_end::kConfirmed ? "yes" : "no"}});
-  });
 }
 
 void controller::PublishIfChanged() {
   if (!std::exchange(changed_, false)) return;
   view_inputs inputs;
   inputs.self = self_.id;
-  for (const auto& [domain, held] : rosters_.All())
+  for (const auto& [domain, held] : rosters_.All()) {
     inputs.rosters[domain] = held.value;
+    for (const pool_assignment& pool : held.value.pools) {
+      const pool_name name{pool.service, domain};
+      if (handovers_.IsComplete(name, pool.since_epoch))
+        inputs.handed_over.insert(name);
+    }
+  }
   inputs.alive = alive_;
   inputs.fabric = config_.fabric;
   inputs.trace_one_in = config_.trace.sample_one_in;
-  publish_(std::make_shared<const routing_view>(BuildView(table_, inputs)));
+  const auto view =
+      std::make_shared<const routing_view>(BuildView(table_, inputs));
+  traffic_.Publish(view);
+  InheritCounts(*view);
 }
 
-bool controller::ServesNothing() const {
-  const held_roster held = rosters_.Of(config_.domain);
-  return std::ranges::none_of(
-      held.value.pools,
-      [this](const pool_assignment& pool) { return pool.owner == self_.id; });
+// A pool that is served here from now on starts from the counts that its owner
+// reported last.
+void controller::InheritCounts(const routing_view& view) {
+  std::set<pool_name> serving;
+  for (const pool_route& route : view.pools) {
+    if (route.role != pool_role::kNone) serving.insert(route.name);
+  }
+  for (const pool_name& name : serving) {
+    const auto reported = hub_.Reported().find(name);
+    if (serving_.contains(name) || reported == hub_.Reported().end()) continue;
+    std::vector<upstream_load> counts;
+    for (const upstream_count& up : reported->second.counts)
+      counts.push_back({up.address, up.connections, up.slots});
+    traffic_.Inherit(name, std::move(counts));
+  }
+  serving_ = std::move(serving);
+}
+
+std::map<pool_name, time_point> controller::Deadlines(time_point now) const {
+  std::map<pool_name, time_point> deadlines;
+  for (const auto& [domain, lease] : leases_) {
+    for (const pool_assignment& pool : lease.known.pools) {
+      const auto until = PlaceUnsafeUntil(lease, pool.service, now);
+      if (until) deadlines[{pool.service, domain}] = *until;
+    }
+  }
+  return deadlines;
+}
+
+void controller::PublishGrants(time_point now) {
+  traffic_grants grants;
+  grants.unsafe_until = Deadlines(now);
+  for (const auto& [name, counts] : hub_.Reported()) {
+    if (counts.free_slots > 0) grants.free_slots[name] = counts.free_slots;
+  }
+  traffic_.Grant(grants);
+}
+
+void controller::Leave(std::function<void()> done) {
+  self_.leaving = true;
+  leaving_ = leave_step::kHandingOver;
+  left_ = std::move(done);
+}
+
+void controller::ContinueLeaving(time_point now) {
+  switch (leaving_) {
+    case leave_step::kNone:
+      return;
+    case leave_step::kHandingOver:
+      if (!OwnsNothing() || !handovers_.IsIdle()) return;
+      leaving_ = leave_step::kLingering;
+      linger_until_ = now + kLinger;
+      return;
+    case leave_step::kLingering:
+      if (now >= linger_until_) leaving_ = leave_step::kUnlisting;
+      return;
+    case leave_step::kUnlisting:
+      if (FindMember(rosters_.Of(config_.domain).value, self_.id) != nullptr)
+        return;
+      if (left_) std::exchange(left_, nullptr)();
+      return;
+  }
+}
+
+bool controller::OwnsNothing() const {
+  for (const auto& [domain, held] : rosters_.All()) {
+    for (const pool_assignment& pool : held.value.pools) {
+      if (pool.owner == self_.id) return false;
+    }
+  }
+  return true;
 }
 
 }  // namespace radishyard
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -1,20 +1,29 @@
-// The control thread: follows table and rosters, keeps this balancer listed,
-// moves pools, and publishes routing views to the traffic threads.
+// The control thread of a balancer. It follows table and rosters, exchanges
+// heartbeats, keeps the domain's pools owned, moves them, and tells the traffic
+// threads what they need.
 #pragma once
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/asio.h"
+#include "control/handover.h"
+#include "control/peer_hub.h"
 #include "control/roster_keeper.h"
 #include "control/store_follower.h"
 #include "control/view_builder.h"
+#include "lease/lease.h"
+#include "lease/vm_sightings.h"
 #include "roster/assign.h"
+#include "roster/domain_summary.h"
+#include "roster/liveness.h"
 #include "settings/settings.h"
 #include "store/object_store.h"
 #include "table/table_set.h"
+#include "traffic/traffic_port.h"
 
 namespace radishyard {
 
@@ -22,51 +31,120 @@
 /// \warning All members run on the thread of `io`.
 class controller {
  public:
-  using publish_handler =
-      std::function<void(std::shared_ptr<const routing_view>)>;
-
   /// \param incarnation of this run; higher than that of any earlier run of the
   /// same name.
   controller(asio::io_context& io, object_store& store, const settings& config,
-             uint64_t incarnation, publish_handler publish);
+             uint64_t incarnation, traffic_port& traffic);
 
   void Start();
 
-  /// \brief Marks this balancer as leaving; `done` is called once it serves no
-  /// pool any more.
+  /// \brief Leaves in an orderly way: pools go to other balancers with their
+  /// flows, then the entry in the roster goes. `done` is called at the end.
   void Leave(std::function<void()> done);
 
+  /// \brief What the traffic threads report of the pools here.
+  void TakeReport(const std::vector<served_load>& loads,
+                  const std::vector<pool_name>& leftover);
+
   const member& self() const { return self_; }
   const table_set& table() const { return table_; }
   const roster_keeper& rosters() const { return rosters_; }
   const std::set<member_id>& alive() const { return alive_; }
+  const peer_hub& hub() const { return hub_; }
+  const handover_desk& handovers() const { return handovers_; }
   bool StoreReachable() const { return store_reachable_; }
+  /// \brief Until when each own pool may place non-idempotent work.
+  std::map<pool_name, time_point> Deadlines(time_point now) const;
 
  private:
-  void TakeObject(const stored_object& object);
-  void TakeService(const stored_object& object);
-  void OnRoster(const held_roster& held);
-  void OnContact(bool reachable);
+  enum class leave_step : uint8_t {
+    kNone,
+    kHandingOver,
+    kLingering,
+    kUnlisting
+  };
+
+  // controller.cc: the loop, the table and what is published.
   void WaitForTick();
   void Tick(time_point now);
-  void ConsiderRoster(time_point now);
-  roster NextRoster(const held_roster& held) const;
-  assign_view AssignView() const;
+  void TakeObject(const stored_object& object);
+  void TakeService(const std::string& value, uint64_t version,
+                   bool from_own_domain);
+  void OnContact(bool reachable);
+  void FollowIfWatcher();
   void PublishIfChanged();
-  bool ServesNothing() const;
+  void InheritCounts(const routing_view& view);
+  void PublishGrants(time_point now);
+  void ContinueLeaving(time_point now);
+  bool OwnsNothing() const;
+
+  // controller_roster.cc: membership, ownership and leases.
+  void OnRoster(const held_roster& held);
+  lease_state& Lease(const std::string& domain);
+  void ConsiderRoster(time_point now);
+  void Propose(const roster& next, time_point now);
+  void OnProposalEnd(const roster& next, proposal_end end, uint64_t version);
+  roster NextRoster(const held_roster& held, time_point now) const;
+  assign_view AssignView(const std::set<std::string>& may_take,
+                         time_point now) const;
+  lease_needs LeaseNeeds() const;
+  std::vector<member> OtherMembers() const;
+  void PollVms(time_point now);
+
+  // controller_peers.cc: heartbeats, spread of table and rosters, hand-overs.
+  hub_handlers HubHandlers();
+  handover_handlers HandoverHandlers();
+  void UpdateLiveness(time_point now);
+  void UpdateLinks();
+  std::set<member_id> PresumedAlive(const std::vector<roster>& rosters) const;
+  heartbeat MakeHeartbeat();
+  std::map<pool_name, pool_counts> LoadsFor(const member& to,
+                                            bool with_counts) const;
+  void CompleteAck(const heartbeat& beat, heartbeat_ack& ack);
+  void OnHeartbeat(const heartbeat& beat);
+  void OnAck(const heartbeat_ack& ack);
+  void OnMessage(const member_id& from, const peer_message& message);
+  void CompareTable(const heartbeat& beat, time_point now);
+  void SendRecords(const member_id& to,
+                   const std::vector<record_pointer>& records);
+  void SendRoster(const member_id& to, const held_roster& held);
+  std::map<pool_name, pool_seat> Seats() const;
+  bool IsOwnDomain(const member_id& id) const;
+  bool IsDelegate() const;
+  void TellStandbys(time_point now);
 
   asio::steady_timer tick_;
+  object_store& store_;
   settings config_;
   member self_;
-  publish_handler publish_;
+  traffic_port& traffic_;
   table_set table_;
   roster_keeper rosters_;
   store_follower follower_;
+  std::map<std::string, lease_state> leases_;  // By domain.
+  std::optional<roster> proposed_;  // Sent again while its outcome is unknown.
+  liveness_state liveness_;
+  remote_state remote_;
   std::set<member_id> alive_;
+  std::set<member_id> linked_;
+  peer_hub hub_;
+  handover_desk handovers_;
+  std::vector<served_load> loads_;
+  std::set<pool_name> serving_;  // By the view published last.
+  std::map<pool_name, std::vector<member_id>>
+      standbys_;  // Whom the flows were told to.
+  std::map<member_id, time_point> table_asked_at_;
+  vm_sightings vms_;
   bool store_reachable_ = false;
   bool changed_ = false;  // Something the view depends on.
-  std::optional<time_point>
-      change_due_since_;  // A roster change has been due for so long.
+  std::optional<time_point> change_due_since_;
+  time_point propose_after_{};
+  time_point liveness_due_{};
+  time_point standby_due_{};
+  time_point vms_due_{};
+  uint64_t summary_sequence_ = 0;
+  leave_step leaving_ = leave_step::kNone;
+  time_point linger_until_{};
   std::function<void()> left_;
 };
 
--- /dev/null
+++ b/src/control/controller_peers.cc
@@ -0,0 +1,299 @@
+// What balancers tell each other: heartbeats and answers, the spread of table
+// and rosters, hand-overs, and the standbys' batches.
+#include <algorithm>
+
+#include "control/controller.h"
+#include "observe/log.h"
+#include "roster/links.h"
+#include "roster/roster_json.h"
+#include "table/table_json.h"
+
+namespace radishyard {
+namespace {
+
+constexpr duration kTableAskEvery = 1s;
+constexpr duration kStandbyEvery = 500ms;
+constexpr size_t kStandbyFlows = 150;  // Flows told in one batch: about 1 KB.
+
+bool Contains(const std::vector<member_id>& ids, const member_id& id) {
+  return std::ranges::find(ids, id) != ids.end();
+}
+
+}  // namespace
+
+hub_handlers controller::HubHandlers() {
+  hub_handlers handlers;
+  handlers.make_heartbeat = [this] { return MakeHeartbeat(); };
+  handlers.loads = [this](const member& to, bool with_counts) {
+    return LoadsFor(to, with_counts);
+  };
+  handlers.complete_ack = [this](const heartbeat& beat, heartbeat_ack& ack) {
+    CompleteAck(beat, ack);
+  };
+  handlers.on_heartbeat = [this](const heartbeat& beat) { OnHeartbeat(beat); };
+  handlers.on_ack = [this](const heartbeat_ack& ack) { OnAck(ack); };
+  handlers.on_message = [this](const member_id& from,
+                               const peer_message& message) {
+    OnMessage(from, message);
+  };
+  return handlers;
+}
+
+handover_handlers controller::HandoverHandlers() {
+  handover_handlers handlers;
+  handlers.export_flows = [this](const pool_name& name,
+                                 std::function<void(flow_batch)> handler) {
+    traffic_.Export(name, std::move(handler));
+  };
+  handlers.import_flows = [this](const pool_name& name, flow_batch batch) {
+    traffic_.Import(name, std::move(batch));
+  };
+  handlers.forget_flows = [this](const pool_name& name) {
+    traffic_.Forget(name);
+  };
+  handlers.send = [this](const member_id& to, const peer_message& message) {
+    return hub_.Send(to, message);
+  };
+  return handlers;
+}
+
+bool controller::IsOwnDomain(const member_id& id) const {
+  return FindMember(rosters_.Of(config_.domain).value, id) != nullptr;
+}
+
+bool controller::IsDelegate() const {
+  return Contains(DelegatesOf(rosters_.Of(config_.domain).value, alive_),
+                  self_.id);
+}
+
+void controller::UpdateLiveness(time_point now) {
+  if (now < liveness_due_) return;
+  liveness_.times.interval =
+      peer_hub::IntervalFor(config_.limits.heartbeat, linked_.size());
+  liveness_due_ = now + liveness_.times.interval;
+  liveness_ = OnTick(std::move(liveness_), now);
+  const std::set<member_id> heard = AliveMembers(liveness_);
+  std::set<member_id> alive{self_.id};
+  for (const auto& [domain, held] : rosters_.All()) {
+    const std::set<member_id> remote = AliveIn(remote_, held.value, now);
+    for (const member& m : held.value.members) {
+      const bool direct = domain == config_.domain || linked_.contains(m.id);
+      if (direct ? heard.contains(m.id) : remote.contains(m.id))
+        alive.insert(m.id);
+    }
+  }
+  if (alive == alive_) return;
+  Log(severity::kInfo, "alive_changed",
+      {{"alive", alive.size()}, {"before", alive_.size()}});
+  alive_ = std::move(alive);
+  changed_ = true;
+}
+
+// The members believed alive, and all of each domain of which none is: a link
+// is what would show that one is.
+std::set<member_id> controller::PresumedAlive(
+    const std::vector<roster>& rosters) const {
+  std::set<member_id> presumed = alive_;
+  for (const roster& r : rosters) {
+    const bool has_live = std::ranges::any_of(
+        r.members, [this](const member& m) { return alive_.contains(m.id); });
+    if (has_live) continue;
+    for (const member& m : r.members) presumed.insert(m.id);
+  }
+  return presumed;
+}
+
+void controller::UpdateLinks() {
+  std::vector<roster> rosters;
+  for (const auto& [domain, held] : rosters_.All())
+    rosters.push_back(held.value);
+  const std::vector<member_id> links =
+      LinksOf(self_.id, rosters, PresumedAlive(rosters));
+  linked_ = {links.begin(), links.end()};
+  std::vector<hub_peer> peers;
+  for (const roster& r : rosters) {
+    for (const member& m : r.members) {
+      const bool is_known =
+          std::ranges::find(peers, m.id, [](const hub_peer& p) {
+            return p.who.id;
+          }) != peers.end();
+      if (is_known || !linked_.contains(m.id)) continue;
+      const bool succeeds =
+          std::ranges::any_of(r.pools, [&](const pool_assignment& pool) {
+            return pool.owner == self_.id && Contains(pool.successors, m.id);
+          });
+      peers.push_back({m, succeeds});
+    }
+  }
+  hub_.SetPeers(peers);
+}
+
+heartbeat controller::MakeHeartbeat() {
+  heartbeat beat;
+  for (const auto& [domain, held] : rosters_.All())
+    beat.epochs.push_back({domain, held.value.epoch});
+  beat.table_digest = Digest(table_);
+  if (IsDelegate()) {
+    beat.summaries.push_back(SummaryOf(rosters_.Of(config_.domain).value,
+                                       liveness_, ++summary_sequence_));
+  }
+  for (const auto& [from, entry] : remote_.entries)
+    beat.summaries.push_back(entry.summary);
+  return beat;
+}
+
+// Exact counts go to those who may take a pool over, free slots to everyone;
+// what was learned of other domains goes to the members of the own one.
+std::map<pool_name, pool_counts> controller::LoadsFor(const member& to,
+                                                      bool with_counts) const {
+  std::map<pool_name, pool_counts> loads;
+  if (to.domain == config_.domain) {
+    for (const auto& [name, counts] : hub_.Reported()) {
+      if (name.domain != config_.domain)
+        loads[name].free_slots = counts.free_slots;
+    }
+  }
+  for (const served_load& served : loads_) {
+    pool_counts counts = CountsOf(served.load);
+    if (!with_counts) counts.counts.clear();
+    loads[served.name] = std::move(counts);
+  }
+  return loads;
+}
+
+void controller::CompleteAck(const heartbeat& beat, heartbeat_ack& ack) {
+  for (const domain_epoch& seen : beat.epochs) {
+    const auto lease = leases_.find(seen.domain);
+    if (lease == leases_.end()) continue;
+    lease->second = radishyard::OnHeartbeat(std::move(lease->second),
+                                            beat.sender, seen.epoch);
+    const bool owns = std::ranges::any_of(
+        lease->second.known.pools, [&](const pool_assignment& pool) {
+          return pool.owner == beat.sender || pool.previous == beat.sender;
+        });
+    if (!owns) continue;
+    ack.epochs.push_back({seen.domain, lease->second.known.epoch});
+  }
+}
+
+void controller::OnAck(const heartbeat_ack& ack) {
+  const time_point now = std::chrono::steady_clock::now();
+  liveness_ = OnPeerHeard(std::move(liveness_), ack.sender);
+  for (const domain_epoch& accepted : ack.epochs) {
+    lease_state& lease = Lease(accepted.domain);
+    lease = OnAcknowledgement(
+        std::move(lease), {ack.sender, FromWireMs(ack.sent_ms), accepted.epoch},
+        now);
+  }
+}
+
+void controller::OnHeartbeat(const heartbeat& beat) {
+  const time_point now = std::chrono::steady_clock::now();
+  liveness_ = OnPeerHeard(std::move(liveness_), beat.sender);
+  for (const domain_summary& summary : beat.summaries) {
+    if (summary.domain != config_.domain)
+      remote_ = OnSummary(std::move(remote_), summary, now);
+  }
+  for (const domain_epoch& seen : beat.epochs) {
+    const held_roster held = rosters_.Of(seen.domain);
+    if (seen.epoch < held.value.epoch) SendRoster(beat.sender, held);
+  }
+  CompareTable(beat, now);
+}
+
+// Corrective exchange: who sees another digest tells its versions, and gets
+// what it lacks.
+void controller::CompareTable(const heartbeat& beat, time_point now) {
+  if (beat.table_digest == Digest(table_)) return;
+  time_point& asked_at = table_asked_at_[beat.sender];
+  if (now - asked_at < kTableAskEvery) return;
+  asked_at = now;
+  hub_.Send(beat.sender, table_digest{Versions(table_)});
+}
+
+void controller::SendRoster(const member_id& to, const held_roster& held) {
+  hub_.Send(to,
+            roster_record{held.value.domain, held.version, ToJson(held.value)});
+}
+
+void controller::SendRecords(const member_id& to,
+                             const std::vector<record_pointer>& records) {
+  constexpr size_t kBytesPerMessage = 256 << 10;
+  table_records batch;
+  size_t bytes = 0;
+  for (const record_pointer& record : records) {
+    batch.records.push_back({RecordJson(record->value, record->edit_id),
+                             record->version, record->edit_id});
+    bytes += batch.records.back().value.size();
+    if (bytes < kBytesPerMessage) continue;
+    hub_.Send(to, std::exchange(batch, {}));
+    bytes = 0;
+  }
+  if (!batch.records.empty()) hub_.Send(to, batch);
+}
+
+void controller::OnMessage(const member_id& from, const peer_message& message) {
+  const time_point now = std::chrono::steady_clock::now();
+  if (const auto* digest = std::get_if<table_digest>(&message)) {
+    SendRecords(from, NewerThan(table_, digest->services));
+  } else if (const auto* records = std::get_if<table_records>(&message)) {
+    for (const table_record& record : records->records)
+      TakeService(record.value, record.version, !IsOwnDomain(from));
+  } else if (const auto* held = std::get_if<roster_record>(&message)) {
+    rosters_.Take(
+        {roster_keeper::KeyOf(held->domain), held->value, held->store_version});
+  } else if (const auto* chunk = std::get_if<handover_chunk>(&message)) {
+    const auto seats = Seats();
+    const auto seat = seats.find({chunk->service, chunk->domain});
+    handovers_.TakeChunk(
+        from, *chunk,
+        seat == seats.end() ? std::nullopt : std::optional(seat->second));
+    changed_ = true;
+  } else if (const auto* ack = std::get_if<handover_ack>(&message)) {
+    handovers_.TakeAck(*ack, now);
+  } else if (const auto* witness = std::get_if<flow_witness>(&message)) {
+    failure why;
+    if (auto batch = DecodeFlows(witness->flows, why))
+      traffic_.Witness(std::move(*batch));
+  }
+}
+
+std::map<pool_name, pool_seat> controller::Seats() const {
+  std::map<pool_name, pool_seat> seats;
+  for (const auto& [domain, held] : rosters_.All()) {
+    for (const pool_assignment& pool : held.value.pools) {
+      seats[{pool.service, domain}] = {pool.owner, held.value.epoch};
+    }
+  }
+  return seats;
+}
+
+void controller::TakeReport(const std::vector<served_load>& loads,
+                            const std::vector<pool_name>& leftover) {
+  loads_ = loads;
+  handovers_.Begin(leftover, Seats(), std::chrono::steady_clock::now());
+}
+
+// Tells the successors of own pools which upstream serves the flows that last.
+void controller::TellStandbys(time_point now) {
+  if (now < standby_due_) return;
+  standby_due_ = now + kStandbyEvery;
+  for (const auto& [domain, held] : rosters_.All()) {
+    for (const pool_assignment& pool : held.value.pools) {
+      if (pool.owner != self_.id || pool.successors.empty()) continue;
+      const pool_name name{pool.service, domain};
+      if (standbys_[name] != pool.successors) traffic_.ForgetWitnessed(name);
+      standbys_[name] = pool.successors;
+      traffic_.NewWitnessed(
+          name, kStandbyFlows,
+          [this, name, to = pool.successors](flow_batch batch) {
+            if (batch.flows.empty()) return;
+            const flow_witness message{name.domain, name.service,
+                                       EncodeFlows(std::move(batch))};
+            for (const member_id& id : to) hub_.Send(id, message);
+          });
+    }
+  }
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/control/controller_roster.cc
@@ -0,0 +1,184 @@
+// Membership, ownership and leases: what this balancer writes to its domain's
+// roster.
+#include <algorithm>
+
+#include "control/controller.h"
+#include "observe/log.h"
+
+namespace radishyard {
+namespace {
+
+constexpr duration kProposalSpacing = 150ms;  // Wait per rank before proposing.
+constexpr duration kRetryAfter =
+    500ms;  // After a proposal that the store did not take.
+constexpr duration kVmsEvery =
+    15s;  // Between looks at the platform's list of VMs.
+
+bool HasUnsafePort(const service& table) {
+  return std::ranges::any_of(table.ports, [](const service_port& port) {
+    return port.proto == protocol::kUdp && port.kind == port_kind::kRequest &&
+           !port.idempotent;
+  });
+}
+
+}  // namespace
+
+lease_state& controller::Lease(const std::string& domain) {
+  const auto [entry, is_new] = leases_.try_emplace(domain);
+  if (is_new) {
+    entry->second.self = self_.id;
+    entry->second.known.domain = domain;
+    entry->second.times.lease = config_.limits.lease;
+    entry->second.times.take = config_.limits.takeover;
+  }
+  return entry->second;
+}
+
+void controller::OnRoster(const held_roster& held) {
+  Log(severity::kInfo, "roster_adopted",
+      {{"domain", held.value.domain},
+       {"epoch", held.value.epoch},
+       {"version", held.version}});
+  const time_point now = std::chrono::steady_clock::now();
+  lease_state& lease = Lease(held.value.domain);
+  lease = radishyard::OnRoster(std::move(lease), held.value, held.version, now);
+  for (const member& m : held.value.members) {
+    if (m.id != self_.id) liveness_ = OnPeerListed(std::move(liveness_), m.id);
+  }
+  changed_ = true;
+  PublishIfChanged();
+}
+
+std::vector<member> controller::OtherMembers() const {
+  std::vector<member> others;
+  for (const auto& [domain, held] : rosters_.All()) {
+    if (domain == config_.domain) continue;
+    for (const member& m : held.value.members) {
+      if (m.domain == domain && alive_.contains(m.id)) others.push_back(m);
+    }
+  }
+  return others;
+}
+
+assign_view controller::AssignView(const std::set<std::string>& may_take,
+                                   time_point now) const {
+  assign_view view;
+  view.self = self_.id;
+  view.alive = alive_;
+  view.others = OtherMembers();
+  view.may_take = may_take;
+  view.may_release = ServicesToRelease(leases_.at(config_.domain), now);
+  for (const auto& [name, record] : table_.records) {
+    const bool has_rows = std::ranges::any_of(
+        record->value.upstreams,
+        [this](const upstream& row) { return row.domain == config_.domain; });
+    if (!record->value.deleted && has_rows) view.services.insert(name);
+  }
+  return view;
+}
+
+lease_needs controller::LeaseNeeds() const {
+  lease_needs needs;
+  for (const auto& [name, record] : table_.records) {
+    if (!record->value.deleted && HasUnsafePort(record->value))
+      needs.unsafe_services.insert(name);
+  }
+  for (const member& m : leases_.at(config_.domain).known.members) {
+    if (!alive_.contains(m.id)) needs.silent.insert(m.id);
+  }
+  return needs;
+}
+
+// The roster with this balancer listed as it should be, and without runs that
+// have ended.
+roster controller::NextRoster(const held_roster& held, time_point now) const {
+  roster next = held.value;
+  if (leaving_ == leave_step::kUnlisting) return Remove(next, self_.id);
+  next = Join(next, self_);
+  if (self_.leaving) next = MarkLeaving(next, self_.id);
+  for (const member& m : held.value.members) {
+    if (!alive_.contains(m.id) && IsProvedEnded(vms_, m.id.name))
+      next = Remove(next, m.id);
+  }
+  const lease_action action =
+      NextAction(leases_.at(config_.domain), LeaseNeeds(), now);
+  const bool takes = action.what == lease_action::kind::kTakeOver;
+  const assign_view view =
+      AssignView(takes ? action.services : std::set<std::string>{}, now);
+  if (auto reassigned = Reassign(next, view)) return *reassigned;
+  if (next != held.value) next.epoch = held.value.epoch + 1;
+  return next;
+}
+
+void controller::ConsiderRoster(time_point now) {
+  if (rosters_.IsProposing() || now < propose_after_) return;
+  const held_roster held = rosters_.Of(config_.domain);
+  const lease_action action =
+      NextAction(leases_.at(config_.domain), LeaseNeeds(), now);
+  if (action.what == lease_action::kind::kSettle) {
+    if (proposed_) Propose(*proposed_, now);
+    return;
+  }
+  const roster next = NextRoster(held, now);
+  if (next == held.value && action.what != lease_action::kind::kRenew) {
+    change_due_since_.reset();
+    return;
+  }
+  if (!change_due_since_) change_due_since_ = now;
+  const bool is_urgent = action.what == lease_action::kind::kRenew ||
+                         leaving_ != leave_step::kNone ||
+                         FindMember(held.value, self_.id) == nullptr;
+  const auto rank =
+      is_urgent ? 0
+                : static_cast<int64_t>(ProposalRank(next, AssignView({}, now)));
+  if (now - *change_due_since_ < rank * kProposalSpacing) return;
+  change_due_since_.reset();
+  Propose(next, now);
+}
+
+void controller::Propose(const roster& next, time_point now) {
+  lease_state& lease = Lease(config_.domain);
+  lease = OnUpdateSent(std::move(lease), next, now);
+  PublishGrants(now);  // What is given up is placed no more from here on.
+  proposed_ = next;
+  rosters_.Propose(next, [this, next](proposal_end end, uint64_t version) {
+    OnProposalEnd(next, end, version);
+  });
+}
+
+void controller::OnProposalEnd(const roster& next, proposal_end end,
+                               uint64_t version) {
+  const time_point now = std::chrono::steady_clock::now();
+  lease_state& lease = Lease(config_.domain);
+  switch (end) {
+    case proposal_end::kConfirmed:
+      lease = OnUpdateConfirmed(std::move(lease), next, version, now);
+      break;
+    case proposal_end::kUnknown:
+      lease = OnUpdateFailed(std::move(lease), update_failure::kUnknown);
+      break;
+    case proposal_end::kConflict:
+      lease = OnUpdateFailed(std::move(lease), update_failure::kNotCarriedOut);
+      break;
+    case proposal_end::kFailed:
+      lease = OnUpdateFailed(std::move(lease), update_failure::kNotCarriedOut);
+      propose_after_ = now + kRetryAfter;
+      break;
+  }
+  Log(severity::kInfo, "roster_proposed",
+      {{"domain", next.domain},
+       {"epoch", next.epoch},
+       {"confirmed", end == proposal_end::kConfirmed ? "yes" : "no"}});
+}
+
+void controller::PollVms(time_point now) {
+  if (now < vms_due_ || !store_reachable_) return;
+  vms_due_ = now + kVmsEvery;
+  store_.ListVms([this](std::optional<std::vector<vm_entry>> list,
+                        const failure&) {
+    if (list)
+      vms_ = OnVmList(std::move(vms_), *list, std::chrono::steady_clock::now());
+  });
+}
+
+}  // namespace radishyard
--- a/src/control/handover.h
+++ b/src/control/handover.h
@@ -1,4 +1,5 @@
-// Hand-over of a pool's flows from the balancer that served it to the one that serves it now.
+// Hand-over of a pool's flows from the balancer that served it to the one that
+// serves it now.
 #pragma once
 #include <functional>
 #include <map>
@@ -15,8 +16,10 @@
 
 /// \brief What hand-overs need from the rest of the balancer.
 struct handover_handlers {
-  /// Asks the traffic threads for the pool's flows; the answer comes later on this thread.
-  std::function<void(const pool_name&, std::function<void(flow_batch)>)> export_flows;
+  /// Asks the traffic threads for the pool's flows; the answer comes later on
+  /// this thread.
+  std::function<void(const pool_name&, std::function<void(flow_batch)>)>
+      export_flows;
   std::function<void(const pool_name&, flow_batch)> import_flows;
   /// Drops flows that were handed over.
   std::function<void(const pool_name&)> forget_flows;
@@ -41,23 +44,29 @@
 
 /// \brief All hand-overs of one balancer, in both directions.
 ///
-/// Chunks go one at a time: the next after the acknowledgement of the one before, so a large
-/// table does not fill the link. A chunk without an answer is sent again.
+/// Chunks go one at a time: the next after the acknowledgement of the one
+/// before, so a large table does not fill the link. A chunk without an answer
+/// is sent again.
 class handover_desk {
  public:
   handover_desk(const member_id& self, handover_handlers handlers)
       : self_(self), handlers_(std::move(handlers)) {}
 
-  /// \brief Pools of which flows remain here although another balancer serves them.
-  void Begin(const std::vector<pool_name>& leftover, const std::map<pool_name, pool_seat>& seats, time_point now);
+  /// \brief Pools of which flows remain here although another balancer serves
+  /// them.
+  void Begin(const std::vector<pool_name>& leftover,
+             const std::map<pool_name, pool_seat>& seats, time_point now);
 
   void Tick(time_point now);
 
-  /// \brief A chunk arrived. \param seat where this balancer believes the pool to be served.
-  void TakeChunk(const member_id& from, const handover_chunk& chunk, const std::optional<pool_seat>& seat);
+  /// \brief A chunk arrived. \param seat where this balancer believes the pool
+  /// to be served.
+  void TakeChunk(const member_id& from, const handover_chunk& chunk,
+                 const std::optional<pool_seat>& seat);
   void TakeAck(const handover_ack& ack, time_point now);
 
-  /// \brief True if the previous owner has handed over all flows of the pool at this epoch or later.
+  /// \brief True if the previous owner has handed over all flows of the pool at
+  /// this epoch or later.
   bool IsComplete(const pool_name& name, uint64_t since_epoch) const;
 
   bool IsIdle() const { return outgoing_.empty(); }
@@ -73,7 +82,8 @@
     time_point sent_at{};
   };
 
-  void TakeExport(const pool_name& name, const pool_seat& seat, const flow_batch& batch);
+  void TakeExport(const pool_name& name, const pool_seat& seat,
+                  const flow_batch& batch);
   void SendNext(const pool_name& name, outgoing& out, time_point now);
   void Finish(const pool_name& name, const outgoing& out, time_point now);
 
--- a/src/control/peer_hub.cc
+++ b/src/control/peer_hub.cc
@@ -20,7 +20,9 @@
 
 }  // namespace
 
-uint64_t ToWireMs(time_point at) { return static_cast<uint64_t>(ToMs(at.time_since_epoch())); }
+uint64_t ToWireMs(time_point at) {
+  return static_cast<uint64_t>(ToMs(at.time_since_epoch()));
+}
 
 time_point FromWireMs(uint64_t ms) { return AtMs(static_cast<int64_t>(ms)); }
 
@@ -28,7 +30,8 @@
   return base * static_cast<int64_t>(1 + peers / kPeersAtBaseInterval);
 }
 
-peer_hub::peer_hub(asio::io_context& io, const member& self, duration heartbeat_every, hub_handlers handlers)
+peer_hub::peer_hub(asio::io_context& io, const member& self,
+                   duration heartbeat_every, hub_handlers handlers)
     : io_(io),
       self_(self),
       heartbeat_every_(heartbeat_every),
@@ -39,7 +42,9 @@
 link_handlers peer_hub::AcceptHandlers() {
   link_handlers handlers;
   handlers.on_open = [](peer_link&) {};
-  handlers.on_message = [this](peer_link& link, const peer_message& message) { Take(link, message); };
+  handlers.on_message = [this](peer_link& link, const peer_message& message) {
+    Take(link, message);
+  };
   handlers.on_close = [](peer_link&, const failure&) {};
   return handlers;
 }
@@ -54,11 +59,14 @@
     peer->second.sent.clear();
     peer->second.due = {};
   };
-  handlers.on_message = [this](peer_link& link, const peer_message& message) { Take(link, message); };
+  handlers.on_message = [this](peer_link& link, const peer_message& message) {
+    Take(link, message);
+  };
   handlers.on_close = [this, id](peer_link&, const failure& why) {
     const auto peer = peers_.find(id);
     if (peer != peers_.end()) peer->second.is_open = false;
-    Log(severity::kDebug, "peer_link_closed", {{"peer", id.name}, {"reason", why.text}});
+    Log(severity::kDebug, "peer_link_closed",
+        {{"peer", id.name}, {"reason", why.text}});
   };
   return handlers;
 }
@@ -66,14 +74,17 @@
 void peer_hub::SetPeers(const std::vector<hub_peer>& peers) {
   std::set<member_id> wanted;
   for (const hub_peer& peer : peers) wanted.insert(peer.who.id);
-  std::erase_if(peers_, [&wanted](const auto& entry) { return !wanted.contains(entry.first); });
+  std::erase_if(peers_, [&wanted](const auto& entry) {
+    return !wanted.contains(entry.first);
+  });
   for (const hub_peer& peer : peers) {
     dialed_peer& dialed = peers_[peer.who.id];
     if (dialed.peer.gets_counts != peer.gets_counts) dialed.sent.clear();
     dialed.peer = peer;
     if (dialed.connector) continue;
     const uint64_t seed = NameHash(self_.id.name + ">" + peer.who.id.name);
-    dialed.connector = std::make_unique<peer_connector>(io_, peer.who.control, DialHandlers(peer.who.id), counters_, seed);
+    dialed.connector = std::make_unique<peer_connector>(
+        io_, peer.who.control, DialHandlers(peer.who.id), counters_, seed);
     dialed.connector->Start();
   }
 }
@@ -98,9 +109,11 @@
 
 std::vector<pool_delta> peer_hub::Deltas(dialed_peer& peer) {
   std::vector<pool_delta> deltas;
-  for (auto& [name, counts] : handlers_.loads(peer.peer.who, peer.peer.gets_counts)) {
+  for (auto& [name, counts] :
+       handlers_.loads(peer.peer.who, peer.peer.gets_counts)) {
     const auto before = peer.sent.find(name);
-    const pool_counts* const known = before == peer.sent.end() ? nullptr : &before->second;
+    const pool_counts* const known =
+        before == peer.sent.end() ? nullptr : &before->second;
     if (known != nullptr && *known == counts) continue;
     deltas.push_back(DeltaOf(name.service, name.domain, known, counts));
     peer.sent[name] = counts;
@@ -110,7 +123,8 @@
 
 bool peer_hub::Send(const member_id& to, const peer_message& message) {
   const auto peer = peers_.find(to);
-  return peer != peers_.end() && peer->second.is_open && peer->second.connector->Send(message);
+  return peer != peers_.end() && peer->second.is_open &&
+         peer->second.connector->Send(message);
 }
 
 void peer_hub::SendAll(const peer_message& message) {
@@ -137,13 +151,15 @@
                           handlers_.on_ack(m);
                         },
                         [&](const auto&) {
-                          if (link.peer()) handlers_.on_message(link.peer()->id, message);
+                          if (link.peer())
+                            handlers_.on_message(link.peer()->id, message);
                         }},
              message);
 }
 
 void peer_hub::TakeHeartbeat(peer_link& link, const heartbeat& beat) {
-  for (const pool_delta& delta : beat.loads) Apply(reported_[{delta.service, delta.domain}], delta);
+  for (const pool_delta& delta : beat.loads)
+    Apply(reported_[{delta.service, delta.domain}], delta);
   heartbeat_ack ack;
   ack.sender = self_.id;
   ack.sequence = beat.sequence;
--- a/src/control/peer_hub.h
+++ b/src/control/peer_hub.h
@@ -1,5 +1,5 @@
-// Links to other balancers: who is dialed, heartbeats and their answers, who was heard when, and
-// the loads that owners report.
+// Links to other balancers: who is dialed, heartbeats and their answers, who
+// was heard when, and the loads that owners report.
 #pragma once
 #include <functional>
 #include <map>
@@ -20,7 +20,8 @@
 /// \brief A balancer to keep a link to.
 struct hub_peer {
   member who;
-  bool gets_counts = false;  ///< It may take a pool over from this balancer: reports hold exact counts.
+  bool gets_counts = false;  ///< It may take a pool over from this balancer:
+                             ///< reports hold exact counts.
   auto operator<=>(const hub_peer&) const = default;
 };
 
@@ -29,19 +30,22 @@
   /// The common part of a heartbeat: epochs, digest, reachability.
   std::function<heartbeat()> make_heartbeat;
   /// Loads to report to a peer; `with_counts` as in hub_peer.
-  std::function<std::map<pool_name, pool_counts>(const member& to, bool with_counts)> loads;
-  /// Fills `epoch` and `accepts_owner`.
+  std::function<std::map<pool_name, pool_counts>(const member& to,
+                                                 bool with_counts)>
+      loads;
+  /// Fills the epochs of the answer.
   std::function<void(const heartbeat&, heartbeat_ack&)> complete_ack;
   std::function<void(const heartbeat&)> on_heartbeat;
   std::function<void(const heartbeat_ack&)> on_ack;
   std::function<void(const member_id& from, const peer_message&)> on_message;
 };
 
-/// \brief The links of one balancer. It dials every peer; heartbeats go over the dialed links and
-/// are answered on the link on which they came.
+/// \brief The links of one balancer. It dials every peer; heartbeats go over
+/// the dialed links and are answered on the link on which they came.
 class peer_hub {
  public:
-  peer_hub(asio::io_context& io, const member& self, duration heartbeat_every, hub_handlers handlers);
+  peer_hub(asio::io_context& io, const member& self, duration heartbeat_every,
+           hub_handlers handlers);
 
   /// \brief Dials new peers and drops those that are not listed.
   void SetPeers(const std::vector<hub_peer>& peers);
@@ -63,15 +67,16 @@
 
   const peer_counters& counters() const { return *counters_; }
 
-  /// \brief Interval of heartbeats for this number of peers: it grows with them, so that the cost
-  /// of control stays within its bound.
+  /// \brief Interval of heartbeats for this number of peers: it grows with
+  /// them, so that the cost of control stays within its bound.
   static duration IntervalFor(duration base, size_t peers);
 
  private:
   struct dialed_peer {
     hub_peer peer;
     std::unique_ptr<peer_connector> connector;
-    std::map<pool_name, pool_counts> sent;  // What the peer knows from this link.
+    std::map<pool_name, pool_counts>
+        sent;  // What the peer knows from this link.
     bool is_open = false;
     uint64_t sequence = 0;
     time_point due{};
@@ -97,7 +102,8 @@
 
 /// \brief Milliseconds of the monotonic clock, as heartbeats carry them.
 uint64_t ToWireMs(time_point at);
-/// \brief The instant of a wire value; at most 1 ms before the one that was sent.
+/// \brief The instant of a wire value; at most 1 ms before the one that was
+/// sent.
 time_point FromWireMs(uint64_t ms);
 
 }  // namespace radishyard
--- a/src/control/roster_keeper.cc
+++ b/src/control/roster_keeper.cc
@@ -47,40 +47,44 @@
   on_change_(held);
 }
 
-void roster_keeper::Propose(const roster& next, const proposal_handler& handler) {
+void roster_keeper::Propose(const roster& next,
+                            const proposal_handler& handler) {
   assert(!proposing_ && "one proposal at a time");
   proposing_ = true;
   const uint64_t expected = Of(next.domain).version;
-  const auto settle = [this, next, handler](std::optional<uint64_t> version, const failure& why) {
+  const auto settle = [this, next, handler](std::optional<uint64_t> version,
+                                            const failure& why) {
     if (version) {
       proposing_ = false;
-      Confirm(next, *version);
       handler(proposal_end::kConfirmed, *version);
+      Confirm(next, *version);
     } else if (why.kind == failure_kind::kUnavailable) {
       proposing_ = false;
       handler(proposal_end::kFailed, 0);
     } else {
       const bool is_conflict = why.kind == failure_kind::kConflict;
-      ReadBack(next.domain, is_conflict ? proposal_end::kConflict : proposal_end::kUnknown, handler);
+      handler(is_conflict ? proposal_end::kConflict : proposal_end::kUnknown,
+              0);
+      ReadBack(next.domain);
     }
   };
   store_.Put(KeyOf(next.domain), ToJson(next), expected, settle);
 }
 
-// What does the store hold? Even if it is what was proposed, a read may be stale, so it confirms
-// nothing.
-void roster_keeper::ReadBack(const std::string& domain, proposal_end end, const proposal_handler& handler) {
-  store_.Get(KeyOf(domain), [=, this](std::optional<stored_object> object, const failure& why) {
+// What does the store hold? Even if it is what was proposed, a read may be
+// stale, so it confirms nothing.
+void roster_keeper::ReadBack(const std::string& domain) {
+  store_.Get(KeyOf(domain), [this, domain](std::optional<stored_object> object,
+                                           const failure& why) {
     if (!object && why.kind != failure_kind::kNotFound) {
       timer_.expires_after(kReadBackAfter);
-      timer_.async_wait([=, this](error_code error) {
-        if (!error) ReadBack(domain, end, handler);
+      timer_.async_wait([this, domain](error_code error) {
+        if (!error) ReadBack(domain);
       });
       return;
     }
     proposing_ = false;
     if (object) Take(*object);
-    handler(end, 0);
   });
 }
 
--- a/src/control/roster_keeper.h
+++ b/src/control/roster_keeper.h
@@ -22,8 +22,8 @@
 /// \brief How a proposal ended.
 enum class proposal_end : uint8_t {
   kConfirmed,  ///< The store holds it.
-  kConflict,   ///< Another update came first; the newer roster has been read.
-  kUnknown,    ///< The answer was lost; the roster has been read since.
+  kConflict,   ///< Another update came first; the roster is read next.
+  kUnknown,    ///< The answer was lost; the roster is read next.
   kFailed,     ///< Certainly not carried out.
 };
 
@@ -31,8 +31,7 @@
 class roster_keeper {
  public:
   using change_handler = std::function<void(const held_roster&)>;
-  using proposal_handler =
-      std::function<void(proposal_end, time_point sent_at)>;
+  using proposal_handler = std::function<void(proposal_end, uint64_t version)>;
 
   roster_keeper(asio::io_context& io, object_store& store,
                 change_handler on_change);
@@ -56,8 +55,7 @@
   }
 
  private:
-  void ReadBack(const std::string& domain, proposal_end end,
-                const proposal_handler& handler);
+  void ReadBack(const std::string& domain);
   void Confirm(const roster& next, uint64_t version);
 
   asio::steady_timer timer_;
--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -33,10 +33,8 @@
 
 // Data endpoint of the traffic thread that serves the pool at `m`.
 endpoint ThreadEndpoint(const member& m, const pool_name& name) {
-  const uint64_t hash = NameHash(name.service + "/" + name.domain);
   endpoint at = m.data;
-  at.port = static_cast<uint16_t>(at.port +
-                                  hash % std::max<uint16_t>(m.data_threads, 1));
+  at.port = static_cast<uint16_t>(at.port + ThreadIndex(name, m.data_threads));
   return at;
 }
 
@@ -45,9 +43,6 @@
   const bool is_owner = pool.owner == inputs.self;
   if (order.empty() || order.front() != inputs.self) return;
   route.role = is_owner ? pool_role::kOwner : pool_role::kActing;
-  const auto until = inputs.unsafe_until.find(route.name);
-  if (is_owner && until != inputs.unsafe_until.end())
-    route.unsafe_until = until->second;
 }
 
 void SetOwner(pool_route& route, const view_inputs& inputs,
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -18,8 +18,6 @@
   member_id self;
   std::map<std::string, roster> rosters;  ///< By domain.
   std::set<member_id> alive;              ///< `self` included.
-  std::map<pool_name, time_point>
-      unsafe_until;  ///< Lease deadlines of own pools.
   std::set<pool_name>
       handed_over;  ///< Own pools whose previous owner has finished.
   std::vector<endpoint> fabric;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -74,28 +74,26 @@
     : config_(config),
       signals_(io_, SIGTERM, SIGINT),
       store_(MakeHttpStore(io_, config.platform, kStoreTimeout)),
-      controller_(io_, *store_, config, incarnation,
-                  [this](const std::shared_ptr<const routing_view>& view) {
-                    for (const auto& thread : threads_) thread->Publish(view);
-                  }) {}
-
-void daemon::StartTraffic() {
-  reports_.resize(config_.data_threads);
-  for (uint16_t i = 0; i < config_.data_threads; ++i) {
-    traffic_options options;
-    options.listen = {config_.data.address,
-                      static_cast<uint16_t>(config_.data.port + i)};
-    threads_.push_back(std::make_unique<traffic_thread>(
-        options,
-        [this, i](const traffic_report& report) {
-          asio::post(io_, [this, i, report] { reports_[i] = report; });
-        },
-        [](const hop_span&) {}));
+      traffic_(io_, config.data, config.data_threads, config.limits.held_flows),
+      controller_(io_, *store_, config, incarnation, traffic_) {}
+
+void daemon::TakeReports(const std::vector<traffic_report>& reports) {
+  std::vector<served_load> loads;
+  std::vector<pool_name> leftover;
+  for (const traffic_report& report : reports) {
+    loads.insert(loads.end(), report.loads.begin(), report.loads.end());
+    leftover.insert(leftover.end(), report.leftover.begin(),
+                    report.leftover.end());
   }
+  controller_.TakeReport(loads, leftover);
 }
 
 void daemon::Run() {
-  StartTraffic();
+  traffic_.Start(
+      [this](const std::vector<traffic_report>& reports) {
+        TakeReports(reports);
+      },
+      [](const hop_span&) {});
   admin_ = std::make_unique<admin_server>(
       io_, config_.admin,
       admin_server::page_map{{"/status", [this] { return StatusPage(); }}});
@@ -106,7 +104,7 @@
        {"domain", config_.domain},
        {"incarnation", controller_.self().id.incarnation}});
   io_.run();
-  for (const auto& thread : threads_) thread->Stop();
+  traffic_.Stop();
   Log(severity::kInfo, "stopped", {{"balancer", config_.name}});
 }
 
@@ -134,7 +132,7 @@
   size_t queued = 0;
   page["pools"] = json::array();
   page["threads"] = json::array();
-  for (const traffic_report& report : reports_) {
+  for (const traffic_report& report : traffic_.reports()) {
     open += report.open_flows;
     page["threads"].push_back(CountersJson(report.counters));
     for (const served_load& load : report.loads) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,7 +5,7 @@
 
 #include "admin/admin_server.h"
 #include "control/controller.h"
-#include "traffic/traffic_thread.h"
+#include "traffic/traffic_group.h"
 
 namespace radishyard {
 
@@ -18,7 +18,7 @@
   void Run();
 
  private:
-  void StartTraffic();
+  void TakeReports(const std::vector<traffic_report>& reports);
   void OnSignal();
   void Shutdown();
   admin_page StatusPage() const;
@@ -27,9 +27,8 @@
   asio::io_context io_;
   asio::signal_set signals_;
   std::unique_ptr<object_store> store_;
+  traffic_group traffic_;
   controller controller_;
-  std::vector<std::unique_ptr<traffic_thread>> threads_;
-  std::vector<traffic_report> reports_;  // Latest of each thread.
   std::unique_ptr<admin_server> admin_;
 };
 
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -58,18 +58,18 @@
   return std::tie(m.service, m.domain, m.full, m.counts, m.queue_length,
                   m.free_slots);
 }
-template <is<domain_reachability> T>
+template <is<domain_summary> T>
 auto Fields(T& m) {
-  return std::tie(m.domain, m.down);
+  return std::tie(m.domain, m.from, m.sequence, m.roster_epoch, m.dead);
 }
 template <is<heartbeat> T>
 auto Fields(T& m) {
   return std::tie(m.sender, m.sequence, m.sent_ms, m.epochs, m.table_digest,
-                  m.loads, m.reachability);
+                  m.loads, m.summaries);
 }
 template <is<heartbeat_ack> T>
 auto Fields(T& m) {
-  return std::tie(m.sender, m.sequence, m.sent_ms, m.epoch, m.accepts_owner);
+  return std::tie(m.sender, m.sequence, m.sent_ms, m.epochs);
 }
 template <is<service_version> T>
 auto Fields(T& m) {
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "roster/domain_summary.h"
 #include "roster/roster.h"
 #include "table/table_set.h"
 
@@ -48,13 +49,6 @@
   auto operator<=>(const pool_delta&) const = default;
 };
 
-/// \brief Members of a domain that the sender can't reach.
-struct domain_reachability {
-  std::string domain;
-  std::vector<std::string> down;  ///< Names of members.
-  auto operator<=>(const domain_reachability&) const = default;
-};
-
 /// \brief Sent at a fixed interval to each peer; asks for a heartbeat_ack.
 struct heartbeat {
   member_id sender;
@@ -63,7 +57,8 @@
   std::vector<domain_epoch> epochs;
   uint64_t table_digest = 0;  ///< \sa Digest(const table_set&)
   std::vector<pool_delta> loads;
-  std::vector<domain_reachability> reachability;
+  std::vector<domain_summary> summaries;  ///< Of the sender's domain and, to
+                                          ///< members of it, of the others.
   auto operator<=>(const heartbeat&) const = default;
 };
 
@@ -72,9 +67,8 @@
   member_id sender;
   uint64_t sequence = 0;  ///< As in the heartbeat.
   uint64_t sent_ms = 0;   ///< As in the heartbeat.
-  uint64_t epoch = 0;     ///< Highest epoch of their domain that it has seen.
-  bool accepts_owner =
-      false;  ///< False while it tries to take over from the sender.
+  std::vector<domain_epoch>
+      epochs;  ///< Of domains in which the asker owns pools.
   auto operator<=>(const heartbeat_ack&) const = default;
 };
 
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -86,10 +86,24 @@
     FollowMoved(in, flow, *moved_to);
     return outcome::kDone;
   }
+  if (flow.phase == flow_phase::kOpening && in.packet.proto == protocol::kTcp &&
+      !in.packet.Has(kSyn)) {
+    return GiveUpOpening(in, slot, now);
+  }
   KeepOnUpstream(in, slot, now);
   return outcome::kDone;
 }
 
+// The caller goes on although no SYN-ACK came from the upstream that was chosen
+// here: another balancer placed a copy of the SYN, and its upstream has the
+// flow.
+flow_owner::outcome flow_owner::GiveUpOpening(inbound& in, uint32_t slot,
+                                              time_point now) {
+  Release(flows_.At(slot), flow_end::kAbandoned, now);
+  Remove(slot);
+  return in.packet.Has(kRst) ? outcome::kDone : outcome::kUnknownFlow;
+}
+
 // A packet of a flow that has its upstream, or waits for one.
 void flow_owner::KeepOnUpstream(inbound& in, uint32_t slot, time_point now) {
   flow_record& flow = flows_.At(slot);
@@ -189,7 +203,10 @@
 // word: another balancer may have run it.
 bool flow_owner::MayPlace(const inbound& in, time_point now) {
   const pool_route& route = Route(in);
-  if (route.role != pool_role::kOwner || now >= route.unsafe_until) {
+  const auto until = grants_.unsafe_until.find(route.name);
+  const bool has_lease =
+      until != grants_.unsafe_until.end() && now < until->second;
+  if (route.role != pool_role::kOwner || !has_lease) {
     ++counters_.unsafe_withheld;
     return false;
   }
@@ -205,6 +222,7 @@
   const uint32_t slot = flows_.Insert(in.key);
   flow_record& flow = flows_.At(slot);
   flow.pool = ServedIndex(in.pool);
+  ++pool.flows;
   flow.kind = in.port.kind;
   flow.priority = in.port.priority;
   flow.last_seen_ms = Ms(now);
@@ -307,6 +325,7 @@
 
 void flow_owner::Remove(uint32_t slot) {
   const flow_phase phase = flows_.At(slot).phase;
+  if (phase != flow_phase::kPassed) --served_[flows_.At(slot).pool]->flows;
   if (phase == flow_phase::kClosed || phase == flow_phase::kPassed) --closed_;
   held_.erase(slot);
   flows_.Erase(slot);
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -16,6 +16,7 @@
 #include "traffic/duplicate_filter.h"
 #include "traffic/inbound.h"
 #include "traffic/traffic_counters.h"
+#include "traffic/traffic_grants.h"
 #include "traffic/traffic_sink.h"
 
 namespace radishyard {
@@ -28,12 +29,6 @@
   duration idle_sweep = 10s;  ///< One pass over all flows.
 };
 
-/// \brief Load of one served pool, for the control thread.
-struct served_load {
-  pool_name name;
-  pool_load load;
-};
-
 /// \brief Flows of the pools that one traffic thread serves.
 ///
 /// \code
@@ -105,10 +100,12 @@
   /// again.
   void ForgetWitnessed(const pool_name& name);
 
-  /// \brief Free slots of other pools, as their owners reported them.
-  void SetFreeSlots(std::map<pool_name, uint32_t> free) {
-    free_slots_ = std::move(free);
-  }
+  /// rief Lease deadlines of own pools and free slots of others.
+  void SetGrants(const traffic_grants& grants) { grants_ = grants; }
+
+  /// rief Pools that another balancer serves although flows of them remain
+  /// here.
+  std::vector<pool_name> Leftover() const;
 
   std::vector<served_load> Loads(time_point now) const;
   const flow_table& flows() const { return flows_; }
@@ -120,6 +117,7 @@
     pool_state state;
     std::optional<endpoint> moved_to;  // Set while another balancer serves it
                                        // and flows remain here.
+    size_t flows = 0;                  // Records whose `pool` is this one.
     uint32_t witness_at = 0;  // Slot where the search for untold flows goes on.
   };
   struct opening_timer {
@@ -152,6 +150,7 @@
   void FollowMoved(const inbound& in, const flow_record& flow,
                    const endpoint& to);
   void MoveAway(served_pool& pool, const pool_route& route, time_point now);
+  outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
   void KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
   served_pool* FindServed(const pool_name& name) const;
@@ -199,10 +198,10 @@
       served_of_view_;  // By index of the view; kNotServed if none.
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_;
-  std::map<pool_name, uint32_t> free_slots_;  // Of pools of others.
-  std::deque<opening_timer> openings_;        // In order of `due`.
-  std::deque<linger_timer> lingering_;        // In order of `due`.
-  size_t closed_ = 0;  // Records in phase kClosed or kPassed.
+  traffic_grants grants_;
+  std::deque<opening_timer> openings_;  // In order of `due`.
+  std::deque<linger_timer> lingering_;  // In order of `due`.
+  size_t closed_ = 0;                   // Records in phase kClosed or kPassed.
   uint32_t sweep_at_ = 0;
   time_point swept_at_;
 };
--- a/src/traffic/flow_owner_moves.cc
+++ b/src/traffic/flow_owner_moves.cc
@@ -69,6 +69,7 @@
   flow_record& flow = flows_.At(slot);
   flow.upstream = entry.upstream;
   flow.pool = pool;
+  ++served_[pool]->flows;
   flow.kind = entry.kind;
   flow.priority = entry.priority;
   flow.marks = entry.marks;
@@ -93,6 +94,14 @@
   pool->state = {};
 }
 
+std::vector<pool_name> flow_owner::Leftover() const {
+  std::vector<pool_name> names;
+  for (const auto& pool : served_) {
+    if (pool->moved_to && pool->flows > 0) names.push_back(pool->name);
+  }
+  return names;
+}
+
 void flow_owner::Inherit(const pool_name& name,
                          const std::vector<upstream_load>& counts,
                          time_point now) {
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -52,12 +52,13 @@
     return false;
   }
   const pool_route& route = view_->pools[*to];
-  --free_slots_[route.name];
+  --grants_.free_slots[route.name];
   ++counters_.passed;
   sink_.ToBalancer(route.owner,
                    {forward_kind::kPassedOpening, 1, route.tag, 0, 0},
                    held_[slot]);
   held_.erase(slot);
+  --pool.flows;
   flow.phase = flow_phase::kPassed;
   flow.pool = route.tag;
   ++closed_;
@@ -74,9 +75,9 @@
   uint32_t most = 0;
   for (const uint16_t index : port->second.pools) {
     const pool_route& route = view_->pools[index];
-    const auto free = free_slots_.find(route.name);
+    const auto free = grants_.free_slots.find(route.name);
     if (route.role != pool_role::kNone || !route.reachable ||
-        free == free_slots_.end())
+        free == grants_.free_slots.end())
       continue;
     if (free->second <= most) continue;
     most = free->second;
@@ -92,7 +93,8 @@
     if (!flows_.Holds(timer.slot)) continue;
     const flow_record& flow = flows_.At(timer.slot);
     const bool same = flow.key == timer.key && flow.attempt == timer.attempt;
-    if (!same || flow.phase != flow_phase::kOpening) continue;
+    const bool is_waiting = same && flow.phase == flow_phase::kOpening;
+    if (!is_waiting || served_[flow.pool]->moved_to) continue;
     Unanswered(served_[flow.pool]->state, flow.upstream, now);
     if (flow.attempt + 1 < kMaxAttempts) ReplaceOpening(timer.slot, now);
   }
--- a/src/traffic/routing_view.cc
+++ b/src/traffic/routing_view.cc
@@ -1,6 +1,9 @@
 // Choice of a pool for a new flow.
 #include "traffic/routing_view.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <cmath>
 
 namespace radishyard {
@@ -18,6 +21,11 @@
 
 }  // namespace
 
+size_t ThreadIndex(const pool_name& name, size_t threads) {
+  const std::string text = name.service + "/" + name.domain;
+  return XXH3_64bits(text.data(), text.size()) % std::max<size_t>(threads, 1);
+}
+
 std::optional<uint16_t> PickPool(const routing_view& view,
                                  const port_route& route, uint64_t flow_hash) {
   std::optional<uint16_t> best;
--- a/src/traffic/routing_view.h
+++ b/src/traffic/routing_view.h
@@ -17,6 +17,17 @@
 
 namespace radishyard {
 
+/// \brief A pool's name: service and failure domain.
+struct pool_name {
+  std::string service;
+  std::string domain;
+  auto operator<=>(const pool_name&) const = default;
+};
+
+/// \brief Index of the traffic thread that serves the pool, the same seen from
+/// every balancer.
+size_t ThreadIndex(const pool_name& name, size_t threads);
+
 /// \brief What this balancer may do for a pool.
 enum class pool_role : uint8_t {
   kNone,    ///< Sends its packets to the owner.
@@ -25,13 +36,6 @@
             ///< idempotent openings.
 };
 
-/// \brief A pool's name: service and failure domain.
-struct pool_name {
-  std::string service;
-  std::string domain;
-  auto operator<=>(const pool_name&) const = default;
-};
-
 /// \brief A pool as seen from this balancer.
 struct pool_route {
   pool_name name;
@@ -45,8 +49,6 @@
   endpoint owner;          ///< Data endpoint of the one who serves it.
   std::optional<endpoint>
       previous;  ///< Asks here for flows that were not handed over yet.
-  time_point unsafe_until{};  ///< Until when this balancer may place work that
-                              ///< must run at most once.
 };
 
 /// \brief A port of a service and the pools that serve it.
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -27,6 +27,11 @@
   owner_.SetView(std::move(view), now);
 }
 
+void traffic_core::TakeWitnesses(const flow_batch& batch, time_point now) {
+  for (const flow_entry& entry : batch.flows)
+    witnesses_.Put(entry.key, entry.upstream, Ms(now));
+}
+
 bool traffic_core::Trusts(const endpoint& from,
                           const geneve_frame& frame) const {
   if (frame.forward) return view_->balancers.contains(from);
@@ -84,7 +89,8 @@
   if (in.CameAs(forward_kind::kWitnessed)) {
     TakeWitness(in, now);
   } else if (owner_.Knows(in.key)) {
-    owner_.HandleCaller(in, now);
+    if (owner_.HandleCaller(in, now) == flow_owner::outcome::kUnknownFlow)
+      AskWitnesses(in, now);
   } else if (in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
   } else {
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -34,6 +34,9 @@
   /// \brief Runs the timers; call it about every 10 ms.
   void Tick(time_point now) { owner_.Tick(now); }
 
+  /// \brief Flows that an owner told this balancer as its standby.
+  void TakeWitnesses(const flow_batch& batch, time_point now);
+
   const traffic_counters& counters() const { return counters_; }
   const flow_owner& owner() const { return owner_; }
   flow_owner& owner() { return owner_; }
--- /dev/null
+++ b/src/traffic/traffic_group.cc
@@ -0,0 +1,110 @@
+// Orders to traffic threads, and their answers on the control thread.
+#include "traffic/traffic_group.h"
+
+namespace radishyard {
+namespace {
+
+constexpr duration kWitnessAge =
+    2s;  // Flows that end sooner are not told to the standby.
+
+}  // namespace
+
+traffic_group::traffic_group(asio::io_context& control, const endpoint& first,
+                             uint16_t threads, size_t held_flows)
+    : control_(control),
+      first_(first),
+      count_(threads),
+      held_flows_(held_flows),
+      reports_(threads) {}
+
+void traffic_group::Start(reports_handler on_reports,
+                          traffic_thread::hop_handler on_hop) {
+  for (uint16_t i = 0; i < count_; ++i) {
+    traffic_options options;
+    options.listen = {first_.address, static_cast<uint16_t>(first_.port + i)};
+    options.witness_entries = held_flows_;
+    const auto on_report = [this, i, on_reports](const traffic_report& report) {
+      asio::post(control_, [this, i, report, on_reports] {
+        reports_[i] = report;
+        on_reports(reports_);
+      });
+    };
+    threads_.push_back(
+        std::make_unique<traffic_thread>(options, on_report, on_hop));
+  }
+}
+
+void traffic_group::Stop() {
+  for (const auto& thread : threads_) thread->Stop();
+}
+
+void traffic_group::Publish(std::shared_ptr<const routing_view> view) {
+  for (const auto& thread : threads_) thread->Publish(view);
+}
+
+void traffic_group::Grant(const traffic_grants& grants) {
+  const auto shared = std::make_shared<const traffic_grants>(grants);
+  for (const auto& thread : threads_) {
+    thread->Post([shared](traffic_core& core, time_point) {
+      core.owner().SetGrants(*shared);
+    });
+  }
+}
+
+void traffic_group::Export(const pool_name& name,
+                           std::function<void(flow_batch)> handler) {
+  ThreadOf(name).Post([this, name, handler = std::move(handler)](
+                          traffic_core& core, time_point) {
+    asio::post(control_, [handler, batch = core.owner().Export(name)] {
+      handler(batch);
+    });
+  });
+}
+
+void traffic_group::Import(const pool_name& name, flow_batch batch) {
+  ThreadOf(name).Post(
+      [name, batch = std::move(batch)](traffic_core& core, time_point now) {
+        core.owner().Import(name, batch, now);
+      });
+}
+
+void traffic_group::Forget(const pool_name& name) {
+  ThreadOf(name).Post(
+      [name](traffic_core& core, time_point) { core.owner().Forget(name); });
+}
+
+void traffic_group::Inherit(const pool_name& name,
+                            std::vector<upstream_load> counts) {
+  ThreadOf(name).Post(
+      [name, counts = std::move(counts)](traffic_core& core, time_point now) {
+        core.owner().Inherit(name, counts, now);
+      });
+}
+
+void traffic_group::NewWitnessed(const pool_name& name, size_t most,
+                                 std::function<void(flow_batch)> handler) {
+  ThreadOf(name).Post([this, name, most, handler = std::move(handler)](
+                          traffic_core& core, time_point now) {
+    flow_batch batch;
+    batch.flows = core.owner().NewWitnessed(name, kWitnessAge, most, now);
+    asio::post(control_,
+               [handler, batch = std::move(batch)] { handler(batch); });
+  });
+}
+
+void traffic_group::ForgetWitnessed(const pool_name& name) {
+  ThreadOf(name).Post([name](traffic_core& core, time_point) {
+    core.owner().ForgetWitnessed(name);
+  });
+}
+
+void traffic_group::Witness(flow_batch batch) {
+  const auto shared = std::make_shared<const flow_batch>(std::move(batch));
+  for (const auto& thread : threads_) {
+    thread->Post([shared](traffic_core& core, time_point now) {
+      core.TakeWitnesses(*shared, now);
+    });
+  }
+}
+
+}  // namespace radishyard
--- a/src/traffic/traffic_thread.h
+++ b/src/traffic/traffic_thread.h
@@ -15,6 +15,7 @@
 struct traffic_report {
   traffic_counters counters;
   std::vector<served_load> loads;
+  std::vector<pool_name> leftover;  ///< \sa flow_owner::Leftover()
   size_t open_flows = 0;
 };
 
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -54,7 +54,8 @@
   std::mt19937 random(11);
   flow_batch batch;
   for (uint32_t n = 0; n < count; ++n) {
-    flow_entry e{Key(random() % 1000000), static_cast<uint32_t>(0x0a1e0101 + random() % 14)};
+    flow_entry e{Key(random() % 1000000),
+                 static_cast<uint32_t>(0x0a1e0101 + random() % 14)};
     if (random() % 2 == 0) e.kind = port_kind::kRequest;
     batch.flows.push_back(e);
     if (n % 8 == 0) batch.digests.push_back(random());
--- a/test/peer_test.cc
+++ b/test/peer_test.cc
@@ -27,7 +27,11 @@
   for (uint32_t i = 0; i < upstreams; ++i)
     load.counts.push_back({0x0A010000 + i, 1200 + i, i % 3});
   beat.loads = {load};
-  beat.reachability = {{"vannes", {"vm-vannes-1", "vm-vannes-2"}}};
+  beat.summaries = {{"vannes",
+                     {"vm-vannes-1", 1700000000},
+                     77,
+                     305,
+                     {{"vm-vannes-2", 1700000000}}}};
   return beat;
 }
 
@@ -38,13 +42,14 @@
     digest.services.push_back({"service-" + std::to_string(i), 100000U + i});
   heartbeat idle = Heartbeat(0);
   idle.loads.clear();
-  idle.reachability.clear();
+  idle.summaries.clear();
   const byte_blob flows(1024, 0xAB);
   return {{"hello", hello{Member("vm-rennes-1")}},
           {"heartbeat, no pool", idle},
           {"heartbeat, 1 upstream changed", Heartbeat(1)},
           {"heartbeat, 14 upstreams", Heartbeat(14)},
-          {"heartbeat_ack", heartbeat_ack{{"vm-2", 1700000000}, 9, 8, 7, true}},
+          {"heartbeat_ack",
+           heartbeat_ack{{"vm-2", 1700000000}, 9, 8, {{"rennes", 310}}}},
           {"table_digest, 2,500 services", digest},
           {"table_records, 1 of 600 B",
            table_records{{{std::string(600, ' '), 7, "edit-1"}}}},
@@ -136,7 +141,7 @@
   // A field appended by a later release is skipped.
   failure why;
   EXPECT_TRUE(DecodePayload(
-      head + std::string("\x96\x92\xa1v\x01\x01\x01\x01\xc3\xc0", 10), why));
+      head + std::string("\x95\x92\xa1v\x01\x01\x01\x90\xc0", 9), why));
   EXPECT_FALSE(
       EncodeFrame(flow_witness{"", "", byte_blob(kMaxPayloadBytes)}, why));
 }
--- a/test/support/traffic_bench.cc
+++ b/test/support/traffic_bench.cc
@@ -35,7 +35,6 @@
     view->pools.push_back(pool);
   }
   rennes().role = pool_role::kOwner;
-  rennes().unsafe_until = AtMs(1000000);
   vannes().reachable = false;
   for (const service_port& port : table->ports) {
     const endpoint at{table->address, port.port};
@@ -47,6 +46,11 @@
     }
   }
   Publish(AtMs(0));
+  GrantUnsafe(AtMs(1000000));
+}
+
+void traffic_bench::GrantUnsafe(time_point until) {
+  core.owner().SetGrants({{{rennes().name, until}}, {}});
 }
 
 std::vector<sent_packet> traffic_bench::In(
--- a/test/support/traffic_bench.h
+++ b/test/support/traffic_bench.h
@@ -61,6 +61,8 @@
   void Publish(time_point now) {
     core.SetView(std::make_shared<routing_view>(*view), now);
   }
+  /// \brief Lets the pool in "rennes" place non-idempotent work until then.
+  void GrantUnsafe(time_point until);
   pool_route& rennes() { return view->pools[0]; }
   pool_route& vannes() { return view->pools[1]; }
 
--- a/test/traffic_test.cc
+++ b/test/traffic_test.cc
@@ -125,12 +125,11 @@
 
 TEST(Traffic, NonIdempotentWorkIsWithheldWithoutALease) {
   bench b;
-  b.rennes().unsafe_until = AtMs(1000);
-  b.Publish(AtMs(0));
+  b.GrantUnsafe(AtMs(1000));
   EXPECT_EQ(b.In(Order(1), AtMs(999)).size(), 1U);
   EXPECT_TRUE(b.In(Order(2), AtMs(1000)).empty()) << "the lease has lapsed";
   b.rennes().role = pool_role::kActing;
-  b.rennes().unsafe_until = AtMs(9000);
+  b.GrantUnsafe(AtMs(9000));
   b.Publish(AtMs(1001));
   EXPECT_TRUE(b.In(Order(3), AtMs(1002)).empty())
       << "acting owners place no such work";
