--- a/test/support/world.cc
+++ b/test/support/world.cc
@@ -224,19 +224,22 @@
   return WaitFor([this] { return IsInForce(); }, timeout);
 }
 
-bool world::WaitIdle(duration timeout) {
-  return WaitFor([this] { return IsIdle(); }, timeout);
+std::string world::WaitIdle(duration timeout) {
+  WaitFor([this] { return BusyPools().empty(); }, timeout);
+  return BusyPools();
 }
 
-bool world::IsIdle() {
+std::string world::BusyPools() {
+  std::string busy;
   for (const balancer& b : balancers_) {
     if (!b.is_running() || b.is_frozen()) continue;
     const json status = b.Status();
-    if (!status.is_object()) return false;
+    if (!status.is_object()) return b.name() + " has no status page\n";
     for (const json& pool : status["pools"])
-      if (pool["connections"] != 0 || pool["slots"] != 0) return false;
+      if (pool["connections"] != 0 || pool["slots"] != 0)
+        busy += b.name() + " " + pool.dump() + "\n";
   }
-  return true;
+  return busy;
 }
 
 bool world::IsInForce() {
--- a/test/support/world.h
+++ b/test/support/world.h
@@ -123,7 +123,8 @@
   /// platform has, and every pool has one owner.
   bool WaitInForce(duration timeout);
   /// \brief Waits until no balancer counts a connection or a slot in use.
-  bool WaitIdle(duration timeout);
+  /// \returns the pools that still do, one a line; empty where all is well.
+  std::string WaitIdle(duration timeout);
   /// \brief Has the fabric spray over the balancers that run.
   void Spray();
 
@@ -136,7 +137,7 @@
 
  private:
   bool IsInForce();
-  bool IsIdle();
+  std::string BusyPools();
 
   std::string folder_ = TestFolder();
   process platform_;
