--- a/test/process_path_test.cc
+++ b/test/process_path_test.cc
@@ -48,7 +48,7 @@
   run(notes);
   run(Requests("drawing-archive", "10.20.0.2", 8000, "tcp", 1000, 4));
   run(Requests("drawing-archive", "10.20.0.2", 8001, "udp", 1000, 3));
-  EXPECT_TRUE(w.callers().Ask({{"cmd", "wait"}})["settled"]);
+  ASSERT_TRUE(w.callers().Ask({{"cmd", "wait"}})["settled"]) << w.Verdict();
   w.callers().Ask({{"cmd", "stop_feeds"}});
   EXPECT_EQ(w.WaitIdle(5s), "");
   const verdict v = w.Verdict();
--- a/test/standins/callers_main.cc
+++ b/test/standins/callers_main.cc
@@ -3,6 +3,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -25,29 +26,6 @@
 constexpr uint32_t kPorts = 64'000;  // Of one caller address.
 constexpr auto kPoll = 50ms;         // Of an unanswered "wait".
 
-// One flow. Invariant: once `is_done`, its outcome is counted and only the
-// stream's end is still served.
-struct flow {
-  flow(flow_run& r, const request& a, const flow_key& k)
-      : run(r), asked(a), key(k) {}
-  flow_run& run;
-  request asked;
-  flow_key key;
-  std::optional<tcp_stream> stream;
-  time_point began;
-  bool is_accepted = false;
-  bool is_armed = false;  ///< A retransmission timer is queued.
-  bool is_closing = false;
-  bool is_done = false;
-  std::string received;
-  std::map<uint32_t, std::string> parts;  ///< Datagrams of a UDP answer.
-  std::string upstream;                   ///< Of a feed, by its first line.
-  uint64_t next_seq = 0;
-  uint32_t lines_sent = 0;
-  time_point last_push;
-};
-using flow_ptr = std::shared_ptr<flow>;
-
 class callers {
  public:
   callers(stand_in& frame, const stand_in_options& options)
@@ -59,16 +37,20 @@
 
   void AddCommands() {
     frame_.Command("run", [this](const json& c) { return StartRun(c); });
+    frame_.CommandLater("wait", [this](const json& c, const auto& answer) {
+      AnswerWhen([this] { return IsSettled(); },
+                 [answer](bool held) {
+                   answer({{"settled", held}});
+                 },
+                 Now() + milliseconds(c.value("timeout_ms", 60'000)));
+    });
     frame_.CommandLater(
-        "wait", [this](const json& c, const stand_in::reply& answer) {
-          Wait(answer, Now() + milliseconds(c.value("timeout_ms", 60'000)));
+        "stop_feeds", [this](const json& c, const auto& answer) {
+          StopFeeds();
+          AnswerWhen([this] { return HasNoFeeds(); },
+                     [this, answer](bool) { answer(Report()); },
+                     Now() + milliseconds(c.value("timeout_ms", 30'000)));
         });
-    frame_.CommandLater("stop_feeds", [this](const json& c,
-                                             const stand_in::reply& answer) {
-      StopFeeds();
-      const auto until = Now() + milliseconds(c.value("timeout_ms", 30'000));
-      WaitForFeeds(answer, until);
-    });
     frame_.Command("report", [this](const json&) { return Report(); });
     frame_.Command("refused", [this](const json&) { return Refused(); });
   }
@@ -138,7 +120,7 @@
 
   void Open(flow_run& run, time_point now) {
     const flow_key key{NextCaller(run), run.spec.at, run.spec.proto};
-    const auto f = std::make_shared<flow>(run, run.NextRequest(), key);
+    const auto f = std::make_shared<scripted_flow>(run, run.NextRequest(), key);
     f->began = f->last_push = now;
     ++run.open;
     flows_[key] = f;
@@ -206,11 +188,13 @@
     if (f->run.spec.is_feed) ReadFeed(f, now);
     const tcp_state state = f->stream->state();
     if (state == tcp_state::kReset) {
-      EndDead(f, "reset", f->is_accepted ? flow_outcome::kBroken : flow_outcome::kRefused,
+      EndDead(f, "reset",
+              f->is_accepted ? flow_outcome::kBroken : flow_outcome::kRefused,
               now);
     } else if (state == tcp_state::kFailed) {
       EndDead(f, "nothing acknowledged",
-              f->is_accepted ? flow_outcome::kBroken : flow_outcome::kTimedOut, now);
+              f->is_accepted ? flow_outcome::kBroken : flow_outcome::kTimedOut,
+              now);
     } else if (f->stream->peer_closed()) {
       OnPeerClosed(f, now);
     }
@@ -309,7 +293,8 @@
     }
     if (f->stream) f->stream->Abort();
     EndDead(f, f->is_accepted ? "silence" : "never accepted",
-            f->is_accepted ? flow_outcome::kBroken : flow_outcome::kTimedOut, now);
+            f->is_accepted ? flow_outcome::kBroken : flow_outcome::kTimedOut,
+            now);
   }
 
   void EndDead(const flow_ptr& f, const std::string& reason, flow_outcome how,
@@ -329,18 +314,27 @@
                        [this, f](time_point) { flows_.erase(f->key); });
   }
 
-  void Wait(const stand_in::reply& answer, time_point until) {
-    const bool settled = std::ranges::all_of(
-        runs_, [](const flow_run& r) { return r.IsSettled(); });
-    if (settled || Now() >= until) {
-      answer({{"settled", settled}});
-      return;
-    }
-    frame_.timers().At(Now() + kPoll, [this, answer, until](time_point) {
-      Wait(answer, until);
+  // Answers once `holds` says so, at the latest at `until`.
+  void AnswerWhen(const std::function<bool()>& holds,
+                  const std::function<void(bool held)>& answer,
+                  time_point until) {
+    const bool held = holds();
+    if (held || Now() >= until) return answer(held);
+    frame_.timers().At(Now() + kPoll, [=, this](time_point) {
+      AnswerWhen(holds, answer, until);
     });
   }
 
+  bool IsSettled() const {
+    return std::ranges::all_of(runs_,
+                               [](const flow_run& r) { return r.IsSettled(); });
+  }
+
+  bool HasNoFeeds() const {
+    return std::ranges::all_of(runs_,
+                               [](const flow_run& r) { return r.alive == 0; });
+  }
+
   void StopFeeds() {
     std::vector<flow_ptr> feeds;
     for (const auto& [key, f] : flows_)
@@ -348,18 +342,6 @@
     for (const flow_ptr& f : feeds) CloseFeed(f, Now());
   }
 
-  void WaitForFeeds(const stand_in::reply& answer, time_point until) {
-    uint32_t alive = 0;
-    for (const flow_run& run : runs_) alive += run.alive;
-    if (alive == 0 || Now() >= until) {
-      answer(Report());
-      return;
-    }
-    frame_.timers().At(Now() + kPoll, [this, answer, until](time_point) {
-      WaitForFeeds(answer, until);
-    });
-  }
-
   json Report() const {
     json runs = json::array();
     for (const flow_run& run : runs_) runs.push_back(run.Report());
--- a/test/support/flow_run.h
+++ b/test/support/flow_run.h
@@ -3,7 +3,9 @@
 #pragma once
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -11,6 +13,7 @@
 #include "base/time.h"
 #include "packet/flow_key.h"
 #include "support/exchange.h"
+#include "support/tcp_stream.h"
 
 namespace radishyard {
 
@@ -82,9 +85,32 @@
   bool IsSettled() const;
   request NextRequest();
   void CountAccepted(time_point now);
-  void CountEnd(flow_outcome how, const std::string& id, const std::string& reason,
-                duration took);
+  void CountEnd(flow_outcome how, const std::string& id,
+                const std::string& reason, duration took);
   nlohmann::json Report() const;
 };
 
+/// \brief One flow of a run. Invariant: once `is_done`, its outcome is counted
+/// and only the stream's end is still served.
+struct scripted_flow {
+  scripted_flow(flow_run& r, const request& a, const flow_key& k)
+      : run(r), asked(a), key(k) {}
+  flow_run& run;
+  request asked;
+  flow_key key;
+  std::optional<tcp_stream> stream;
+  time_point began;
+  bool is_accepted = false;
+  bool is_armed = false;  ///< A retransmission timer is queued.
+  bool is_closing = false;
+  bool is_done = false;
+  std::string received;
+  std::map<uint32_t, std::string> parts;  ///< Datagrams of a UDP answer.
+  std::string upstream;                   ///< Of a feed, by its first line.
+  uint64_t next_seq = 0;
+  uint32_t lines_sent = 0;
+  time_point last_push;
+};
+using flow_ptr = std::shared_ptr<scripted_flow>;
+
 }  // namespace radishyard
