Keep an upstream's state where a file leaves it open

Cause: a drain by the tool was undone when the same files, which name no states, were applied again.

--- a/src/ctl/apply.cc
+++ b/src/ctl/apply.cc
@@ -16,6 +16,7 @@
 constexpr int kMaxMergeAttempts = 5;
 
 using service_map = std::map<std::string, service>;
+using file_map = std::map<std::string, service_file>;
 
 // What an edit starts from, as far as its operator saw it.
 struct edit_origin {
@@ -23,10 +24,17 @@
   std::optional<uint64_t> version;  // Version seen, where named.
 };
 
-edit_origin OriginOf(const named_file& file, const service_map& bases,
+// The service of a file, with the states that it leaves open as stored.
+service Complete(const service_file& file,
+                 const std::optional<stored_service>& stored) {
+  return stored ? WithStatesOf(file, stored->record.value) : file.value;
+}
+
+edit_origin OriginOf(const named_file& file, const file_map& bases,
                      const std::optional<stored_service>& stored) {
   const auto it = bases.find(file.content.value.name);
-  if (it != bases.end()) return {it->second, file.content.version};
+  if (it != bases.end())
+    return {Complete(it->second, stored), file.content.version};
   const uint64_t version = stored ? stored->record.version : 0;
   const uint64_t seen = file.content.version.value_or(version);
   edit_origin origin{std::nullopt, seen};
@@ -41,16 +49,16 @@
   return !origin.value && origin.version == stored->record.version;
 }
 
-service_outcome Conflict(const named_file& file, const edit_origin& origin,
+service_outcome Conflict(const service& mine, const edit_origin& origin,
                          const std::optional<stored_service>& stored) {
   service_outcome out;
-  out.name = file.content.value.name;
+  out.name = mine.name;
   out.edit.state = edit_state::kNotAccepted;
   out.edit.expected = origin.version.value_or(0);
   out.edit.version = stored ? stored->record.version : 0;
   out.edit.why = {failure_kind::kConflict, "the service was changed meanwhile"};
   if (!stored) return out;
-  out.changes = Diff(stored->record.value, file.content.value);
+  out.changes = Diff(stored->record.value, mine);
   return out;
 }
 
@@ -58,7 +66,7 @@
 class file_edit {
  public:
   file_edit(blocking_store& store, const named_file& file,
-            const service_map& bases, bool merge)
+            const file_map& bases, bool merge)
       : store_(store), file_(file), bases_(bases), merge_(merge) {}
 
   service_outcome Run(const edit_id_source& new_edit_id) {
@@ -66,6 +74,7 @@
       failure why;
       stored_ = ReadService(store_, Name(), why);
       if (!stored_ && why.kind != failure_kind::kNotFound) return Failed(why);
+      mine_ = Complete(file_.content, stored_);
       if (!origin_) origin_ = OriginOf(file_, bases_, stored_);
       findings conflicts;
       const std::optional<service> wanted = Wanted(conflicts);
@@ -84,11 +93,10 @@
 
   // The value to write: the file's, or its merge with what the store has.
   std::optional<service> Wanted(findings& conflicts) const {
-    const service& mine = file_.content.value;
-    if (stored_ && stored_->record.value == mine) return mine;
-    if (IsSameOrigin(*origin_, stored_)) return mine;
+    if (stored_ && stored_->record.value == mine_) return mine_;
+    if (IsSameOrigin(*origin_, stored_)) return mine_;
     if (!merge_ || !stored_ || !origin_->value) return std::nullopt;
-    return Merge(*origin_->value, mine, stored_->record.value, conflicts);
+    return Merge(*origin_->value, mine_, stored_->record.value, conflicts);
   }
 
   service_outcome Failed(const failure& why) const {
@@ -100,7 +108,7 @@
   }
 
   service_outcome Refused(const findings& conflicts) const {
-    service_outcome out = Conflict(file_, *origin_, stored_);
+    service_outcome out = Conflict(mine_, *origin_, stored_);
     out.conflicts = conflicts;
     return out;
   }
@@ -115,9 +123,10 @@
 
   blocking_store& store_;
   const named_file& file_;
-  const service_map& bases_;
+  const file_map& bases_;
   bool merge_;
   std::optional<stored_service> stored_;
+  service mine_;  // What the file asks for, given the store.
   std::optional<edit_origin> origin_;  // Fixed at the first read.
 };
 
@@ -135,11 +144,11 @@
   return services;
 }
 
-service_map LoadBases(const std::string& path, findings& found) {
-  service_map bases;
+file_map LoadBases(const std::string& path, findings& found) {
+  file_map bases;
   if (path.empty()) return bases;
   for (const named_file& file : LoadFiles({path}, found))
-    bases[file.content.value.name] = file.content.value;
+    bases[file.content.value.name] = file.content;
   return bases;
 }
 
@@ -149,7 +158,7 @@
                      const edit_id_source& new_edit_id) {
   findings found;
   const std::vector<named_file> files = LoadFiles(options.files, found);
-  const service_map bases = LoadBases(options.base, found);
+  const file_map bases = LoadBases(options.base, found);
   if (!found.empty()) return FoundFaults(found);
   failure why;
   const auto stored = ReadServices(store, why);
--- a/src/ctl/status_commands.cc
+++ b/src/ctl/status_commands.cc
@@ -147,6 +147,14 @@
   }
 }
 
+std::string PoolLine(const std::string& name, const std::string& domain,
+                     const pool_status& sum) {
+  return "pool " + name + " in " + domain + ": connections " +
+         std::to_string(sum.connections) + ", slots " +
+         std::to_string(sum.slots) + ", queued " + std::to_string(sum.queued) +
+         "\n";
+}
+
 void AddPoolSums(const pool_sums& sums, command_result& result) {
   result.json["pools"] = json::array();
   for (const auto& [key, sum] : sums) {
@@ -156,10 +164,7 @@
                                     {"connections", sum.connections},
                                     {"slots", sum.slots},
                                     {"queued", sum.queued}});
-    result.text += "pool " + name + " in " + domain + ": connections " +
-                   std::to_string(sum.connections) + ", slots " +
-                   std::to_string(sum.slots) + ", queued " +
-                   std::to_string(sum.queued) + "\n";
+    result.text += PoolLine(name, domain, sum);
   }
 }
 
@@ -175,7 +180,13 @@
   result.json["services"] = json::array();
   result.json["balancers"] = json::array();
   for (const stored_service& s : *services) AddService(s, *asked, result);
-  for (const asked_balancer& b : *asked) AddBalancer(b, result);
+  size_t answered = 0;
+  for (const asked_balancer& b : *asked) {
+    AddBalancer(b, result);
+    answered += b.status ? 1 : 0;
+  }
+  // Where no balancer answers, nothing shows that the table is in force.
+  if (answered == 0 && !asked->empty()) result.code = exit_code::kLagging;
   return result;
 }
 
--- a/src/ctl/status_commands.h
+++ b/src/ctl/status_commands.h
@@ -24,8 +24,9 @@
 
 /// \brief Compares the store's versions with those in force on each balancer of
 /// the rosters.
-/// \returns kDone if every balancer that answers has them, kLagging if one has
-/// an older version, kUnavailable if the platform does not answer.
+/// \returns kDone if every balancer that answers has them; kLagging if one has
+/// an older version, or none answers; kUnavailable if the platform does not
+/// answer.
 command_result Status(blocking_store& store, const page_fetcher& fetch);
 
 /// \brief Sums up flows and pools over all balancers that answer.
--- a/src/ctl/table_commands.cc
+++ b/src/ctl/table_commands.cc
@@ -87,7 +87,7 @@
     if (!stored && why.kind != failure_kind::kNotFound) return FailedBy(why);
     const service before =
         stored ? stored->record.value : service{.name = name};
-    const auto changes = Diff(before, file.content.value);
+    const auto changes = Diff(before, WithStatesOf(file.content, before));
     result.json["services"].push_back(
         {{"service", name}, {"changes", ChangeJson(changes)}});
     if (changes.empty()) continue;
--- a/src/table/table_json.cc
+++ b/src/table/table_json.cc
@@ -2,9 +2,9 @@
 // service.
 #include "table/table_json.h"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 #include "table/json_check.h"
@@ -231,6 +231,18 @@
   return s;
 }
 
+std::vector<std::string> UpstreamsWithoutState(const json& document) {
+  std::vector<std::string> names;
+  const json& upstreams = Member(document, "upstreams");
+  if (!upstreams.is_array()) return names;
+  for (const json& row : upstreams) {
+    if (!Member(row, "state").is_null()) continue;
+    names.emplace_back();
+    Read(row, "name", names.back());
+  }
+  return names;
+}
+
 json PortJson(const service_port& p) {
   return {{"port", p.port},
           {"upstream_port", p.upstream_port},
@@ -289,12 +301,27 @@
     file.value = ReadAndCheck(*document, schema, mine);
     const json& version = Member(*document, "version");
     if (version.is_number_unsigned()) file.version = version.get<uint64_t>();
+    file.without_state = UpstreamsWithoutState(*document);
   }
   found.Append(mine);
   if (!mine.empty()) return std::nullopt;
   return file;
 }
 
+service WithStatesOf(const service_file& file, const service& held) {
+  std::map<std::string, upstream_state> states;
+  for (const upstream& u : held.upstreams) states[u.name] = u.state;
+  service s = file.value;
+  for (upstream& u : s.upstreams) {
+    const auto& open = file.without_state;
+    const auto it = states.find(u.name);
+    if (it == states.end()) continue;
+    if (std::find(open.begin(), open.end(), u.name) != open.end())
+      u.state = it->second;
+  }
+  return s;
+}
+
 std::optional<service_record> ParseRecord(std::string_view text,
                                           uint64_t version, findings& found) {
   static const internal::json_schema schema{RecordSchema()};
--- a/src/table/table_json.h
+++ b/src/table/table_json.h
@@ -28,11 +28,12 @@
 /// \brief The service as indented JSON, every field written out.
 std::string ToJson(const service& s);
 
-/// \brief A service as an operator's file gives it, with the version that the
-/// file was made from, where the file names one.
+/// \brief A service as an operator's file gives it.
 struct service_file {
   service value;
-  std::optional<uint64_t> version;
+  std::optional<uint64_t> version;  ///< Version that the file was made from.
+  std::vector<std::string> without_state;  ///< Upstreams whose state the file
+                                           ///< leaves open, in order.
   auto operator<=>(const service_file&) const = default;
 };
 
@@ -40,6 +41,10 @@
 std::optional<service_file> ParseServiceFile(std::string_view json,
                                              findings& found);
 
+/// \brief The service of a file, where each state that the file leaves open is
+/// that of the upstream in `held`; so applying a file again ends no drain.
+service WithStatesOf(const service_file& file, const service& held);
+
 /// \brief The file form of a record: the service and its version.
 std::string FileJson(const service_record& record);
 
--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -211,6 +211,12 @@
   const auto old = Run({"apply", "-f", File("v.json", FileJson({mine, 1}))});
   EXPECT_EQ(old.code, exit_code::kNotDone);
   EXPECT_EQ(Stored("a").upstreams[0].weight, 14U);
+  // A file that names no state ends no drain.
+  Run({"drain", "a", "u4"});
+  json open = json::parse(FileJson({Stored("a"), platform_.revision()}));
+  for (json& row : open["upstreams"]) row.erase("state");
+  EXPECT_THAT(Run({"apply", "-f", File("open.json", open.dump())}).text,
+              StartsWith("a: unchanged"));
   // A one-row edit starts again on top of the other edit.
   EditAsideOnce([](service& s) { s.upstreams[1].weight = 1; });
   EXPECT_EQ(Run({"drain", "a", "u1"}).code, exit_code::kDone);
