--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -18,7 +18,7 @@
 constexpr size_t kHeadBytes = 2;  // Version and type.
 /// Bounds of one msgpack value: they limit what a hostile array length can make
 /// the decoder allocate.
-constexpr size_t kMaxArray = 1U << 14;
+constexpr size_t kMaxArray = 1U << 16;
 constexpr size_t kMaxDepth = 8;
 
 template <typename T, typename U>
@@ -144,7 +144,7 @@
 /// True if `text` is well-formed enough to go into JSON and logs: each lead
 /// byte has its continuation bytes, no code is overlong or a surrogate.
 bool IsUtf8(std::string_view text) {
-  constexpr std::array<uint32_t, 4> lowest = {0, 0x80, 0x800, 0x10000};
+  constexpr std::array<uint32_t, 4> kLowest = {0, 0x80, 0x800, 0x10000};
   size_t at = 0;
   while (at < text.size()) {
     const auto lead = static_cast<uint8_t>(text[at++]);
@@ -158,7 +158,7 @@
       code = code << 6 | (next & 0x3F);
     }
     const bool surrogate = code >= 0xD800 && code < 0xE000;
-    if (code < lowest[more] || code > 0x10FFFF || surrogate) return false;
+    if (code < kLowest[more] || code > 0x10FFFF || surrogate) return false;
   }
   return true;
 }
