Learn each upstream's speed from the requests it completes

Cause: the choice by slots relative to weight knows nothing of age; a slow upstream gets as much as a fast one while both have room. Times are compared within their class, in logarithms, so that one long request teaches little.

--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -4,7 +4,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/upstream_choice.h"
+
 namespace radishyard {
+
+using internal::Choose;
+using internal::TakesNew;
+
 namespace {
 
 constexpr uint32_t kFailuresToEject = 3;
@@ -18,33 +24,6 @@
   return &*it;
 }
 
-bool Takes(const pool_upstream& u, port_kind kind, time_point now) {
-  if (u.leaving || u.weight == 0 || now < u.ejected_until) return false;
-  if (u.connections + u.inherited_connections >= u.max_connections)
-    return false;
-  return kind == port_kind::kFeed || u.slots + u.inherited_slots < u.max_slots;
-}
-
-uint64_t Used(const pool_upstream& u, port_kind kind) {
-  if (kind == port_kind::kRequest) return u.slots + u.inherited_slots;
-  return u.connections + u.inherited_connections;
-}
-
-// Lower is better: use after this placement relative to weight.
-bool Better(const pool_upstream& a, const pool_upstream& b, port_kind kind) {
-  return (Used(a, kind) + 1) * b.weight < (Used(b, kind) + 1) * a.weight;
-}
-
-pool_upstream* Choose(pool_state& pool, port_kind kind, uint32_t except,
-                      time_point now) {
-  pool_upstream* best = nullptr;
-  for (pool_upstream& u : pool.upstreams) {
-    if (u.address == except || !Takes(u, kind, now)) continue;
-    if (best == nullptr || Better(u, *best, kind)) best = &u;
-  }
-  return best;
-}
-
 void Take(pool_upstream& u, port_kind kind) {
   ++u.connections;
   if (kind == port_kind::kRequest) ++u.slots;
@@ -212,9 +191,13 @@
   NoteFailure(pool, upstream, now);
 }
 
-void Closed(pool_state& pool, const held_flow& flow, flow_end /*how*/,
-            duration /*held*/, time_point /*now*/) {
-  if (pool_upstream* u = Find(pool, flow.upstream)) Give(*u, flow.kind);
+void Closed(pool_state& pool, const held_flow& flow, flow_end how,
+            duration held, time_point /*now*/) {
+  pool_upstream* u = Find(pool, flow.upstream);
+  if (u == nullptr) return;
+  Give(*u, flow.kind);
+  if (how == flow_end::kCompleted && flow.kind == port_kind::kRequest)
+    Learn(pool.holds, u->speed, flow.priority, held);
 }
 
 void Adopt(pool_state& pool, const held_flow& flow, time_point /*now*/) {
@@ -242,7 +225,8 @@
   for (const pool_upstream& u : pool.upstreams) {
     load.upstreams.push_back(
         {u.address, u.connections + u.inherited_connections,
-         u.slots + u.inherited_slots, 1000, now < u.ejected_until});
+         u.slots + u.inherited_slots,
+         static_cast<uint32_t>(1000 * u.speed.speed), now < u.ejected_until});
     if (u.leaving || now < u.ejected_until) continue;
     load.weight += u.weight;
     load.free_slots +=
@@ -256,7 +240,7 @@
   return pool.queue.empty() &&
          std::any_of(
              pool.upstreams.begin(), pool.upstreams.end(),
-             [&](const pool_upstream& u) { return Takes(u, kind, now); });
+             [&](const pool_upstream& u) { return TakesNew(u, kind, now); });
 }
 
 std::optional<open_decision> PopForPeer(pool_state& pool, time_point /*now*/) {
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -10,39 +10,12 @@
 
 #include "base/time.h"
 #include "pool/pool.h"
+#include "pool/pool_policy.h"
+#include "pool/pool_upstream.h"
 #include "table/service.h"
 
 namespace radishyard {
 
-/// \brief Constants of the policy, in one place so that a replay may vary them.
-struct pool_policy {
-  duration max_wait = 250ms;     ///< Longest wait in the queue.
-  uint32_t max_waiting = 256;    ///< Longest queue.
-  duration ramp = 10s;           ///< From a join to the full share.
-  duration retry_window = 10s;   ///< Window of the retry budget.
-  uint32_t retry_percent = 10;   ///< Second placements per 100 first ones.
-  duration inherited_age = 60s;  ///< An inherited flow that stays silent for so
-                                 ///< long has ended.
-  auto operator<=>(const pool_policy&) const = default;
-};
-
-/// \brief An upstream as the owner counts it.
-struct pool_upstream {
-  uint32_t address = 0;
-  uint32_t weight = 0;
-  uint32_t max_slots = 0;
-  uint32_t max_connections = 0;
-  bool leaving = false;      ///< Marked leaving, or gone from the table.
-  uint32_t connections = 0;  ///< Known open flows.
-  uint32_t slots = 0;        ///< Known requests in progress.
-  uint32_t inherited_connections = 0;  ///< Reported by a previous owner.
-  uint32_t inherited_slots = 0;        ///< Reported by a previous owner.
-  time_point inherited_at;
-  std::optional<time_point> joined_at;  ///< Set while the upstream ramps up.
-  uint32_t failures = 0;       ///< Unanswered or shed since the last answer.
-  time_point ejected_until{};  ///< No new flow before.
-};
-
 /// \brief An opening that waits for room.
 struct waiting_opening {
   open_request request;
@@ -66,6 +39,7 @@
   std::vector<pool_upstream> upstreams;
   std::vector<waiting_opening> queue;
   retry_budget retries;
+  hold_model holds;
 };
 
 /// \brief Takes up the rows of `domain`.
--- a/test/standins/policy_report_main.cc
+++ b/test/standins/policy_report_main.cc
@@ -75,6 +75,8 @@
           {"short p99 ms", WaitMs(v, flow_set::kShort, 99)},
           {"urgent p99 ms", WaitMs(v, flow_set::kUrgent, 99)},
           {"long p99 ms", WaitMs(v, flow_set::kLong, 99)},
+          {"short answer p50 ms", AnswerMs(v, flow_set::kShort, 50)},
+          {"short answer p99 ms", AnswerMs(v, flow_set::kShort, 99)},
           {"completed %", 100 * done / total},
           {"limit violations", static_cast<double>(v.result.violations)}};
 }
--- a/test/support/replay.cc
+++ b/test/support/replay.cc
@@ -2,10 +2,9 @@
 #include "support/replay.h"
 
 #include <algorithm>
-#include <cmath>
-#include <set>
 #include <utility>
 
+#include "roster/rendezvous.h"
 #include "support/replay_engine.h"
 
 namespace radishyard::test {
@@ -20,18 +19,7 @@
 constexpr uint32_t kAskBytes = 192;      // Admission, its answer, the end.
 
 uint64_t Mix(uint64_t a, uint64_t b) {
-  uint64_t x = a * 0x9e3779b97f4a7c15U + b * 0xc2b2ae3d27d4eb4fU;
-  x ^= x >> 31;
-  x *= 0xbf58476d1ce4e5b9U;
-  x ^= x >> 29;
-  x *= 0x94d049bb133111ebU;
-  return x ^ (x >> 32);
-}
-
-// Weighted rendezvous: the highest wins.
-double Score(uint64_t key, uint64_t name, double weight) {
-  const double u = (Mix(key, name) >> 11) * 0x1p-53 + 0x1p-54;
-  return -weight / std::log(u);
+  return NameHash(std::to_string(a) + "/" + std::to_string(b));
 }
 
 service OneDomain(service s) {
@@ -117,14 +105,13 @@
 size_t replay_engine::PoolOf(size_t i, size_t rank) const {
   if (setup.how == placing::kAllocator) return 0;
   if (setup.how == placing::kQuota) return ingress[i];
-  std::vector<std::pair<double, size_t>> scores;
-  for (size_t s = 0; s < sites.size(); ++s) {
-    const double weight =
-        static_cast<double>(PoolWeight(table, sites[s].domain));
-    scores.emplace_back(-Score(i, s, weight), s);
+  std::vector<rendezvous_candidate> pools;
+  for (const replay_site& site : sites) {
+    pools.push_back({NameHash(site.domain),
+                     static_cast<double>(PoolWeight(table, site.domain))});
   }
-  std::sort(scores.begin(), scores.end());
-  return scores[rank % sites.size()].second;
+  const auto ranks = RankByRendezvous(StableHash(RequestOf(i).key), pools);
+  return ranks[rank % ranks.size()];
 }
 
 void replay_engine::Arrive(size_t i) {
@@ -233,6 +220,12 @@
     const upstream& u = table.upstreams[r];
     return u.state == upstream_state::kLeaving ? 0.0 : u.weight;
   };
+  if (setup.how == placing::kConsistentHash) {
+    std::vector<rendezvous_candidate> rows;
+    for (size_t r = 0; r < n; ++r)
+      rows.push_back({NameHash(table.upstreams[r].name), weight(r)});
+    return PickFirst(StableHash(RequestOf(i).key), rows);
+  }
   size_t best = 0;
   double best_score = -1e18;
   double total = 0;
@@ -242,8 +235,6 @@
     if (setup.how == placing::kRoundRobin) {
       total += weight(r);
       score = credit[b][r] += weight(r);
-    } else if (setup.how == placing::kConsistentHash) {
-      score = Score(i, r, weight(r));
     } else if (setup.how == placing::kHashLocal) {
       const bool hashed = r == Mix(i, 11) % n || r == Mix(i, 13) % n;
       score = (hashed ? 0 : -1e9) - local[b][r] / weight(r);
--- a/test/support/replay_metrics.cc
+++ b/test/support/replay_metrics.cc
@@ -40,20 +40,31 @@
          out.ended_us > out.started_us;
 }
 
-}  // namespace
-
-double WaitMs(const replay_view& v, flow_set set, double percentile) {
-  std::vector<int64_t> waits;
+// Of the time from the arrival to `instant`, in milliseconds.
+double Percentile(const replay_view& v, flow_set set, double percentile,
+                  int64_t flow_outcome::*instant) {
+  std::vector<int64_t> times;
   for (size_t i = 0; i < v.trace.size(); ++i) {
     const flow_outcome& out = v.result.flows[i];
     if (!InSet(v.trace[i], set) || !InWindow(v, v.trace[i].at_us)) continue;
-    if (out.started_us >= 0) waits.push_back(out.started_us - v.trace[i].at_us);
+    if (out.started_us >= 0 && out.*instant >= 0)
+      times.push_back(out.*instant - v.trace[i].at_us);
   }
-  if (waits.empty()) return 0;
-  std::sort(waits.begin(), waits.end());
+  if (times.empty()) return 0;
+  std::sort(times.begin(), times.end());
   const auto at = static_cast<size_t>(
-      std::ceil(percentile / 100 * static_cast<double>(waits.size())));
-  return static_cast<double>(waits[std::max<size_t>(at, 1) - 1]) / 1000;
+      std::ceil(percentile / 100 * static_cast<double>(times.size())));
+  return static_cast<double>(times[std::max<size_t>(at, 1) - 1]) / 1000;
+}
+
+}  // namespace
+
+double WaitMs(const replay_view& v, flow_set set, double percentile) {
+  return Percentile(v, set, percentile, &flow_outcome::started_us);
+}
+
+double AnswerMs(const replay_view& v, flow_set set, double percentile) {
+  return Percentile(v, set, percentile, &flow_outcome::ended_us);
 }
 
 size_t Count(const replay_view& v, flow_set set, flow_outcome::kind what) {
--- a/test/support/replay_metrics.h
+++ b/test/support/replay_metrics.h
@@ -22,6 +22,9 @@
 /// of the requests of `set` that arrived in the window.
 double WaitMs(const replay_view& v, flow_set set, double percentile);
 
+/// \brief Time from the arrival to the end of the answer, likewise.
+double AnswerMs(const replay_view& v, flow_set set, double percentile);
+
 /// \brief Requests of `set` that arrived in the window and ended as `what`.
 size_t Count(const replay_view& v, flow_set set, flow_outcome::kind what);
 
--- a/test/support/replay_variants.cc
+++ b/test/support/replay_variants.cc
@@ -11,6 +11,7 @@
       {"round robin", by(placing::kRoundRobin)},
       {"consistent hash", by(placing::kConsistentHash)},
       {"least connections", by(placing::kLeastConnections)},
+      {"counts only", [](replay_setup& s) { s.policy.learn_speed = false; }},
       {"present", by(placing::kOwner)},
   };
 }
