Bound bulk work by a floor and a cap of slots

Cause: long requests hold 48% of the slot time; short ones wait behind them. Bulk now takes at most half of the slots while there is other work, waits in a queue of its own of at most that many openings, up to 10 s, and goes first after 250 ms while it holds less than a quarter. Urgent openings have a fixed head start, so the order never changes while openings wait.

--- /dev/null
+++ b/src/pool/opening_queue.h
@@ -0,0 +1,46 @@
+// Openings that wait for room, in the order in which they are placed.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/time.h"
+#include "pool/pool.h"
+#include "pool/pool_policy.h"
+
+namespace radishyard {
+
+/// \brief An opening that waits for room.
+struct waiting_opening {
+  open_request request;
+  time_point since;
+  /// Its turn: `since` less the head start of its class. It does not change
+  /// while the opening waits, so that later ones overtake it for a bounded time
+  /// only.
+  time_point turn;
+};
+
+/// \brief Waiting openings of a pool.
+/// Invariant: both lists are sorted by turn.
+struct opening_queue {
+  std::vector<waiting_opening> short_work;  ///< Urgent and normal.
+  std::vector<waiting_opening> bulk;
+  size_t size() const { return short_work.size() + bulk.size(); }
+  bool empty() const { return short_work.empty() && bulk.empty(); }
+};
+
+namespace internal {
+
+/// \brief Puts `request` into the place that its turn gives it.
+void Insert(opening_queue& queue, const open_request& request,
+            const pool_policy& policy, time_point now);
+
+/// \brief Longest wait of an opening.
+duration MaxWait(const waiting_opening& w, const pool_policy& policy);
+
+/// \brief When the first opening reaches its longest wait.
+std::optional<time_point> FirstDeadline(const opening_queue& queue,
+                                        const pool_policy& policy);
+
+}  // namespace internal
+}  // namespace radishyard
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -42,29 +42,89 @@
   return {open_decision::kind::kRefused, 0, why, token};
 }
 
+bool IsBulk(port_kind kind, priority_class priority) {
+  return kind == port_kind::kRequest && priority == priority_class::kBulk;
+}
+
+uint32_t BulkFloor(const pool_state& pool) {
+  return std::max(1U, pool.total_slots * pool.policy.bulk_floor_percent / 100);
+}
+
+// Slots that bulk may hold: all of them while there is no other work.
+uint32_t BulkCap(const pool_state& pool, time_point now) {
+  if (now - pool.short_work_at > pool.policy.quiet) return pool.total_slots;
+  return std::max(1U, pool.total_slots * pool.policy.bulk_cap_percent / 100);
+}
+
+bool MayTake(const pool_state& pool, port_kind kind, priority_class priority,
+             time_point now) {
+  return !IsBulk(kind, priority) || pool.bulk_slots < BulkCap(pool, now);
+}
+
 std::optional<open_decision> TryPlace(pool_state& pool, const open_request& r,
                                       time_point now) {
+  if (!MayTake(pool, r.kind, r.priority, now)) return std::nullopt;
   pool_upstream* u = Choose(pool, r.kind, 0, now);
   if (u == nullptr) return std::nullopt;
   Take(*u, r.kind);
+  if (IsBulk(r.kind, r.priority)) ++pool.bulk_slots;
   ++pool.retries.first;
   return Placed(u->address, r.token);
 }
 
+// Places the openings of `list` in their order as far as there is room.
+void PlaceWaiting(pool_state& pool, std::vector<waiting_opening>& list,
+                  time_point now, std::vector<open_decision>& decisions) {
+  size_t kept = 0;
+  bool slots_left = true;
+  for (waiting_opening& w : list) {
+    const bool needs_slot = w.request.kind == port_kind::kRequest;
+    if (!needs_slot || slots_left) {
+      if (auto placed = TryPlace(pool, w.request, now)) {
+        decisions.push_back(*placed);
+        continue;
+      }
+      if (needs_slot) slots_left = false;
+    }
+    list[kept++] = w;
+  }
+  list.resize(kept);
+}
+
+// Bulk that waited long goes first up to its floor, so that it never starves.
+void PlacePatientBulk(pool_state& pool, time_point now,
+                      std::vector<open_decision>& decisions) {
+  auto& bulk = pool.queue.bulk;
+  while (!bulk.empty() && pool.bulk_slots < BulkFloor(pool) &&
+         now - bulk.front().since >= pool.policy.bulk_patience) {
+    const auto placed = TryPlace(pool, bulk.front().request, now);
+    if (!placed) return;
+    decisions.push_back(*placed);
+    bulk.erase(bulk.begin());
+  }
+}
+
+void RefuseOverdue(pool_state& pool, std::vector<waiting_opening>& list,
+                   time_point now, std::vector<open_decision>& decisions) {
+  std::erase_if(list, [&](const waiting_opening& w) {
+    if (now - w.since < internal::MaxWait(w, pool.policy)) return false;
+    decisions.push_back(Refused(refusal::kWaitTooLong, w.request.token));
+    return true;
+  });
+}
+
+bool QueueFull(const pool_state& pool, const open_request& r, time_point now) {
+  if (IsBulk(r.kind, r.priority))
+    return pool.queue.bulk.size() >= BulkCap(pool, now);
+  return pool.queue.short_work.size() >= pool.policy.max_waiting;
+}
+
 bool AnyLive(const pool_state& pool) {
   return std::any_of(
       pool.upstreams.begin(), pool.upstreams.end(),
       [](const pool_upstream& u) { return !u.leaving && u.weight > 0; });
 }
 
-void Enqueue(pool_state& pool, const open_request& r, time_point now) {
-  auto later = [&](const waiting_opening& w) {
-    return w.request.priority > r.priority;
-  };
-  auto at = std::find_if(pool.queue.begin(), pool.queue.end(), later);
-  pool.queue.insert(at, {r, now});
-}
-
 void NoteFailure(pool_state& pool, uint32_t upstream, time_point now) {
   pool_upstream* u = Find(pool, upstream);
   if (u == nullptr) return;
@@ -121,42 +181,41 @@
               return a.address < b.address;
             });
   pool.upstreams = std::move(next);
+  pool.total_slots = 0;
+  for (const pool_upstream& u : pool.upstreams)
+    if (!u.leaving) pool.total_slots += u.max_slots;
 }
 
 open_decision Open(pool_state& pool, const open_request& request,
                    time_point now) {
   AgeInherited(pool, now);
   if (!AnyLive(pool)) return Refused(refusal::kNoUpstream, request.token);
-  if (auto placed = TryPlace(pool, request, now)) return *placed;
-  if (pool.queue.size() >= pool.policy.max_waiting)
+  if (request.kind == port_kind::kRequest &&
+      request.priority != priority_class::kBulk)
+    pool.short_work_at = now;
+  if (pool.queue.short_work.empty()) {
+    if (auto placed = TryPlace(pool, request, now)) return *placed;
+  }
+  if (QueueFull(pool, request, now))
     return Refused(refusal::kQueueFull, request.token);
-  Enqueue(pool, request, now);
+  internal::Insert(pool.queue, request, pool.policy, now);
   return {open_decision::kind::kQueued, 0, refusal::kNone, request.token};
 }
 
 std::vector<open_decision> Poll(pool_state& pool, time_point now) {
   std::vector<open_decision> decisions;
+  if (pool.queue.empty()) return decisions;
   AgeInherited(pool, now);
-  std::vector<waiting_opening> still;
-  for (const waiting_opening& w : pool.queue) {
-    if (auto placed = TryPlace(pool, w.request, now)) {
-      decisions.push_back(*placed);
-    } else if (now - w.since >= pool.policy.max_wait) {
-      decisions.push_back(Refused(refusal::kWaitTooLong, w.request.token));
-    } else {
-      still.push_back(w);
-    }
-  }
-  pool.queue = std::move(still);
+  PlacePatientBulk(pool, now, decisions);
+  PlaceWaiting(pool, pool.queue.short_work, now, decisions);
+  PlaceWaiting(pool, pool.queue.bulk, now, decisions);
+  RefuseOverdue(pool, pool.queue.short_work, now, decisions);
+  RefuseOverdue(pool, pool.queue.bulk, now, decisions);
   return decisions;
 }
 
 std::optional<time_point> NextWake(const pool_state& pool) {
-  if (pool.queue.empty()) return std::nullopt;
-  time_point first = time_point::max();
-  for (const waiting_opening& w : pool.queue)
-    first = std::min(first, w.since + pool.policy.max_wait);
-  return first;
+  return internal::FirstDeadline(pool.queue, pool.policy);
 }
 
 std::optional<uint32_t> Replace(pool_state& pool, const open_request& request,
@@ -196,6 +255,8 @@
   pool_upstream* u = Find(pool, flow.upstream);
   if (u == nullptr) return;
   Give(*u, flow.kind);
+  if (IsBulk(flow.kind, flow.priority) && pool.bulk_slots > 0)
+    --pool.bulk_slots;
   if (how == flow_end::kCompleted && flow.kind == port_kind::kRequest)
     Learn(pool.holds, u->speed, flow.priority, held);
 }
@@ -204,6 +265,7 @@
   pool_upstream* u = Find(pool, flow.upstream);
   if (u == nullptr) return;
   Take(*u, flow.kind);
+  if (IsBulk(flow.kind, flow.priority)) ++pool.bulk_slots;
   if (u->inherited_connections > 0) --u->inherited_connections;
   if (flow.kind == port_kind::kRequest && u->inherited_slots > 0)
     --u->inherited_slots;
@@ -235,18 +297,20 @@
   return load;
 }
 
-bool HasRoom(const pool_state& pool, port_kind kind,
-             priority_class /*priority*/, time_point now) {
-  return pool.queue.empty() &&
-         std::any_of(
-             pool.upstreams.begin(), pool.upstreams.end(),
-             [&](const pool_upstream& u) { return TakesNew(u, kind, now); });
+bool HasRoom(const pool_state& pool, port_kind kind, priority_class priority,
+             time_point now) {
+  if (!pool.queue.short_work.empty()) return false;
+  if (!MayTake(pool, kind, priority, now)) return false;
+  return std::any_of(
+      pool.upstreams.begin(), pool.upstreams.end(),
+      [&](const pool_upstream& u) { return TakesNew(u, kind, now); });
 }
 
 std::optional<open_decision> PopForPeer(pool_state& pool, time_point /*now*/) {
-  if (pool.queue.empty()) return std::nullopt;
-  const uint64_t token = pool.queue.front().request.token;
-  pool.queue.erase(pool.queue.begin());
+  auto& list = pool.queue.short_work;
+  if (list.empty()) return std::nullopt;
+  const uint64_t token = list.front().request.token;
+  list.erase(list.begin());
   return open_decision{open_decision::kind::kQueued, 0, refusal::kNone, token};
 }
 
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "pool/opening_queue.h"
 #include "pool/pool.h"
 #include "pool/pool_policy.h"
 #include "pool/pool_upstream.h"
@@ -16,12 +17,6 @@
 
 namespace radishyard {
 
-/// \brief An opening that waits for room.
-struct waiting_opening {
-  open_request request;
-  time_point since;
-};
-
 /// \brief Budget of second placements over a sliding window.
 struct retry_budget {
   uint64_t first = 0;   ///< First placements in the window.
@@ -31,15 +26,19 @@
 
 /// \brief One pool: the upstreams of a service in one failure domain.
 /// Invariants: `upstreams` is sorted by address; an opening waits in `queue`
-/// only while no upstream has room for it.
+/// only while no upstream has room for it; `bulk_slots` counts the known bulk
+/// requests in progress.
 struct pool_state {
   pool_policy policy;
   std::string service;
   std::string domain;
   std::vector<pool_upstream> upstreams;
-  std::vector<waiting_opening> queue;
+  opening_queue queue;
   retry_budget retries;
   hold_model holds;
+  uint32_t total_slots = 0;  ///< Of upstreams that are not leaving.
+  uint32_t bulk_slots = 0;
+  time_point short_work_at{};  ///< Last request that was not bulk.
 };
 
 /// \brief Takes up the rows of `domain`.
--- a/test/support/replay.cc
+++ b/test/support/replay.cc
@@ -181,7 +181,7 @@
     site.wake_us = std::max(at, now_us + 1);
     events.push({site.wake_us, order++, [this, s] { Pump(s); }});
   }
-  const bool waiting = !site.pool.queue.empty();
+  const bool waiting = !site.pool.queue.short_work.empty();
   if (setup.how != placing::kOwner || !setup.passing) return;
   if (waiting != site.waiting_announced) {
     result.control_bytes += kAnnounceBytes * (sites.size() - 1);
@@ -306,9 +306,12 @@
   replay_site& site = sites[0];
   site.down = true;
   site.waiting_announced = false;
-  for (const waiting_opening& w : site.pool.queue) {
-    const size_t i = w.request.token;
-    After(kRetransmitUs, [this, i] { Arrive(i); });
+  for (const auto* list :
+       {&site.pool.queue.short_work, &site.pool.queue.bulk}) {
+    for (const waiting_opening& w : *list) {
+      const size_t i = w.request.token;
+      After(kRetransmitUs, [this, i] { Arrive(i); });
+    }
   }
   After(kDetectUs, [this] { TakeOver(); });
 }
--- a/test/support/replay_variants.cc
+++ b/test/support/replay_variants.cc
@@ -11,7 +11,13 @@
       {"round robin", by(placing::kRoundRobin)},
       {"consistent hash", by(placing::kConsistentHash)},
       {"least connections", by(placing::kLeastConnections)},
-      {"counts only", [](replay_setup& s) { s.policy.learn_speed = false; }},
+      {"without speed", [](replay_setup& s) { s.policy.learn_speed = false; }},
+      {"without bulk cap",
+       [](replay_setup& s) {
+         s.policy.bulk_cap_percent = 100;
+         s.policy.bulk_floor_percent = 0;
+         s.policy.max_bulk_wait = s.policy.max_wait;
+       }},
       {"present", by(placing::kOwner)},
   };
 }
