--- a/src/pool/pool_policy.h
+++ b/src/pool/pool_policy.h
@@ -23,7 +23,7 @@
   /// Share of slots that waiting bulk gets whatever else waits.
   uint32_t bulk_floor_percent = 25;
   /// Largest share of slots that bulk takes while there is other work.
-  uint32_t bulk_cap_percent = 50;
+  uint32_t bulk_cap_percent = 60;
   /// Without other work for so long, bulk has no cap.
   duration quiet = 10s;
   /// From a join to the full share.
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -15,6 +15,7 @@
 
 constexpr uint32_t kFailuresToEject = 3;
 constexpr duration kProbeInterval = 1s;
+constexpr uint64_t kCentreEvery = 64;  // Completed requests.
 
 pool_upstream* Find(pool_state& pool, uint32_t address) {
   auto it = std::lower_bound(
@@ -64,7 +65,7 @@
 std::optional<open_decision> TryPlace(pool_state& pool, const open_request& r,
                                       time_point now) {
   if (!MayTake(pool, r.kind, r.priority, now)) return std::nullopt;
-  pool_upstream* u = Choose(pool, r.kind, 0, now);
+  pool_upstream* u = Choose(pool, r.kind, 0, now, IsBulk(r.kind, r.priority));
   if (u == nullptr) return std::nullopt;
   Take(*u, r.kind);
   if (IsBulk(r.kind, r.priority)) ++pool.bulk_slots;
@@ -132,6 +133,22 @@
     u->ejected_until = now + kProbeInterval;
 }
 
+// Speeds are relative: their mean stays at 1.
+void CentreSpeeds(pool_state& pool) {
+  double sum = 0;
+  for (const pool_upstream& u : pool.upstreams) sum += u.speed.log_speed;
+  const double mean = sum / static_cast<double>(pool.upstreams.size());
+  for (pool_upstream& u : pool.upstreams)
+    Guess(u.speed, u.speed.log_speed - mean);
+  for (double& typical : pool.holds.log_hold_s) typical -= mean;
+}
+
+void LearnFrom(pool_state& pool, pool_upstream& u, priority_class priority,
+               duration held) {
+  Learn(pool.holds, u.speed, priority, held);
+  if (++pool.learned % kCentreEvery == 0) CentreSpeeds(pool);
+}
+
 void AgeInherited(pool_state& pool, time_point now) {
   for (pool_upstream& u : pool.upstreams) {
     if (u.inherited_connections == 0 && u.inherited_slots == 0) continue;
@@ -225,7 +242,8 @@
     budget = {.started = now};
   if ((budget.second + 1) * 100 > budget.first * pool.policy.retry_percent)
     return std::nullopt;
-  pool_upstream* u = Choose(pool, request.kind, failed_upstream, now);
+  const bool bulk = IsBulk(request.kind, request.priority);
+  pool_upstream* u = Choose(pool, request.kind, failed_upstream, now, bulk);
   if (u == nullptr) return std::nullopt;
   ++budget.second;
   Take(*u, request.kind);
@@ -258,7 +276,7 @@
   if (IsBulk(flow.kind, flow.priority) && pool.bulk_slots > 0)
     --pool.bulk_slots;
   if (how == flow_end::kCompleted && flow.kind == port_kind::kRequest)
-    Learn(pool.holds, u->speed, flow.priority, held);
+    LearnFrom(pool, *u, flow.priority, held);
 }
 
 void Adopt(pool_state& pool, const held_flow& flow, time_point /*now*/) {
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -36,6 +36,7 @@
   opening_queue queue;
   retry_budget retries;
   hold_model holds;
+  uint64_t learned = 0;      ///< Completed requests.
   uint32_t total_slots = 0;  ///< Of upstreams that are not leaving.
   uint32_t bulk_slots = 0;
   time_point short_work_at{};  ///< Last request that was not bulk.
--- a/test/standins/policy_report_main.cc
+++ b/test/standins/policy_report_main.cc
@@ -1,5 +1,6 @@
 // Prints the figures of the policy beside the baselines, as tables for
 // docs/measurements.md or, with --json, as one JSON object a line.
+// "--only WORD" prints the tables with WORD in their title.
 #include <cstdio>
 #include <cstring>
 #include <functional>
@@ -17,6 +18,7 @@
 using measure = std::function<figures(const replay_view&)>;
 
 bool as_json = false;
+std::string only;
 
 const char* NameOf(workload w) {
   return w == workload::kArmor ? "Armor" : "Atlas Colle";
@@ -46,6 +48,7 @@
 
 void Table(const std::string& title, const std::vector<variant>& variants,
            const std::function<scenario(workload)>& make, const measure& draw) {
+  if (title.find(only) == std::string::npos) return;
   for (workload w : {workload::kArmor, workload::kAtlasColle}) {
     scenario s = make(w);
     bool head = true;
@@ -200,6 +203,8 @@
   for (int i = 1; i < argc; ++i) {
     if (std::strcmp(argv[i], "--json") == 0) {
       radishyard::test::as_json = true;
+    } else if (std::strcmp(argv[i], "--only") == 0 && i + 1 < argc) {
+      radishyard::test::only = argv[++i];
     } else {
       seed = std::strtoull(argv[i], nullptr, 10);
     }
