--- a/src/pool/pool_counts.cc
+++ b/src/pool/pool_counts.cc
@@ -4,6 +4,20 @@
 #include <algorithm>
 
 namespace radishyard::internal {
+namespace {
+
+uint32_t PartOfSlots(const pool_state& pool, uint32_t percent) {
+  return std::max(1U, pool.total_slots * percent / 100);
+}
+
+uint32_t FreeSlots(const pool_state& pool) {
+  uint32_t used = 0;
+  for (const pool_upstream& u : pool.upstreams)
+    if (!u.leaving) used += std::min(u.max_slots, u.UsedSlots());
+  return pool.total_slots - used;
+}
+
+}  // namespace
 
 pool_upstream* FindUpstream(pool_state& pool, uint32_t address) {
   const auto it = std::lower_bound(
@@ -47,12 +61,21 @@
 }
 
 uint32_t BulkFloor(const pool_state& pool) {
-  return std::max(1U, pool.total_slots * pool.policy.bulk_floor_percent / 100);
+  return PartOfSlots(pool, pool.policy.bulk_floor_percent);
+}
+
+bool BulkMayTake(const pool_state& pool, time_point now) {
+  if (pool.bulk_slots >= BulkCap(pool, now)) return false;
+  const bool alone = now - pool.short_work_at > pool.policy.quiet;
+  if (alone ||
+      pool.bulk_slots < PartOfSlots(pool, pool.policy.bulk_soft_percent))
+    return true;
+  return FreeSlots(pool) > PartOfSlots(pool, pool.policy.bulk_reserve_percent);
 }
 
 uint32_t BulkCap(const pool_state& pool, time_point now) {
   if (now - pool.short_work_at > pool.policy.quiet) return pool.total_slots;
-  return std::max(1U, pool.total_slots * pool.policy.bulk_cap_percent / 100);
+  return PartOfSlots(pool, pool.policy.bulk_cap_percent);
 }
 
 }  // namespace radishyard::internal
--- a/src/pool/pool_counts.h
+++ b/src/pool/pool_counts.h
@@ -24,6 +24,9 @@
 /// \brief Slots that waiting bulk gets whatever else waits.
 uint32_t BulkFloor(const pool_state& pool);
 
+/// \brief Whether one more bulk request may take a slot.
+bool BulkMayTake(const pool_state& pool, time_point now);
+
 /// \brief Slots that bulk may hold: all of them while there is no other work.
 uint32_t BulkCap(const pool_state& pool, time_point now);
 
--- a/src/pool/pool_policy.h
+++ b/src/pool/pool_policy.h
@@ -24,7 +24,11 @@
   /// Share of slots that waiting bulk gets whatever else waits.
   uint32_t bulk_floor_percent = 25;
   /// Largest share of slots that bulk takes while there is other work.
-  uint32_t bulk_cap_percent = 60;
+  uint32_t bulk_cap_percent = 70;
+  /// Above this share, bulk takes a slot only where others stay free.
+  uint32_t bulk_soft_percent = 50;
+  /// Share of slots that stay free then.
+  uint32_t bulk_reserve_percent = 30;
   /// Without other work for so long, bulk has no cap.
   duration quiet = 10s;
   /// From a join to the full share.
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -33,7 +33,7 @@
 
 bool MayTake(const pool_state& pool, port_kind kind, priority_class priority,
              time_point now) {
-  return !IsBulk(kind, priority) || pool.bulk_slots < BulkCap(pool, now);
+  return !IsBulk(kind, priority) || internal::BulkMayTake(pool, now);
 }
 
 pool_upstream* Place(pool_state& pool, const open_request& r, uint32_t except,
