--- /dev/null
+++ b/src/pool/opening_queue.cc
@@ -0,0 +1,56 @@
+// Order of waiting openings.
+#include "pool/opening_queue.h"
+
+#include <algorithm>
+
+namespace radishyard::internal {
+
+namespace {
+
+bool IsEarlier(const waiting_opening& a, const waiting_opening& b) {
+  return a.turn < b.turn;
+}
+
+bool IsBulkOpening(const open_request& request) {
+  return request.priority == priority_class::kBulk;
+}
+
+}  // namespace
+
+waiting_opening MakeWaiting(const open_request& request,
+                            time_point turn_of_caller,
+                            const pool_policy& policy, time_point now) {
+  const bool urgent = request.priority == priority_class::kUrgent;
+  const duration head_start = urgent ? policy.urgent_head_start : duration{};
+  return {request, now - request.waited, turn_of_caller - head_start};
+}
+
+void Insert(opening_queue& queue, const waiting_opening& w) {
+  auto& list = IsBulkOpening(w.request) ? queue.bulk : queue.short_work;
+  list.insert(std::upper_bound(list.begin(), list.end(), w, IsEarlier), w);
+}
+
+size_t Ahead(const opening_queue& queue, const waiting_opening& w) {
+  const auto& list = IsBulkOpening(w.request) ? queue.bulk : queue.short_work;
+  return std::upper_bound(list.begin(), list.end(), w, IsEarlier) -
+         list.begin();
+}
+
+duration MaxWait(const waiting_opening& w, const pool_policy& policy) {
+  const bool is_bulk = IsBulkOpening(w.request);
+  return is_bulk ? policy.max_bulk_wait : policy.max_wait;
+}
+
+std::optional<time_point> FirstDeadline(const opening_queue& queue,
+                                        const pool_policy& policy) {
+  std::optional<time_point> first;
+  for (const auto* list : {&queue.short_work, &queue.bulk}) {
+    for (const waiting_opening& w : *list) {
+      const time_point deadline = w.since + MaxWait(w, policy);
+      if (!first || deadline < *first) first = deadline;
+    }
+  }
+  return first;
+}
+
+}  // namespace radishyard::internal
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -9,53 +9,17 @@
 #include <vector>
 
 #include "base/time.h"
+#include "pool/caller_share.h"
+#include "pool/opening_queue.h"
 #include "pool/pool.h"
+#include "pool/pool_policy.h"
+#include "pool/pool_upstream.h"
+#include "pool/release_rate.h"
+#include "pool/retry_budget.h"
 #include "table/service.h"
 
 namespace radishyard {
 
-/// \brief Constants of the policy, in one place so that a replay may vary them.
-struct pool_policy {
-  duration max_wait = 250ms;     ///< Longest wait in the queue.
-  uint32_t max_waiting = 256;    ///< Longest queue.
-  duration ramp = 10s;           ///< From a join to the full share.
-  duration retry_window = 10s;   ///< Window of the retry budget.
-  uint32_t retry_percent = 10;   ///< Second placements per 100 first ones.
-  duration inherited_age = 60s;  ///< An inherited flow that stays silent for so
-                                 ///< long has ended.
-  auto operator<=>(const pool_policy&) const = default;
-};
-
-/// \brief An upstream as the owner counts it.
-struct pool_upstream {
-  uint32_t address = 0;
-  uint32_t weight = 0;
-  uint32_t max_slots = 0;
-  uint32_t max_connections = 0;
-  bool leaving = false;      ///< Marked leaving, or gone from the table.
-  uint32_t connections = 0;  ///< Known open flows.
-  uint32_t slots = 0;        ///< Known requests in progress.
-  uint32_t inherited_connections = 0;  ///< Reported by a previous owner.
-  uint32_t inherited_slots = 0;        ///< Reported by a previous owner.
-  time_point inherited_at;
-  std::optional<time_point> joined_at;  ///< Set while the upstream ramps up.
-  uint32_t failures = 0;       ///< Unanswered or shed since the last answer.
-  time_point ejected_until{};  ///< No new flow before.
-};
-
-/// \brief An opening that waits for room.
-struct waiting_opening {
-  open_request request;
-  time_point since;
-};
-
-/// \brief Budget of second placements over a sliding window.
-struct retry_budget {
-  uint64_t first = 0;   ///< First placements in the window.
-  uint64_t second = 0;  ///< Second placements in the window.
-  time_point started;
-};
-
 /// \brief One pool: the upstreams of a service in one failure domain.
 /// Invariants: `upstreams` is sorted by address; an opening waits in `queue`
 /// only while no upstream has room for it.
@@ -64,8 +28,19 @@
   std::string service;
   std::string domain;
   std::vector<pool_upstream> upstreams;
-  std::vector<waiting_opening> queue;
+  opening_queue queue;
   retry_budget retries;
+  hold_model holds;
+  caller_table callers;
+  release_rate releases;
+  uint64_t learned = 0;            ///< Completed requests.
+  uint32_t total_slots = 0;        ///< Of upstreams that are not leaving.
+  uint32_t total_connections = 0;  ///< Limits of these.
+  uint32_t bulk_slots = 0;         ///< Bulk requests in progress.
+  time_point short_work_at{};      ///< Last request that was not bulk.
+  time_point ramps_until{};        ///< End of the last ramp.
+  time_point inherited_until{};    ///< When unknown connections are forgotten.
+  time_point inherited_slots_until{};  ///< When unknown requests are.
 };
 
 /// \brief Takes up the rows of `domain`.
--- a/test/support/replay_variants.cc
+++ b/test/support/replay_variants.cc
@@ -11,6 +11,23 @@
       {"round robin", by(placing::kRoundRobin)},
       {"consistent hash", by(placing::kConsistentHash)},
       {"least connections", by(placing::kLeastConnections)},
+      {"without speed", [](replay_setup& s) { s.policy.learn_speed = false; }},
+      {"without bulk cap",
+       [](replay_setup& s) {
+         s.policy.bulk_cap_percent = 100;
+         s.policy.bulk_floor_percent = 0;
+         s.policy.max_bulk_wait = s.policy.max_wait;
+       }},
+      {"without ramps",
+       [](replay_setup& s) {
+         s.policy.ramp = {};
+         s.policy.recovery_ramp = {};
+       }},
+      {"without caller shares",
+       [](replay_setup& s) { s.policy.fair_callers = false; }},
+      {"without prediction",
+       [](replay_setup& s) { s.policy.refuse_by_prediction = false; }},
+      {"without passing", [](replay_setup& s) { s.passing = false; }},
       {"present", by(placing::kOwner)},
   };
 }
