Drop copies of UDP requests and late copies of a SYN

Cause: the path test found idempotent copies running beside their slot (8-13 times over the limit in 10,000 flows with 2% duplicates) and slots left held after late SYN copies. A copy within the packet lifetime is dropped; a SYN with the sequence number of the ended flow is one; only a SYN-ACK answers an opening.

--- a/src/flow/flow_record.h
+++ b/src/flow/flow_record.h
@@ -35,7 +35,9 @@
 /// then.
 struct flow_record {
   flow_key key;
-  uint32_t upstream = 0;      ///< Address of the upstream.
+  uint32_t upstream = 0;  ///< Address of the upstream.
+  uint32_t syn_seq =
+      0;  ///< Sequence number of the SYN that opened a TCP flow; 0 if unknown.
   uint32_t opened_ms = 0;     ///< When the present upstream was chosen.
   uint32_t last_seen_ms = 0;  ///< Last packet in either direction.
   /// Index of the pool at this thread; for kPassed the tag of the pool that it
--- a/src/traffic/duplicate_filter.cc
+++ b/src/traffic/duplicate_filter.cc
@@ -10,7 +10,7 @@
 }
 
 void duplicate_filter::Forget(time_point now) {
-  while (!by_age_.empty() && now - by_age_.front().at > kRetention) {
+  while (!by_age_.empty() && now - by_age_.front().at > retention_) {
     seen_.erase(by_age_.front().digest);
     by_age_.pop_front();
   }
--- a/src/traffic/duplicate_filter.h
+++ b/src/traffic/duplicate_filter.h
@@ -1,6 +1,5 @@
-// Digests of non-idempotent requests that were taken in, so that a copy made by
-// the fabric, or a repetition by the caller with the same bytes, never runs a
-// second time.
+// Digests of requests that were taken in, so that a copy made by the fabric
+// does not run a second time.
 #pragma once
 #include <absl/container/flat_hash_set.h>
 
@@ -16,9 +15,9 @@
 /// \brief A set of request digests that forgets each after a fixed time.
 class duplicate_filter {
  public:
-  /// \brief How long a digest is kept. A copy that is delayed for longer is not
-  /// recognised.
-  static constexpr seconds kRetention{60};
+  /// \param retention how long a digest is kept; a copy that is delayed for
+  /// longer is not recognised.
+  explicit duplicate_filter(duration retention) : retention_(retention) {}
 
   /// \brief Digest of a request: its flow and its payload.
   static uint64_t DigestOf(const flow_key& key, byte_span payload);
@@ -40,6 +39,7 @@
   };
   void Forget(time_point now);
 
+  duration retention_;
   // Invariant: both hold the same digests; by_age_ is in order of time.
   absl::flat_hash_set<uint64_t> seen_;
   std::deque<aged_digest> by_age_;
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -67,6 +67,7 @@
 flow_owner::outcome flow_owner::HandleKnown(inbound& in, uint32_t slot,
                                             time_point now) {
   flow_record& flow = flows_.At(slot);
+  if (IsLateSyn(in, flow)) return outcome::kDone;
   const bool serves = Route(in).role != pool_role::kNone;
   const bool is_over = flow.phase == flow_phase::kClosed && in.IsOpening();
   if (serves && (is_over || flow.phase == flow_phase::kPassed)) {
@@ -109,13 +110,11 @@
   flow_record& flow = flows_.At(slot);
   if (flow.phase == flow_phase::kQueued)
     return;  // The first copy waits already.
-  if (in.IsUnsafe()) {
-    if (AsksPrevious(in)) {
-      AskPrevious(in);
-      return;
-    }
-    if (!MayPlace(in, now)) return;
+  if (in.IsUnsafe() && AsksPrevious(in)) {
+    AskPrevious(in);
+    return;
   }
+  if (!MayPlace(in, now)) return;
   ForwardToUpstream(in, flow, now);
   if (in.packet.proto != protocol::kTcp) return;
   if (in.packet.Has(kRst)) End(slot, flow_end::kAbandoned, now);
@@ -193,30 +192,41 @@
     return outcome::kDone;
   }
   if (!in.IsOpening()) return outcome::kUnknownFlow;
-  if (in.IsUnsafe() && !MayPlace(in, now)) return outcome::kDone;
+  if (!MayPlace(in, now)) return outcome::kDone;
   Place(in, now);
   return outcome::kDone;
 }
 
 // The lease is read against the clock for each request: a balancer that was
-// paused finds it lapsed. A request that may not be placed is dropped without a
-// word: another balancer may have run it.
-bool flow_owner::MayPlace(const inbound& in, time_point now) {
-  const pool_route& route = Route(in);
+// paused finds it lapsed.
+bool flow_owner::HasLease(const pool_route& route, time_point now) const {
   const auto until = grants_.unsafe_until.find(route.name);
-  const bool has_lease =
-      until != grants_.unsafe_until.end() && now < until->second;
-  if (route.role != pool_role::kOwner || !has_lease) {
+  return route.role == pool_role::kOwner &&
+         until != grants_.unsafe_until.end() && now < until->second;
+}
+
+// Whether a datagram may go to an upstream. One that may not is dropped without
+// a word: another balancer may have run it, or its first copy may be running.
+bool flow_owner::MayPlace(const inbound& in, time_point now) {
+  if (in.packet.proto != protocol::kUdp || in.port.kind != port_kind::kRequest)
+    return true;
+  if (in.IsUnsafe() && !HasLease(Route(in), now)) {
     ++counters_.unsafe_withheld;
     return false;
   }
-  if (duplicates_.Add(duplicate_filter::DigestOf(in.key, in.packet.payload),
-                      now))
+  duplicate_filter& seen = in.IsUnsafe() ? duplicates_ : copies_;
+  if (seen.Add(duplicate_filter::DigestOf(in.key, in.packet.payload), now))
     return true;
   ++counters_.duplicates;
   return false;
 }
 
+// A copy of the SYN that opened a flow which has ended since.
+bool flow_owner::IsLateSyn(const inbound& in, const flow_record& flow) const {
+  return in.packet.IsSyn() && flow.phase == flow_phase::kClosed &&
+         flow.syn_seq == in.packet.seq;
+}
+
 void flow_owner::Place(inbound& in, time_point now) {
   served_pool& pool = *served_[ServedIndex(in.pool)];
   const uint32_t slot = flows_.Insert(in.key);
@@ -226,6 +236,7 @@
   flow.kind = in.port.kind;
   flow.priority = in.port.priority;
   flow.last_seen_ms = Ms(now);
+  flow.syn_seq = in.packet.seq;
   if (in.CameAs(forward_kind::kPassedOpening)) flow.Set(kWasPassed);
   held_[slot].assign(in.bytes.begin(), in.bytes.end());
   Trace(in, "owner", "open", now);
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -12,6 +12,7 @@
 #include "flow/flow_batch.h"
 #include "flow/flow_table.h"
 #include "flow/witness_cache.h"
+#include "lease/lease_times.h"
 #include "pool/pool_state.h"
 #include "traffic/duplicate_filter.h"
 #include "traffic/inbound.h"
@@ -21,6 +22,10 @@
 
 namespace radishyard {
 
+/// \brief A non-idempotent request with the same bytes on the same flow within
+/// this time is taken for a repetition and not placed.
+constexpr duration kRepeatWindow = 60s;
+
 /// \brief Timing of the owner.
 struct owner_timing {
   duration unanswered_after =
@@ -157,6 +162,8 @@
   bool AsksPrevious(const inbound& in) const;
   void AskPrevious(const inbound& in);
   bool MayPlace(const inbound& in, time_point now);
+  bool HasLease(const pool_route& route, time_point now) const;
+  bool IsLateSyn(const inbound& in, const flow_record& flow) const;
   void Place(inbound& in, time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
   void SendHeld(uint32_t slot, time_point now);
@@ -181,6 +188,7 @@
   void PollPools(time_point now);
   void PassWaiting(served_pool& pool, time_point now);
   std::optional<uint16_t> PoolWithRoom(const flow_record& flow) const;
+  bool OthersHaveRoom(const pool_name& name) const;
   bool PassOne(served_pool& pool, time_point now);
   void Trace(const inbound& in, const char* name, const char* result,
              time_point now);
@@ -197,7 +205,8 @@
   std::vector<uint16_t>
       served_of_view_;  // By index of the view; kNotServed if none.
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
-  duplicate_filter duplicates_;
+  duplicate_filter duplicates_{kRepeatWindow};  // Of non-idempotent requests.
+  duplicate_filter copies_{kPacketLifetime};    // Of other UDP requests.
   traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -66,6 +66,10 @@
     ReplaceOpening(slot, now);
     return false;
   }
+  if (in.packet.proto == protocol::kTcp && !in.packet.Has(kSyn)) {
+    ++counters_.stale_answers;  // Of an earlier connection with the same ports.
+    return false;
+  }
   Answered(pool, flow.upstream, milliseconds(Ms(now) - flow.opened_ms), now);
   flow.phase = flow_phase::kOpen;
   held_.erase(slot);
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -37,9 +37,7 @@
 }
 
 bool flow_owner::PassOne(served_pool& pool, time_point now) {
-  const auto first =
-      static_cast<uint32_t>(pool.state.queue.front().request.token);
-  if (!PoolWithRoom(flows_.At(first))) return false;
+  if (!OthersHaveRoom(pool.name)) return false;
   const auto waiting = PopForPeer(pool.state, now);
   if (!waiting) return false;
   const auto slot = static_cast<uint32_t>(waiting->token);
@@ -65,6 +63,15 @@
   return true;
 }
 
+bool flow_owner::OthersHaveRoom(const pool_name& name) const {
+  const auto first = grants_.free_slots.lower_bound({name.service, ""});
+  return std::any_of(first, grants_.free_slots.end(),
+                     [&name](const auto& entry) {
+                       return entry.first.service == name.service &&
+                              entry.first != name && entry.second > 0;
+                     });
+}
+
 // Index in the view of the pool with the most free slots among the other pools
 // of the service.
 std::optional<uint16_t> flow_owner::PoolWithRoom(
