--- a/src/pool/opening_queue.cc
+++ b/src/pool/opening_queue.cc
@@ -46,8 +46,8 @@
   std::optional<time_point> first;
   for (const auto* list : {&queue.short_work, &queue.bulk}) {
     for (const waiting_opening& w : *list) {
-      const time_point deadline = w.since + MaxWait(w, policy);
-      if (!first || deadline < *first) first = deadline;
+      const time_point due = w.since + MaxWait(w, policy);
+      if (!first || due < *first) first = due;
     }
   }
   return first;
--- a/src/pool/pool_config.cc
+++ b/src/pool/pool_config.cc
@@ -17,6 +17,7 @@
 
 void StartRamp(pool_state& pool, pool_upstream& u, time_point now) {
   u.ramp_from = now;
+  u.ramp_connections = u.UsedConnections();
   u.ramp = pool.policy.ramp;
   u.health = {};
   u.speed = {};
--- a/src/pool/pool_evidence.cc
+++ b/src/pool/pool_evidence.cc
@@ -24,6 +24,7 @@
 
 void Recover(pool_state& pool, pool_upstream& u, time_point now) {
   u.ramp_from = now;
+  u.ramp_connections = u.UsedConnections();
   u.ramp = pool.policy.recovery_ramp;
   pool.ramps_until = std::max(pool.ramps_until, now + u.ramp);
 }
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -220,9 +220,11 @@
              time_point now) {
   if (!pool.queue.short_work.empty()) return false;
   if (!MayTake(pool, kind, priority, now)) return false;
-  return std::any_of(
-      pool.upstreams.begin(), pool.upstreams.end(),
-      [&](const pool_upstream& u) { return TakesNew(u, kind, now); });
+  return std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
+                     [&](const pool_upstream& u) {
+                       return TakesNew(u, kind, now) &&
+                              !internal::IsWorthPassing(u, kind);
+                     });
 }
 
 std::optional<open_decision> PopForPeer(pool_state& pool, time_point /*now*/) {
--- a/src/pool/pool_upstream.h
+++ b/src/pool/pool_upstream.h
@@ -23,6 +23,7 @@
   uint32_t inherited_slots = 0;        ///< Reported by a previous owner.
   bool joining = false;                ///< As the table marks it.
   time_point ramp_from{};              ///< Start of the present ramp.
+  uint32_t ramp_connections = 0;       ///< Connections at its start.
   duration ramp{};                     ///< Its length; zero for none.
   upstream_health health;
   upstream_speed speed;
--- a/src/pool/upstream_choice.cc
+++ b/src/pool/upstream_choice.cc
@@ -9,7 +9,8 @@
 namespace radishyard::internal {
 namespace {
 
-constexpr double kSlowestForBulk = 0.35;  // Of the pool's mean speed.
+constexpr double kFarSlower = 0.35;  // Of the pool's mean speed.
+constexpr double kWorthPassing = 0.45;
 constexpr double kLastResort = 1e6;
 
 // What an upstream in its ramp counts on top of its connections: as if it were
@@ -34,9 +35,12 @@
 // Connections after this placement relative to weight. Lower is better.
 double Fill(const pool_upstream& u, const ramp_level& level, time_point now) {
   const double fill = (u.UsedConnections() + 1.0) / u.weight;
-  const double share = u.RampShare(now);
-  if (share >= 1) return fill;
-  return share * fill + (1 - share) * std::max(fill, level.mean_fill);
+  const double ramp = u.RampShare(now);
+  if (ramp >= 1) return fill;
+  const double share = ramp * ramp;  // Slow at first: it is coldest then.
+  const double missing =
+      level.mean_fill - static_cast<double>(u.ramp_connections) / u.weight;
+  return fill + (1 - share) * std::max(0.0, missing);
 }
 
 // Slots after this placement relative to weight and speed. Lower is better.
@@ -49,7 +53,7 @@
 // to one that is far slower than the pool only where nothing else is left.
 double BulkCost(const pool_upstream& u) {
   const double speed = u.speed.speed;
-  return speed >= kSlowestForBulk ? speed : kLastResort / speed;
+  return speed >= kFarSlower ? speed : kLastResort / speed;
 }
 
 double Cost(const pool_state& pool, const pool_upstream& u,
@@ -104,6 +108,10 @@
   return IsHealthy(u.health, now) && HasRoomFor(u, kind);
 }
 
+bool IsWorthPassing(const pool_upstream& u, port_kind kind) {
+  return kind == port_kind::kRequest && u.speed.speed < kWorthPassing;
+}
+
 pool_upstream* Choose(pool_state& pool, const choice_need& need,
                       time_point now) {
   if (pool_upstream* probe = FindProbe(pool, need, now)) return probe;
--- a/src/pool/upstream_choice.h
+++ b/src/pool/upstream_choice.h
@@ -13,10 +13,14 @@
   uint32_t except = 0;  ///< Address of an upstream to leave out; 0 for none.
 };
 
-/// \brief Whether `u` may take a regular opening of `kind`; a ramp is not
-/// counted, as it yields when all others are full.
+/// \brief Whether `u` may take a regular opening; a ramp is not counted, as it
+/// yields when all others are full.
 bool TakesNew(const pool_upstream& u, port_kind kind, time_point now);
 
+/// \brief Whether `u` is so slow that a request had better go to another pool
+/// with room, if there is one.
+bool IsWorthPassing(const pool_upstream& u, port_kind kind);
+
 /// \brief The best upstream that takes the opening; none where all are full.
 ///
 /// An ejected upstream whose probe is due comes first, but not for an urgent
