--- a/src/control/roster_keeper.h
+++ b/src/control/roster_keeper.h
@@ -22,17 +22,16 @@
 /// \brief How a proposal ended.
 enum class proposal_end : uint8_t {
   kConfirmed,  ///< The store holds it.
-  kLost,  ///< Another update came first, or the answer was lost; the roster has
-          ///< been read.
-  kFailed,  ///< Certainly not carried out.
+  kConflict,   ///< Another update came first; the roster is read next.
+  kUnknown,    ///< The answer was lost; the roster is read next.
+  kFailed,     ///< Certainly not carried out.
 };
 
 /// \brief Rosters by domain. Only higher versions are taken up.
 class roster_keeper {
  public:
   using change_handler = std::function<void(const held_roster&)>;
-  using proposal_handler =
-      std::function<void(proposal_end, time_point sent_at)>;
+  using proposal_handler = std::function<void(proposal_end, uint64_t version)>;
 
   roster_keeper(asio::io_context& io, object_store& store,
                 change_handler on_change);
@@ -44,7 +43,7 @@
   /// \brief Writes `next` if the store still has the version that is held. A
   /// lost answer is settled by reading back until the store answers. \warning
   /// One proposal at a time.
-  void Propose(const roster& next, time_point now, proposal_handler handler);
+  void Propose(const roster& next, const proposal_handler& handler);
   bool IsProposing() const { return proposing_; }
 
   /// \brief The domain's roster; an empty one with version 0 if none is known.
@@ -56,8 +55,7 @@
   }
 
  private:
-  void ReadBack(const std::string& domain, time_point sent_at,
-                proposal_handler handler);
+  void ReadBack(const std::string& domain);
   void Confirm(const roster& next, uint64_t version);
 
   asio::steady_timer timer_;
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -13,20 +13,11 @@
 
 namespace radishyard {
 
-/// \brief A pool's name: service and failure domain.
-struct pool_name {
-  std::string service_name;
-  std::string domain;
-  auto operator<=>(const pool_name&) const = default;
-};
-
 /// \brief What the view depends on besides the table.
 struct view_inputs {
   member_id self;
   std::map<std::string, roster> rosters;  ///< By domain.
   std::set<member_id> alive;              ///< `self` included.
-  std::map<pool_name, time_point>
-      unsafe_until;  ///< Lease deadlines of own pools.
   std::set<pool_name>
       handed_over;  ///< Own pools whose previous owner has finished.
   std::vector<endpoint> fabric;
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -4,16 +4,19 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "flow/flow_batch.h"
 #include "flow/flow_table.h"
 #include "flow/witness_cache.h"
 #include "pool/pool_state.h"
 #include "traffic/duplicate_filter.h"
 #include "traffic/inbound.h"
 #include "traffic/traffic_counters.h"
+#include "traffic/traffic_grants.h"
 #include "traffic/traffic_sink.h"
 
 namespace radishyard {
@@ -26,13 +29,6 @@
   duration idle_sweep = 10s;  ///< One pass over all flows.
 };
 
-/// \brief Load of one served pool, for the control thread.
-struct served_load {
-  std::string service;
-  std::string domain;
-  pool_load load;
-};
-
 /// \brief Flows of the pools that one traffic thread serves.
 ///
 /// \code
@@ -58,6 +54,12 @@
   /// \brief True if the flow has a record here.
   bool Knows(const flow_key& key) const { return flows_.Find(key).has_value(); }
 
+  /// \brief True for a copy of a non-idempotent request that was taken in here.
+  bool IsDuplicate(const inbound& in) const {
+    return in.IsUnsafe() && duplicates_.Has(duplicate_filter::DigestOf(
+                                in.key, in.packet.payload));
+  }
+
   /// \brief A caller's packet for a flow that is known here, or for a pool that
   /// is served here.
   outcome HandleCaller(inbound& in, time_point now);
@@ -74,15 +76,49 @@
   /// flows.
   void Tick(time_point now);
 
+  /// \brief Flows and digests of a pool that has moved to another balancer, for
+  /// its new owner.
+  flow_batch Export(const pool_name& name) const;
+
+  /// \brief Takes up what the previous owner exported. Flows that are known
+  /// already stay as they are.
+  void Import(const pool_name& name, const flow_batch& batch, time_point now);
+
+  /// \brief Forgets the flows of a pool that were handed over.
+  void Forget(const pool_name& name);
+
+  /// \brief Counts that the previous owner reported before it was lost.
+  void Inherit(const pool_name& name, const std::vector<upstream_load>& counts,
+               time_point now);
+
+  /// \brief Flows that the standby should know of and has not been told: those
+  /// open for `age`. \returns at most `most` flows, marked as told.
+  std::vector<flow_entry> NewWitnessed(const pool_name& name, duration age,
+                                       size_t most, time_point now);
+
+  /// \brief The standby of the pool has changed: all its flows are to be told
+  /// again.
+  void ForgetWitnessed(const pool_name& name);
+
+  /// rief Lease deadlines of own pools and free slots of others.
+  void SetGrants(const traffic_grants& grants) { grants_ = grants; }
+
+  /// rief Pools that another balancer serves although flows of them remain
+  /// here.
+  std::vector<pool_name> Leftover() const;
+
   std::vector<served_load> Loads(time_point now) const;
   const flow_table& flows() const { return flows_; }
   size_t OpenFlows() const { return flows_.size() - closed_; }
 
  private:
   struct served_pool {
-    std::string service;
-    std::string domain;
+    pool_name name;
     pool_state state;
+    std::optional<endpoint> moved_to;  // Set while another balancer serves it
+                                       // and flows remain here.
+    size_t flows = 0;                  // Records whose `pool` is this one.
+    uint32_t witness_at = 0;  // Slot where the search for untold flows goes on.
   };
   struct opening_timer {
     uint32_t slot;
@@ -111,6 +147,15 @@
   outcome HandleUnknown(inbound& in, time_point now);
   void ForwardToUpstream(inbound& in, flow_record& flow, time_point now);
   void FollowPassed(const inbound& in, const flow_record& flow);
+  void FollowMoved(const inbound& in, const flow_record& flow,
+                   const endpoint& to);
+  void MoveAway(served_pool& pool, const pool_route& route, time_point now);
+  outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
+  void KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
+  bool PassedPoolIsServed(const flow_record& flow) const;
+  served_pool* FindServed(const pool_name& name) const;
+  bool AsksPrevious(const inbound& in) const;
+  void AskPrevious(const inbound& in);
   bool MayPlace(const inbound& in, time_point now);
   void Place(inbound& in, time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
@@ -122,6 +167,7 @@
   void ReplaceOpening(uint32_t slot, time_point now);
   void LearnFromUpstream(const inbound& in, time_point now);
   uint32_t AdoptFlow(const inbound& in, uint32_t upstream, time_point now);
+  uint32_t AdoptEntry(const flow_entry& entry, uint16_t pool, time_point now);
   void ForwardToCaller(inbound& in);
 
   void End(uint32_t slot, flow_end how, time_point now);
@@ -133,6 +179,9 @@
   void SweepIdle(time_point now);
   uint32_t IdleLimitMs(const flow_record& flow) const;
   void PollPools(time_point now);
+  void PassWaiting(served_pool& pool, time_point now);
+  std::optional<uint16_t> PoolWithRoom(const flow_record& flow) const;
+  bool PassOne(served_pool& pool, time_point now);
   void Trace(const inbound& in, const char* name, const char* result,
              time_point now);
 
@@ -149,6 +198,7 @@
       served_of_view_;  // By index of the view; kNotServed if none.
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_;
+  traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
   size_t closed_ = 0;                   // Records in phase kClosed or kPassed.
--- a/src/traffic/routing_view.h
+++ b/src/traffic/routing_view.h
@@ -17,6 +17,17 @@
 
 namespace radishyard {
 
+/// \brief A pool's name: service and failure domain.
+struct pool_name {
+  std::string service;
+  std::string domain;
+  auto operator<=>(const pool_name&) const = default;
+};
+
+/// \brief Index of the traffic thread that serves the pool, the same seen from
+/// every balancer.
+size_t ThreadIndex(const pool_name& name, size_t threads);
+
 /// \brief What this balancer may do for a pool.
 enum class pool_role : uint8_t {
   kNone,    ///< Sends its packets to the owner.
@@ -27,8 +38,7 @@
 
 /// \brief A pool as seen from this balancer.
 struct pool_route {
-  std::string service_name;
-  std::string domain;
+  pool_name name;
   std::shared_ptr<const service> table;  ///< Rows of the service.
   uint16_t tag = 0;  ///< Same on every balancer; picks the traffic thread.
   uint64_t weight =
@@ -39,11 +49,6 @@
   endpoint owner;          ///< Data endpoint of the one who serves it.
   std::optional<endpoint>
       previous;  ///< Asks here for flows that were not handed over yet.
-  std::optional<endpoint>
-      handed_to;  ///< This balancer handed the pool over to that one.
-  time_point unsafe_until{};  ///< Until when this balancer may place work that
-                              ///< must run at most once.
-  uint32_t free_slots = 0;    ///< As last reported by the owner.
 };
 
 /// \brief A port of a service and the pools that serve it.
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -27,6 +27,11 @@
   owner_.SetView(std::move(view), now);
 }
 
+void traffic_core::TakeWitnesses(const flow_batch& batch, time_point now) {
+  for (const flow_entry& entry : batch.flows)
+    witnesses_.Put(entry.key, entry.upstream, Ms(now));
+}
+
 bool traffic_core::Trusts(const endpoint& from,
                           const geneve_frame& frame) const {
   if (frame.forward) return view_->balancers.contains(from);
@@ -84,7 +89,8 @@
   if (in.CameAs(forward_kind::kWitnessed)) {
     TakeWitness(in, now);
   } else if (owner_.Knows(in.key)) {
-    owner_.HandleCaller(in, now);
+    if (owner_.HandleCaller(in, now) == flow_owner::outcome::kUnknownFlow)
+      AskWitnesses(in, now);
   } else if (in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
   } else {
@@ -190,28 +196,36 @@
       witnesses_.Put(in.key, in.packet.source.address, Ms(now));
     }
   }
-  if (owner_.Knows(in.key)) {
-    owner_.HandleUpstream(in, now);
-  } else if (in.CameAs(forward_kind::kToPrevious)) {
+  const bool is_known = owner_.Knows(in.key);
+  const bool serves = view_->pools[in.pool].role != pool_role::kNone;
+  if (!is_known && in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
-  } else if (view_->pools[in.pool].role != pool_role::kNone) {
+  } else if (is_known || serves) {
     owner_.HandleUpstream(in, now);
   } else {
     ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
   }
 }
 
+// The previous owner does not know the flow either; the new one goes on by
+// itself.
 void traffic_core::Bounce(inbound& in) {
+  if (owner_.IsDuplicate(in)) {
+    ++counters_.duplicates;
+    return;
+  }
+  const uint32_t hint = in.Hint() != 0 ? in.Hint() : witnesses_.Get(in.key);
   sink_.ToBalancer(
       in.from,
       {forward_kind::kUnknownFlow, static_cast<uint8_t>(in.Hops() + 1),
-       in.forward->pool, in.Hint(), 0},
+       in.forward->pool, hint, 0},
       in.bytes);
 }
 
 void traffic_core::AnswerWitness(inbound& in) {
   uint32_t upstream = witnesses_.Get(in.key);
-  if (const auto slot = owner_.flows().Find(in.key))
+  const auto slot = owner_.flows().Find(in.key);
+  if (slot && owner_.flows().At(*slot).phase != flow_phase::kClosed)
     upstream = owner_.flows().At(*slot).upstream;
   if (upstream == 0) return;
   ++counters_.witness_answered;
