--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -51,6 +51,7 @@
 
 void controller::Start() {
   follower_.Start();
+  DialSeeds();
   WaitForTick();
 }
 
@@ -136,6 +137,7 @@
     }
   }
   inputs.alive = alive_;
+  for (const auto& [name, who] : strangers_) inputs.strangers.push_back(who);
   inputs.fabric = config_.fabric;
   inputs.trace_one_in = config_.trace.sample_one_in;
   const auto view =
@@ -173,13 +175,13 @@
   return deadlines;
 }
 
-void controller::PublishGrants(time_point now) {
+void controller::PublishGrants(time_point now, std::function<void()> done) {
   traffic_grants grants;
   grants.unsafe_until = Deadlines(now);
   for (const auto& [name, counts] : hub_.Reported()) {
     if (counts.free_slots > 0) grants.free_slots[name] = counts.free_slots;
   }
-  traffic_.Grant(grants);
+  traffic_.Grant(grants, std::move(done));
 }
 
 void controller::Leave(std::function<void()> done) {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -74,7 +74,7 @@
   void FollowIfWatcher();
   void PublishIfChanged();
   void InheritCounts(const routing_view& view);
-  void PublishGrants(time_point now);
+  void PublishGrants(time_point now, std::function<void()> done = {});
   void ContinueLeaving(time_point now);
   bool OwnsNothing() const;
 
@@ -88,7 +88,6 @@
   assign_view AssignView(const std::set<std::string>& may_take,
                          time_point now) const;
   lease_needs LeaseNeeds() const;
-  std::vector<member> OtherMembers() const;
   void PollVms(time_point now);
 
   // controller_peers.cc: heartbeats, spread of table and rosters, hand-overs.
@@ -103,13 +102,14 @@
   void CompleteAck(const heartbeat& beat, heartbeat_ack& ack);
   void OnHeartbeat(const heartbeat& beat);
   void OnAck(const heartbeat_ack& ack);
-  void OnMessage(const member_id& from, const peer_message& message);
+  void OnMessage(peer_link& link, const member& from,
+                 const peer_message& message);
+  void OnHello(peer_link& link, const member& who);
+  void DialSeeds();
   void CompareTable(const heartbeat& beat, time_point now);
-  void SendRecords(const member_id& to,
-                   const std::vector<record_pointer>& records);
+  void SendRecords(peer_link& link, const std::vector<record_pointer>& records);
   void SendRoster(const member_id& to, const held_roster& held);
   std::map<pool_name, pool_seat> Seats() const;
-  bool IsOwnDomain(const member_id& id) const;
   bool IsDelegate() const;
   void TellStandbys(time_point now);
 
@@ -122,6 +122,7 @@
   roster_keeper rosters_;
   store_follower follower_;
   std::map<std::string, lease_state> leases_;  // By domain.
+  bool proposing_ = false;  // From the decision to the end of the proposal.
   std::optional<roster> proposed_;  // Sent again while its outcome is unknown.
   liveness_state liveness_;
   remote_state remote_;
@@ -129,6 +130,8 @@
   std::set<member_id> linked_;
   peer_hub hub_;
   handover_desk handovers_;
+  std::map<std::string, member>
+      strangers_;  // Runs that are not listed but said hello, by name.
   std::vector<served_load> loads_;
   std::set<pool_name> serving_;  // By the view published last.
   std::map<pool_name, std::vector<member_id>>
--- a/src/control/controller_peers.cc
+++ b/src/control/controller_peers.cc
@@ -32,9 +32,12 @@
   };
   handlers.on_heartbeat = [this](const heartbeat& beat) { OnHeartbeat(beat); };
   handlers.on_ack = [this](const heartbeat_ack& ack) { OnAck(ack); };
-  handlers.on_message = [this](const member_id& from,
+  handlers.on_message = [this](peer_link& link, const member& from,
                                const peer_message& message) {
-    OnMessage(from, message);
+    OnMessage(link, from, message);
+  };
+  handlers.on_hello = [this](peer_link& link, const member& who) {
+    OnHello(link, who);
   };
   return handlers;
 }
@@ -57,10 +60,6 @@
   return handlers;
 }
 
-bool controller::IsOwnDomain(const member_id& id) const {
-  return FindMember(rosters_.Of(config_.domain).value, id) != nullptr;
-}
-
 bool controller::IsDelegate() const {
   return Contains(DelegatesOf(rosters_.Of(config_.domain).value, alive_),
                   self_.id);
@@ -216,7 +215,7 @@
             roster_record{held.value.domain, held.version, ToJson(held.value)});
 }
 
-void controller::SendRecords(const member_id& to,
+void controller::SendRecords(peer_link& link,
                              const std::vector<record_pointer>& records) {
   constexpr size_t kBytesPerMessage = 256 << 10;
   table_records batch;
@@ -226,19 +225,43 @@
                              record->version, record->edit_id});
     bytes += batch.records.back().value.size();
     if (bytes < kBytesPerMessage) continue;
-    hub_.Send(to, std::exchange(batch, {}));
+    link.Send(std::exchange(batch, {}));
     bytes = 0;
   }
-  if (!batch.records.empty()) hub_.Send(to, batch);
+  if (!batch.records.empty()) link.Send(batch);
+}
+
+// A balancer that no roster lists yet gets the rosters, and its packets are
+// trusted: it can serve as an ingress before the store lists it.
+void controller::OnHello(peer_link& link, const member& who) {
+  const bool is_listed =
+      std::ranges::any_of(rosters_.All(), [&who](const auto& entry) {
+        return FindMember(entry.second.value, who.id) != nullptr;
+      });
+  if (is_listed) {
+    strangers_.erase(who.id.name);
+    return;
+  }
+  strangers_[who.id.name] = who;
+  changed_ = true;
+  for (const auto& [domain, held] : rosters_.All()) {
+    link.Send(roster_record{domain, held.version, ToJson(held.value)});
+  }
 }
 
-void controller::OnMessage(const member_id& from, const peer_message& message) {
+void controller::DialSeeds() {
+  if (!config_.peers.empty()) hub_.DialSeeds(config_.peers, table_digest{});
+}
+
+void controller::OnMessage(peer_link& link, const member& from,
+                           const peer_message& message) {
   const time_point now = std::chrono::steady_clock::now();
   if (const auto* digest = std::get_if<table_digest>(&message)) {
-    SendRecords(from, NewerThan(table_, digest->services));
+    SendRecords(link, NewerThan(table_, digest->services));
   } else if (const auto* records = std::get_if<table_records>(&message)) {
-    for (const table_record& record : records->records)
-      TakeService(record.value, record.version, !IsOwnDomain(from));
+    for (const table_record& record : records->records) {
+      TakeService(record.value, record.version, from.domain != config_.domain);
+    }
   } else if (const auto* held = std::get_if<roster_record>(&message)) {
     rosters_.Take(
         {roster_keeper::KeyOf(held->domain), held->value, held->store_version});
@@ -246,7 +269,7 @@
     const auto seats = Seats();
     const auto seat = seats.find({chunk->service, chunk->domain});
     handovers_.TakeChunk(
-        from, *chunk,
+        from.id, *chunk,
         seat == seats.end() ? std::nullopt : std::optional(seat->second));
     changed_ = true;
   } else if (const auto* ack = std::get_if<handover_ack>(&message)) {
--- a/src/control/controller_roster.cc
+++ b/src/control/controller_roster.cc
@@ -49,23 +49,11 @@
   PublishIfChanged();
 }
 
-std::vector<member> controller::OtherMembers() const {
-  std::vector<member> others;
-  for (const auto& [domain, held] : rosters_.All()) {
-    if (domain == config_.domain) continue;
-    for (const member& m : held.value.members) {
-      if (m.domain == domain && alive_.contains(m.id)) others.push_back(m);
-    }
-  }
-  return others;
-}
-
 assign_view controller::AssignView(const std::set<std::string>& may_take,
                                    time_point now) const {
   assign_view view;
   view.self = self_.id;
   view.alive = alive_;
-  view.others = OtherMembers();
   view.may_take = may_take;
   view.may_release = ServicesToRelease(leases_.at(config_.domain), now);
   for (const auto& [name, record] : table_.records) {
@@ -111,7 +99,7 @@
 }
 
 void controller::ConsiderRoster(time_point now) {
-  if (rosters_.IsProposing() || now < propose_after_) return;
+  if (proposing_ || rosters_.IsProposing() || now < propose_after_) return;
   const held_roster held = rosters_.Of(config_.domain);
   const lease_action action =
       NextAction(leases_.at(config_.domain), LeaseNeeds(), now);
@@ -136,19 +124,24 @@
   Propose(next, now);
 }
 
+// What the proposal gives up is placed no more before it is sent: the traffic
+// threads confirm that they have the new grants.
 void controller::Propose(const roster& next, time_point now) {
   lease_state& lease = Lease(config_.domain);
   lease = OnUpdateSent(std::move(lease), next, now);
-  PublishGrants(now);  // What is given up is placed no more from here on.
   proposed_ = next;
-  rosters_.Propose(next, [this, next](proposal_end end, uint64_t version) {
-    OnProposalEnd(next, end, version);
+  proposing_ = true;
+  PublishGrants(now, [this, next] {
+    rosters_.Propose(next, [this, next](proposal_end end, uint64_t version) {
+      OnProposalEnd(next, end, version);
+    });
   });
 }
 
 void controller::OnProposalEnd(const roster& next, proposal_end end,
                                uint64_t version) {
   const time_point now = std::chrono::steady_clock::now();
+  proposing_ = false;
   lease_state& lease = Lease(config_.domain);
   switch (end) {
     case proposal_end::kConfirmed:
--- a/src/control/peer_hub.cc
+++ b/src/control/peer_hub.cc
@@ -41,7 +41,7 @@
 
 link_handlers peer_hub::AcceptHandlers() {
   link_handlers handlers;
-  handlers.on_open = [](peer_link&) {};
+  handlers.on_open = [this](peer_link& link) { link.Send(hello{self_}); };
   handlers.on_message = [this](peer_link& link, const peer_message& message) {
     Take(link, message);
   };
@@ -89,6 +89,26 @@
   }
 }
 
+void peer_hub::DialSeeds(const std::vector<endpoint>& seeds,
+                         const peer_message& question) {
+  for (const endpoint& seed : seeds) {
+    if (seed == self_.control) continue;
+    link_handlers handlers;
+    handlers.on_open = [this, question](peer_link& link) {
+      link.Send(hello{self_});
+      link.Send(question);
+    };
+    handlers.on_message = [this](peer_link& link, const peer_message& message) {
+      Take(link, message);
+    };
+    handlers.on_close = [](peer_link&, const failure&) {};
+    const uint64_t jitter = NameHash(self_.id.name + ">" + ToString(seed));
+    seeds_.push_back(std::make_unique<peer_connector>(io_, seed, handlers,
+                                                      counters_, jitter));
+    seeds_.back()->Start();
+  }
+}
+
 void peer_hub::Tick(time_point now) {
   const duration interval = IntervalFor(heartbeat_every_, peers_.size());
   for (auto& [id, peer] : peers_) {
@@ -141,7 +161,10 @@
 
 void peer_hub::Take(peer_link& link, const peer_message& message) {
   const time_point now = std::chrono::steady_clock::now();
-  std::visit(overloaded{[&](const hello& m) { heard_[m.self.id] = now; },
+  std::visit(overloaded{[&](const hello& m) {
+                          heard_[m.self.id] = now;
+                          handlers_.on_hello(link, m.self);
+                        },
                         [&](const heartbeat& m) {
                           heard_[m.sender] = now;
                           TakeHeartbeat(link, m);
@@ -152,7 +175,7 @@
                         },
                         [&](const auto&) {
                           if (link.peer())
-                            handlers_.on_message(link.peer()->id, message);
+                            handlers_.on_message(link, *link.peer(), message);
                         }},
              message);
 }
--- a/src/control/peer_hub.h
+++ b/src/control/peer_hub.h
@@ -37,7 +37,10 @@
   std::function<void(const heartbeat&, heartbeat_ack&)> complete_ack;
   std::function<void(const heartbeat&)> on_heartbeat;
   std::function<void(const heartbeat_ack&)> on_ack;
-  std::function<void(const member_id& from, const peer_message&)> on_message;
+  /// Answers go back on the link.
+  std::function<void(peer_link&, const member& from, const peer_message&)>
+      on_message;
+  std::function<void(peer_link&, const member&)> on_hello;
 };
 
 /// \brief The links of one balancer. It dials every peer; heartbeats go over
@@ -50,6 +53,11 @@
   /// \brief Dials new peers and drops those that are not listed.
   void SetPeers(const std::vector<hub_peer>& peers);
 
+  /// \brief Dials control addresses from the settings, to learn the state from
+  /// whoever answers.
+  void DialSeeds(const std::vector<endpoint>& seeds,
+                 const peer_message& question);
+
   /// \brief Sends the heartbeats that are due.
   void Tick(time_point now);
 
@@ -96,6 +104,7 @@
   std::shared_ptr<peer_counters> counters_;
   peer_server server_;
   std::map<member_id, dialed_peer> peers_;
+  std::vector<std::unique_ptr<peer_connector>> seeds_;
   std::map<member_id, time_point> heard_;
   std::map<pool_name, pool_counts> reported_;
 };
--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -38,6 +38,23 @@
   return at;
 }
 
+// Where no balancer of the domain is alive, one of another domain stands in.
+std::vector<member_id> ForeignOrder(const pool_name& name,
+                                    const view_inputs& inputs,
+                                    const member_index& members) {
+  std::vector<member_id> ids;
+  std::vector<rendezvous_candidate> candidates;
+  for (const auto& [id, m] : members.All()) {
+    if (!inputs.alive.contains(id) || m->leaving || m->domain == name.domain)
+      continue;
+    ids.push_back(id);
+    candidates.push_back({NameHash(id.name), static_cast<double>(m->size)});
+  }
+  if (ids.empty()) return {};
+  return {
+      ids[PickFirst(NameHash(name.service + "/" + name.domain), candidates)]};
+}
+
 void SetRole(pool_route& route, const view_inputs& inputs,
              const pool_assignment& pool, const std::vector<member_id>& order) {
   const bool is_owner = pool.owner == inputs.self;
@@ -53,8 +70,9 @@
       FindPool(held->second, route.name.service);
   if (pool == nullptr) return;
   const pool_name& name = route.name;
-  const std::vector<member_id> order =
+  std::vector<member_id> order =
       RouteOrder(held->second, route.name.service, inputs.alive);
+  if (order.empty()) order = ForeignOrder(name, inputs, members);
   route.epoch = pool->since_epoch;
   SetRole(route, inputs, *pool, order);
   if (order.empty()) return;
@@ -104,22 +122,33 @@
 
 void RemoveClashes(routing_view& view, const table_set& table) {
   for (const clash& c : Clashes(table)) {
+    if (c.kind == clash_kind::kServiceAsUpstream) {
+      absl::erase_if(view.ports, [&c](const auto& entry) {
+        return entry.first.at.address == c.place.address;
+      });
+      continue;
+    }
     view.ports.erase({c.proto, c.place});
     view.upstreams.erase({c.proto, c.place});
   }
 }
 
+void AddDataEndpoints(routing_view& view, const member& m) {
+  for (uint16_t i = 0; i < m.data_threads; ++i) {
+    view.balancers.insert(
+        {m.data.address, static_cast<uint16_t>(m.data.port + i)});
+  }
+}
+
 void AddBalancers(routing_view& view, const view_inputs& inputs,
                   const member_index& members) {
   for (const auto& [id, m] : members.All()) {
-    for (uint16_t i = 0; i < m->data_threads; ++i) {
-      view.balancers.insert(
-          {m->data.address, static_cast<uint16_t>(m->data.port + i)});
-    }
+    AddDataEndpoints(view, *m);
     const bool is_peer = id != inputs.self && inputs.alive.contains(id);
     if (is_peer && view.witnesses.size() < kMostWitnesses)
       view.witnesses.push_back(m->data);
   }
+  for (const member& m : inputs.strangers) AddDataEndpoints(view, m);
 }
 
 }  // namespace
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -20,6 +20,8 @@
   std::set<member_id> alive;              ///< `self` included.
   std::set<pool_name>
       handed_over;  ///< Own pools whose previous owner has finished.
+  std::vector<member> strangers;  ///< Balancers that are not listed yet; their
+                                  ///< packets are trusted.
   std::vector<endpoint> fabric;
   uint32_t trace_one_in = 0;
 };
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -52,6 +52,22 @@
           {"send_failed", c.send_failed}};
 }
 
+json PeersJson(const peer_counters& c) {
+  return {{"messages_sent", c.messages_sent},
+          {"bytes_sent", c.bytes_sent},
+          {"messages_received", c.messages_received},
+          {"bytes_received", c.bytes_received},
+          {"malformed", c.malformed},
+          {"overflows", c.overflows}};
+}
+
+json HandoversJson(const handover_totals& t) {
+  return {{"pools", t.pools},
+          {"flows", t.flows},
+          {"bytes", t.bytes},
+          {"longest_ms", ToMs(t.longest)}};
+}
+
 json LoadJson(const served_load& served) {
   uint64_t connections = 0;
   uint64_t slots = 0;
@@ -128,6 +144,10 @@
                {"platform_reachable", controller_.StoreReachable()},
                {"services", ServicesJson(controller_.table())},
                {"rosters", RostersJson(controller_.rosters())}};
+  page["peers"] = PeersJson(controller_.hub().counters());
+  page["handovers"] = HandoversJson(controller_.handovers().totals());
+  const time_point now = std::chrono::steady_clock::now();
+  const std::map<pool_name, time_point> deadlines = controller_.Deadlines(now);
   size_t open = 0;
   size_t queued = 0;
   page["pools"] = json::array();
@@ -137,7 +157,12 @@
     page["threads"].push_back(CountersJson(report.counters));
     for (const served_load& load : report.loads) {
       queued += load.load.waiting;
-      page["pools"].push_back(LoadJson(load));
+      json pool = LoadJson(load);
+      const auto until = deadlines.find(load.name);
+      pool["lease_ms"] = until == deadlines.end()
+                             ? 0
+                             : std::max<int64_t>(0, ToMs(until->second - now));
+      page["pools"].push_back(std::move(pool));
     }
   }
   page["flows"] = {{"open", open}, {"queued", queued}};
--- a/src/pool/pool_policy.h
+++ b/src/pool/pool_policy.h
@@ -16,6 +16,8 @@
   uint32_t max_waiting = 256;
   /// An urgent opening overtakes normal ones that came up to this much earlier.
   duration urgent_head_start = 1s;
+  /// Bulk openings that may wait for each slot that bulk may take.
+  uint32_t max_bulk_waiting_per_slot = 4;
   /// Longest wait of bulk openings.
   duration max_bulk_wait = 10s;
   /// A bulk opening that waited so long goes first while bulk holds less than
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -138,8 +138,10 @@
   const bool bulk = IsBulk(r.kind, r.priority);
   const size_t waiting =
       bulk ? pool.queue.bulk.size() : pool.queue.short_work.size();
-  if (waiting >= (bulk ? BulkCap(pool, now) : pool.policy.max_waiting))
-    return refusal::kQueueFull;
+  const size_t most =
+      bulk ? BulkCap(pool, now) * pool.policy.max_bulk_waiting_per_slot
+           : pool.policy.max_waiting;
+  if (waiting >= most) return refusal::kQueueFull;
   if (bulk || r.kind == port_kind::kFeed || !pool.policy.refuse_by_prediction)
     return refusal::kNone;
   const caller_use use = internal::UseOf(pool.callers, r.key.caller.address);
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "lease/lease_times.h"
 #include "table/json_check.h"
 #include "table/json_read.h"
 
@@ -177,8 +178,11 @@
     found.Add("/limits/heartbeat_ms", "is not below failure_timeout_ms");
   if (limits.heartbeat >= limits.lease)
     found.Add("/limits/heartbeat_ms", "is not below lease_ms");
-  if (limits.lease >= limits.takeover)
-    found.Add("/limits/lease_ms", "is not below takeover_ms");
+  if (!IsSafe({.lease = limits.lease, .take = limits.takeover})) {
+    found.Add("/limits/lease_ms",
+              "is too long for takeover_ms with the clock margin and packet "
+              "lifetime");
+  }
 }
 
 void CheckPlaces(const settings& s, const json& document, findings& found) {
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -36,7 +36,7 @@
     if (route.role != pool_role::kNone) {
       Serve(static_cast<uint16_t>(i), now);
     } else if (found != served_.end() && route.reachable) {
-      MoveAway(**found, route, now);
+      MoveAway(**found, route);
     }
   }
 }
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -154,7 +154,7 @@
   void FollowPassed(const inbound& in, const flow_record& flow);
   void FollowMoved(const inbound& in, const flow_record& flow,
                    const endpoint& to);
-  void MoveAway(served_pool& pool, const pool_route& route, time_point now);
+  void MoveAway(served_pool& pool, const pool_route& route);
   outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
   void KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
--- a/src/traffic/flow_owner_moves.cc
+++ b/src/traffic/flow_owner_moves.cc
@@ -19,11 +19,15 @@
 
 // Another balancer serves the pool from now on. Openings that wait go there at
 // once; the other flows follow by Export().
-void flow_owner::MoveAway(served_pool& pool, const pool_route& route,
-                          time_point now) {
+void flow_owner::MoveAway(served_pool& pool, const pool_route& route) {
+  const bool begins = !pool.moved_to;
   pool.moved_to = route.owner;
-  while (const auto waiting = PopForPeer(pool.state, now)) {
-    const auto slot = static_cast<uint32_t>(waiting->token);
+  if (!begins || pool.state.queue.empty()) return;
+  pool.state.queue = {};
+  for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
+    if (!flows_.Holds(slot) || flows_.At(slot).phase != flow_phase::kQueued)
+      continue;
+    if (served_[flows_.At(slot).pool].get() != &pool) continue;
     ++counters_.passed;
     sink_.ToBalancer(route.owner,
                      {forward_kind::kUnknownFlow, 1, route.tag, 0, 0},
--- a/src/traffic/traffic_group.cc
+++ b/src/traffic/traffic_group.cc
@@ -42,11 +42,18 @@
   for (const auto& thread : threads_) thread->Publish(view);
 }
 
-void traffic_group::Grant(const traffic_grants& grants) {
+void traffic_group::Grant(const traffic_grants& grants,
+                          std::function<void()> done) {
   const auto shared = std::make_shared<const traffic_grants>(grants);
+  const auto waiting = std::make_shared<size_t>(
+      threads_.size());  // Used on the control thread only.
   for (const auto& thread : threads_) {
-    thread->Post([shared](traffic_core& core, time_point) {
+    thread->Post([this, shared, waiting, done](traffic_core& core, time_point) {
       core.owner().SetGrants(*shared);
+      if (!done) return;
+      asio::post(control_, [waiting, done] {
+        if (--*waiting == 0) done();
+      });
     });
   }
 }
--- a/src/traffic/traffic_group.h
+++ b/src/traffic/traffic_group.h
@@ -27,7 +27,7 @@
   const std::vector<traffic_report>& reports() const { return reports_; }
 
   void Publish(std::shared_ptr<const routing_view> view) override;
-  void Grant(const traffic_grants& grants) override;
+  void Grant(const traffic_grants& grants, std::function<void()> done) override;
   void Export(const pool_name& name,
               std::function<void(flow_batch)> handler) override;
   void Import(const pool_name& name, flow_batch batch) override;
--- a/src/traffic/traffic_port.h
+++ b/src/traffic/traffic_port.h
@@ -18,7 +18,9 @@
  public:
   virtual ~traffic_port() = default;
   virtual void Publish(std::shared_ptr<const routing_view> view) = 0;
-  virtual void Grant(const traffic_grants& grants) = 0;
+  /// \param done, if any, is called once no thread acts by earlier grants.
+  virtual void Grant(const traffic_grants& grants,
+                     std::function<void()> done) = 0;
   /// \sa flow_owner for the following.
   virtual void Export(const pool_name& name,
                       std::function<void(flow_batch)> handler) = 0;
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -36,7 +36,7 @@
     "log":{"level":"debug","file":"/tmp/log"},
     "trace":{"sample_one_in":100,"file":"/tmp/trace"},
     "limits":{"heartbeat_ms":10,"failure_timeout_ms":20,"lease_ms":30,
-    "takeover_ms":40,"watchers_per_domain":3,"held_flows":7}})"));
+    "takeover_ms":600,"watchers_per_domain":3,"held_flows":7}})"));
   findings found;
   const auto s = ParseSettings(file.dump(), found);
   ASSERT_TRUE(s) << found.Text();
--- a/test/support/world.cc
+++ b/test/support/world.cc
@@ -256,9 +256,11 @@
           status["services"][name]["version"] != object["version"])
         return false;
     }
-    for (const json& pool : status["pools"])
+    for (const json& pool : status["pools"]) {
+      if (pool["lease_ms"] == 0) return false;  // A new owner still waits.
       owned.insert(pool["service"].get<std::string>() + " " +
                    pool["domain"].get<std::string>());
+    }
   }
   const std::set<std::string> pools = PoolsOf(objects["objects"]);
   return owned == std::multiset<std::string>(pools.begin(), pools.end());
