--- /dev/null
+++ b/test/traffic_moves_test.cc
@@ -0,0 +1,149 @@
+// Pools that move between balancers: no flow changes its upstream, no request
+// runs twice.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "support/traffic_bench.h"
+
+namespace radishyard {
+namespace {
+
+using bench = traffic_bench;
+
+const std::string kText = "id=1\n";
+byte_span Payload() {
+  return {reinterpret_cast<const uint8_t*>(kText.data()), kText.size()};
+}
+
+packet_fields Tcp(const endpoint& from, const endpoint& to, uint8_t flags) {
+  return {from, to, protocol::kTcp, flags, 200, 101};
+}
+
+packet_fields Order() {
+  return {bench::kCaller, bench::kOrder, protocol::kUdp, 0, 0, 0, 7, Payload()};
+}
+
+endpoint OpenFeed(bench& b, uint16_t caller_port) {
+  const endpoint caller{bench::kCaller.address, caller_port};
+  const auto opening =
+      b.In({caller, bench::kFeed, protocol::kTcp, kSyn, 100}, AtMs(1));
+  const endpoint up = opening.at(0).View().destination;
+  b.In(Tcp(up, caller, kSyn | kAck), AtMs(2));
+  return up;
+}
+
+// The old owner after the roster has named the peer; the new one while it still
+// asks the old one.
+void MoveToPeer(bench& from, bench& to) {
+  from.rennes().role = pool_role::kNone;
+  from.Publish(AtMs(10));
+  to.rennes().previous = bench::kPeer;
+  to.Publish(AtMs(10));
+}
+
+TEST(TrafficMoves, TheOldOwnerSendsPacketsOnWithTheUpstream) {
+  bench from;
+  bench to;
+  const endpoint up = OpenFeed(from, 1);
+  MoveToPeer(from, to);
+  const endpoint caller{bench::kCaller.address, 1};
+  const auto sent = from.In(Tcp(caller, bench::kFeed, kAck), AtMs(11));
+  ASSERT_EQ(sent.size(), 1U);
+  ASSERT_EQ(sent[0].forward->kind, forward_kind::kUnknownFlow);
+  const auto out =
+      to.In(Tcp(caller, bench::kFeed, kAck), AtMs(12), sent[0].forward);
+  ASSERT_EQ(out.size(), 1U);
+  EXPECT_EQ(out[0].View().destination, up);
+}
+
+TEST(TrafficMoves, ExportedFlowsKeepTheirUpstreamAndTheirCounts) {
+  bench from;
+  bench to;
+  std::map<uint16_t, endpoint> upstream_of;
+  for (uint16_t port = 1; port <= 500; ++port)
+    upstream_of[port] = OpenFeed(from, port);
+  MoveToPeer(from, to);
+  EXPECT_EQ(from.core.owner().Leftover(),
+            (std::vector<pool_name>{from.rennes().name}));
+  failure why;
+  const auto bytes = EncodeFlows(from.core.owner().Export(from.rennes().name));
+  EXPECT_LE(bytes.size(), 500U * 16);
+  to.core.owner().Import(to.rennes().name, *DecodeFlows(bytes, why), AtMs(12));
+  from.core.owner().Forget(from.rennes().name);
+  EXPECT_TRUE(from.core.owner().Leftover().empty());
+  EXPECT_EQ(from.core.owner().OpenFlows(), 0U);
+  to.rennes().previous.reset();
+  to.Publish(AtMs(13));
+  for (const auto& [port, up] : upstream_of) {
+    const endpoint caller{bench::kCaller.address, port};
+    EXPECT_EQ(to.In(Tcp(caller, bench::kFeed, kAck), AtMs(14))
+                  .at(0)
+                  .View()
+                  .destination,
+              up);
+  }
+  const auto loads = to.core.owner().Loads(AtMs(14));
+  uint32_t connections = 0;
+  for (const upstream_load& load : loads.at(0).load.upstreams)
+    connections += load.connections;
+  EXPECT_EQ(connections, 500U);
+}
+
+TEST(TrafficMoves, ACopyOfARequestThatRanAtTheOldOwnerIsNotPlacedByTheNew) {
+  bench from;
+  bench to;
+  ASSERT_EQ(from.In(Order(), AtMs(1)).size(), 1U);
+  MoveToPeer(from, to);
+  const auto asked = to.In(Order(), AtMs(11));
+  ASSERT_EQ(asked.size(), 1U);
+  ASSERT_EQ(asked[0].forward->kind, forward_kind::kToPrevious);
+  EXPECT_TRUE(from.In(Order(), AtMs(12), asked[0].forward).empty())
+      << "the old owner knows the copy";
+  to.core.owner().Import(
+      to.rennes().name, from.core.owner().Export(from.rennes().name), AtMs(13));
+  to.rennes().previous.reset();
+  to.Publish(AtMs(14));
+  EXPECT_TRUE(to.In(Order(), AtMs(15)).empty())
+      << "the digest came with the flows";
+}
+
+TEST(TrafficMoves, AWaitingOpeningMovesOnAtOnce) {
+  bench from(1);
+  const endpoint caller{bench::kCaller.address, 3};
+  for (uint16_t port = 1; port <= 3; ++port) {
+    from.In({{bench::kCaller.address, port},
+             bench::kRequest,
+             protocol::kTcp,
+             kSyn,
+             100},
+            AtMs(1));
+  }
+  from.rennes().role = pool_role::kNone;
+  from.Publish(AtMs(10));
+  const auto sent = from.sink.Take();
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].to, bench::kPeer);
+  EXPECT_EQ(sent[0].View().source, caller);
+}
+
+TEST(TrafficMoves, TheStandbyLearnsFlowsThatLast) {
+  bench owner;
+  bench standby;
+  const endpoint up = OpenFeed(owner, 1);
+  const pool_name name = owner.rennes().name;
+  EXPECT_TRUE(
+      owner.core.owner().NewWitnessed(name, 2s, 10, AtMs(1000)).empty());
+  const auto told = owner.core.owner().NewWitnessed(name, 2s, 10, AtMs(3000));
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_TRUE(owner.core.owner().NewWitnessed(name, 2s, 10, AtMs(4000)).empty())
+      << "told once";
+  standby.core.TakeWitnesses({told, {}}, AtMs(3001));
+  const auto out = standby.In(
+      Tcp({bench::kCaller.address, 1}, bench::kFeed, kAck), AtMs(5000));
+  ASSERT_EQ(out.size(), 1U) << "taken over after the owner was lost";
+  EXPECT_EQ(out[0].View().destination, up);
+}
+
+}  // namespace
+}  // namespace radishyard
