--- /dev/null
+++ b/bench/policy_decision_bench.cc
@@ -0,0 +1,62 @@
+// Cost of one decision of a pool: an opening placed and its flow ended.
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "pool/pool_state.h"
+
+namespace radishyard {
+namespace {
+
+pool_state MakePool(int64_t rows, uint32_t slots) {
+  service table{.name = "survey", .address = 1};
+  for (int64_t r = 0; r < rows; ++r) {
+    table.upstreams.push_back({"u" + std::to_string(r),
+                               static_cast<uint32_t>(r + 1), "rennes", 10,
+                               slots, 2000, upstream_state::kActive});
+  }
+  pool_state pool;
+  Configure(pool, table, "rennes", AtMs(0));
+  return pool;
+}
+
+void PlaceAndEnd(benchmark::State& state, port_kind kind) {
+  pool_state pool = MakePool(state.range(0), 2);
+  open_request request;
+  request.kind = kind;
+  int64_t ms = 0;
+  for (auto _ : state) {
+    const time_point now = AtMs(++ms);
+    request.key.caller.address = static_cast<uint32_t>(ms % 1000);
+    const open_decision d = Open(pool, request, now);
+    Answered(pool, d.upstream, 1ms, now);
+    Closed(pool, Held(request, d.upstream), flow_end::kCompleted, 20ms, now);
+  }
+}
+
+// The slots are taken and openings wait: each new one is refused at once.
+void RefuseAtFullQueue(benchmark::State& state) {
+  pool_state pool = MakePool(state.range(0), 2);
+  open_request request;
+  request.kind = port_kind::kRequest;
+  for (uint32_t i = 0; i < 1000; ++i) {
+    request.key.caller.address = i;
+    Open(pool, request, AtMs(1));
+  }
+  for (auto _ : state) benchmark::DoNotOptimize(Open(pool, request, AtMs(1)));
+}
+
+BENCHMARK_CAPTURE(PlaceAndEnd, feed, port_kind::kFeed)
+    ->Arg(5)
+    ->Arg(14)
+    ->Arg(300);
+BENCHMARK_CAPTURE(PlaceAndEnd, request, port_kind::kRequest)
+    ->Arg(5)
+    ->Arg(14)
+    ->Arg(300);
+BENCHMARK(RefuseAtFullQueue)->Arg(14)->Arg(300);
+
+}  // namespace
+}  // namespace radishyard
+
+BENCHMARK_MAIN();
--- a/test/pool_test.cc
+++ b/test/pool_test.cc
@@ -43,5 +43,93 @@
   EXPECT_EQ(late[0].what, what::kPlaced);
 }
 
+TEST(Pool, LeavingAndRemovedRowsKeepFlowsAndGetNoNewOnes) {
+  pool_state pool;
+  service table = TableOf(2, 2);
+  Configure(pool, table, "rennes", AtMs(0));
+  for (uint64_t i = 0; i < 4; ++i)
+    Open(pool, Request(1, i, port_kind::kFeed), AtMs(1));
+  table.upstreams[0].state = upstream_state::kLeaving;
+  Configure(pool, table, "rennes", AtMs(2));
+  EXPECT_EQ(Open(pool, Request(1, 5, port_kind::kFeed), AtMs(3)).upstream, 2U);
+  table.upstreams.erase(table.upstreams.begin());
+  Configure(pool, table, "rennes", AtMs(4));
+  ASSERT_EQ(pool.upstreams.size(), 2U);
+  EXPECT_EQ(pool.upstreams[0].connections, 2U);
+  EXPECT_EQ(Open(pool, Request(1, 6, port_kind::kFeed), AtMs(5)).upstream, 2U);
+  Configure(pool, service{}, "rennes", AtMs(6));
+  EXPECT_EQ(Open(pool, Request(1, 7), AtMs(7)).why, refusal::kNoUpstream);
+  EXPECT_EQ(PoolWeight(table, "rennes"), 10U);
+}
+
+TEST(Pool, InheritedFlowsCountUntilKnownOrAged) {
+  pool_state pool;
+  Configure(pool, TableOf(1, 2), "rennes", AtMs(0));
+  SetInherited(pool, 1, 2, 2, AtMs(0));
+  EXPECT_FALSE(
+      HasRoom(pool, port_kind::kRequest, priority_class::kNormal, AtMs(1)));
+  const held_flow known = Held(Request(3, 0), 1);
+  Adopt(pool, known, AtMs(2));
+  EXPECT_EQ(Load(pool, AtMs(2)).upstreams[0].connections, 2U);
+  Closed(pool, known, flow_end::kCompleted, 5ms, AtMs(3));
+  EXPECT_EQ(Open(pool, Request(1, 1), AtMs(3)).what, what::kPlaced);
+  EXPECT_EQ(Open(pool, Request(1, 2), AtMs(4)).what, what::kQueued);
+  EXPECT_EQ(Open(pool, Request(1, 3), AtMs(6'000)).what, what::kQueued);
+  EXPECT_EQ(Poll(pool, AtMs(6'000))[0].what, what::kPlaced);
+  // Adopted flows may exceed the limit; nothing new is placed until they end.
+  for (int i = 0; i < 3; ++i) Adopt(pool, known, AtMs(6'001));
+  EXPECT_EQ(Load(pool, AtMs(6'001)).free_slots, 0U);
+}
+
+TEST(Pool, UrgentOvertakesAndEveryWaitIsBounded) {
+  pool_state pool;
+  Configure(pool, TableOf(1, 1), "rennes", AtMs(0));
+  const auto first = Open(pool, Request(1, 0), AtMs(0));
+  Open(pool, Request(2, 1), AtMs(1));
+  open_request urgent = Request(3, 2);
+  urgent.priority = priority_class::kUrgent;
+  Open(pool, urgent, AtMs(2));
+  Closed(pool, Held(Request(1, 0), first.upstream), flow_end::kCompleted, 5ms,
+         AtMs(5));
+  EXPECT_EQ(Poll(pool, AtMs(5))[0].token, 2U);
+  ASSERT_TRUE(NextWake(pool));
+  EXPECT_EQ(*NextWake(pool), AtMs(1) + pool.policy.max_wait);
+  const auto late = Poll(pool, *NextWake(pool));
+  ASSERT_EQ(late.size(), 1U);
+  EXPECT_EQ(late[0].why, refusal::kWaitTooLong);
+  EXPECT_FALSE(PopForPeer(pool, AtMs(300)));
+}
+
+TEST(Pool, RetriesStayWithinTheirBudget) {
+  pool_state pool;
+  Configure(pool, TableOf(3, 2000), "rennes", AtMs(0));
+  uint32_t again = 0;
+  for (int64_t ms = 0; ms < 10'000; ms += 10) {
+    const auto d = Open(pool, Request(1, 0), AtMs(ms));
+    if (d.what != what::kPlaced) continue;
+    Answered(pool, d.upstream, 1ms, AtMs(ms));  // So that none is ejected.
+    const auto next = Replace(pool, Request(1, 0), d.upstream, AtMs(ms));
+    if (next) ++again;
+    EXPECT_NE(next, std::optional<uint32_t>(d.upstream));
+  }
+  EXPECT_LE(again, 100U);
+  EXPECT_GE(again, 80U);
+}
+
+TEST(Pool, OneCallerCannotTakeTheLastConnections) {
+  pool_state pool;
+  Configure(pool, TableOf(1, 2), "rennes", AtMs(0));
+  const auto open = [&](uint32_t caller) {
+    return Open(pool, Request(caller, 0, port_kind::kFeed), AtMs(1));
+  };
+  EXPECT_EQ(open(2).what, what::kPlaced);
+  uint32_t greedy = 0;
+  while (open(1).what == what::kPlaced) ++greedy;
+  EXPECT_EQ(open(1).why, refusal::kCallerShare);
+  EXPECT_LT(greedy, 2000U);
+  EXPECT_EQ(open(2).what, what::kPlaced);
+  EXPECT_EQ(open(3).what, what::kPlaced);
+}
+
 }  // namespace
 }  // namespace radishyard
--- a/test/standins/policy_report_main.cc
+++ b/test/standins/policy_report_main.cc
@@ -172,6 +172,32 @@
       });
 }
 
+figures OwnershipFigures(const replay_view& v) {
+  const double seconds = static_cast<double>(v.result.end_us) / 1e6;
+  return {{"limit violations", static_cast<double>(v.result.violations)},
+          {"imbalance of open flows %", 100 * Imbalance(Window(v, 0, 50'000))},
+          {"short p99 ms", WaitMs(v, flow_set::kShort, 99)},
+          {"refused",
+           static_cast<double>(Count(v, flow_set::kAll, kind::kRefused))},
+          {"control bytes/s",
+           static_cast<double>(v.result.control_bytes) / seconds}};
+}
+
+void PlacementTables(uint64_t seed) {
+  for (int load : {70, 90}) {
+    Table(
+        "pools at " + std::to_string(load) + "% load", PoolVariants(),
+        [=](workload w) { return SteadyLoad(w, load / 100.0, 0.03, seed); },
+        Waits);
+  }
+  for (int load : {70, 90}) {
+    Table(
+        "ownership at " + std::to_string(load) + "% load", OwnershipVariants(),
+        [=](workload w) { return FeedsAndRequests(w, load / 100.0, seed); },
+        OwnershipFigures);
+  }
+}
+
 void AllTables(uint64_t seed) {
   Table(
       "crest at twice the capacity", AllVariants(),
@@ -193,6 +219,7 @@
   }
   FaultTables(seed);
   OtherTables(seed);
+  PlacementTables(seed);
 }
 
 }  // namespace
--- a/test/support/replay_scenarios.cc
+++ b/test/support/replay_scenarios.cc
@@ -57,6 +57,15 @@
   return Finished(setup, shape);
 }
 
+scenario FeedsAndRequests(workload w, double load, uint64_t seed) {
+  const replay_setup setup = SetupOf(w);
+  trace_shape shape = ShapeOf(w, seed);
+  shape.length_ms = 60'000;
+  shape.feed_rate = 200;
+  SetLoad(shape, setup, load);
+  return Finished(setup, shape);
+}
+
 scenario Crest(workload w, uint64_t seed) {
   const replay_setup setup = SetupOf(w);
   trace_shape shape = ShapeOf(w, seed);
--- a/test/support/replay_scenarios.h
+++ b/test/support/replay_scenarios.h
@@ -22,6 +22,9 @@
 /// \brief 10,000 feeds open over upstreams of different weights.
 scenario ManyFeeds(workload w, uint64_t seed);
 
+/// \brief Steady requests, 3% long, with about 4,000 feeds open.
+scenario FeedsAndRequests(workload w, double load, uint64_t seed);
+
 /// \brief A tenth of the crest's rate, then from 10 s to 15 s tenfold, which is
 /// twice the capacity.
 scenario Crest(workload w, uint64_t seed);
--- a/test/support/replay_variants.h
+++ b/test/support/replay_variants.h
@@ -17,4 +17,10 @@
 /// \brief Baselines first, then the product's versions, the present one last.
 std::vector<variant> AllVariants();
 
+/// \brief Ways to cut the upstreams into pools.
+std::vector<variant> PoolVariants();
+
+/// \brief Ways to keep counts over seven balancers.
+std::vector<variant> OwnershipVariants();
+
 }  // namespace radishyard::test
