--- /dev/null
+++ b/test/standins/demo_main.cc
@@ -0,0 +1,103 @@
+// The demonstration: seven balancers of three failure domains, an operator's
+// table, flows with sprayed packets, and two planned changes meanwhile. Prints
+// what it does and what came of it. Usage: demo TABLE_FILE...
+#include <iostream>
+
+#include "support/world.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t kSeed = 7;
+constexpr duration kInForce = 15s;
+constexpr duration kStop = 30s;
+
+void Say(const std::string& text) {
+  std::cout << "== " << text << "\n" << std::flush;
+}
+
+json Requests(const char* service, const char* address, int port,
+              const char* protocol, int flows) {
+  return {{"cmd", "run"},         {"service", service}, {"address", address},
+          {"port", port},         {"flows", flows},     {"rate", 300},
+          {"protocol", protocol}, {"concurrency", 6},   {"ms", {1, 5}},
+          {"bytes", {100, 3000}}, {"seed", port},       {"idempotent", false}};
+}
+
+void OpenFlows(world& w) {
+  json feeds = Requests("survey-link", "10.20.0.1", 7000, "tcp", 300);
+  feeds.update({{"kind", "feed"}, {"concurrency", 300}, {"push_ms", 250}});
+  for (const json& spec :
+       {feeds, Requests("survey-link", "10.20.0.1", 7001, "tcp", 1500),
+        Requests("survey-link", "10.20.0.1", 7002, "udp", 1000),
+        Requests("drawing-archive", "10.20.0.2", 8000, "tcp", 500)})
+    w.callers().Ask(spec);
+}
+
+bool Apply(world& w, const std::vector<std::string>& files) {
+  Say("radishyardctl apply");
+  const ctl_result applied = w.Apply(files);
+  std::cout << applied.output;
+  if (applied.code != 0 || !w.WaitInForce(kInForce)) return false;
+  Say("radishyardctl status");
+  std::cout << w.Ctl({"status"}).output;
+  return true;
+}
+
+bool ChangeMeanwhile(world& w) {
+  Say("meanwhile: radishyardctl drain survey-link survey-1");
+  const ctl_result drained = w.Ctl({"drain", "survey-link", "survey-1"});
+  std::cout << drained.output;
+  Say("meanwhile: SIGTERM to balancer vannes-1");
+  const bool is_clean = w.Balancer("vannes-1").Stop(kStop);
+  w.Spray();
+  std::cout << "vannes-1 " << (is_clean ? "ended with 0" : "did NOT end well")
+            << "\n";
+  return drained.code == 0 && is_clean;
+}
+
+bool Report(world& w) {
+  const verdict v = w.Verdict();
+  Say("what happened");
+  std::cout << "flows completed            " << v.completed << "\n"
+            << "flows refused as not run   " << v.refused << "\n"
+            << "refused, but ran           " << v.refused_but_ran << "\n"
+            << "flows broken               " << v.broken << "\n"
+            << "wrong or partial answers   " << v.wrong << "\n"
+            << "timeouts                   " << v.timeouts << "\n"
+            << "requests run twice         " << v.doubled << "\n"
+            << "flows on two upstreams     " << v.on_two << "\n"
+            << "flows on another service   " << v.crossed << "\n"
+            << "limits of slots exceeded   " << v.over_slots << "\n"
+            << "of connections exceeded    " << v.over_connections << "\n";
+  if (!v.IsClean()) std::cout << v.details;
+  return v.IsClean();
+}
+
+int Main(const std::vector<std::string>& files) {
+  Say("platform, fabric, upstreams, callers and 7 balancers start");
+  world w(ArmorBalancers(), kSeed);
+  if (!Apply(w, files)) return 1;
+  Say("3,300 flows open; every packet is sprayed, some are duplicated or late");
+  w.fabric().Ask({{"cmd", "faults"}, {"duplicate", 0.02}, {"reorder", 0.02}});
+  OpenFlows(w);
+  const bool is_changed = ChangeMeanwhile(w);
+  const bool is_settled =
+      w.callers().Ask({{"cmd", "wait"}})["settled"].get<bool>();
+  w.callers().Ask({{"cmd", "stop_feeds"}});
+  Say("radishyardctl status");
+  std::cout << w.Ctl({"status"}).output;
+  const bool is_clean = Report(w);
+  const bool is_well = is_changed && is_settled && is_clean;
+  Say(is_well ? "all promises kept" : "NOT all promises kept");
+  return is_well ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace radishyard
+
+int main(int argc, char** argv) {
+  return radishyard::Main({argv + 1, argv + argc});
+}
--- a/test/support/stand_in_process.cc
+++ b/test/support/stand_in_process.cc
@@ -2,6 +2,7 @@
 #include "support/stand_in_process.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <stdexcept>
@@ -26,8 +27,10 @@
 
 std::string TestFolder() {
   const auto* test = testing::UnitTest::GetInstance()->current_test_info();
-  std::string folder = testing::TempDir() + "/radishyard." +
-                       test->test_suite_name() + "." + test->name();
+  const std::string name =
+      test ? std::string(test->test_suite_name()) + "." + test->name()
+           : "process." + std::to_string(getpid());
+  std::string folder = testing::TempDir() + "/radishyard." + name;
   std::filesystem::remove_all(folder);
   std::filesystem::create_directories(folder);
   return folder;
