--- /dev/null
+++ b/test/process_platform_test.cc
@@ -0,0 +1,153 @@
+// The platform fails in every way it has while balancers and the table change.
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <thread>
+
+#include "support/armor_load.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kFeeds = 500;
+constexpr auto kSpread = 3s;
+constexpr double kPlacedAgainMs = 3000;
+constexpr auto kRouted = 300ms;
+
+void Fault(world& w, const char* mode, unsigned count = 0) {
+  ASSERT_TRUE(w.Platform("/admin/fault", {{"mode", mode}, {"count", count}}));
+}
+
+// Version of survey-link in force on each balancer that runs; 0 for none.
+std::map<std::string, uint64_t> Versions(world& w) {
+  std::map<std::string, uint64_t> versions;
+  for (balancer& b : w.balancers()) {
+    if (!b.is_running()) continue;
+    const json status = b.Status();
+    const json found = status.is_object() ? status["services"] : json();
+    versions[b.name()] = found.contains("survey-link")
+                             ? found["survey-link"]["version"].get<uint64_t>()
+                             : 0;
+  }
+  return versions;
+}
+
+uint64_t Lowest(const std::map<std::string, uint64_t>& versions) {
+  uint64_t lowest = UINT64_MAX;
+  for (const auto& [name, version] : versions)
+    lowest = std::min(lowest, version);
+  return lowest;
+}
+
+std::string OwnerOf(world& w, const std::string& domain) {
+  for (balancer& b : w.balancers()) {
+    const json status = b.Status();
+    if (!status.is_object()) continue;
+    for (const json& pool : status["pools"])
+      if (pool["service"] == "survey-link" && pool["domain"] == domain)
+        return b.name();
+  }
+  return "";
+}
+
+// Nothing run twice or by two, and nothing refused that ran.
+void ExpectSafe(world& w) {
+  const verdict v = w.Verdict();
+  EXPECT_EQ(v.doubled + v.crossed + v.on_two + v.wrong + v.refused_but_ran +
+                v.over_slots + v.over_connections,
+            0)
+      << v;
+  EXPECT_EQ(v.broken, 0) << v;
+  std::cout << v;
+}
+
+TEST(ProcessPlatform, EditIsInForceWithTheStoreFailingAfterTheWrite) {
+  world w(ArmorBalancers(), 61);
+  ASSERT_EQ(StartArmor(w, kFeeds), "");
+  const uint64_t before = Lowest(Versions(w));
+  ASSERT_EQ(w.Ctl({"drain", "survey-link", "survey-1"}).code, 0);
+  Fault(w, "outage");
+  std::this_thread::sleep_for(kSpread);
+  const auto versions = Versions(w);
+  for (const auto& [name, version] : versions)
+    EXPECT_GT(version, before) << name;
+  // A new run learns table and rosters from its peers.
+  balancer& late = w.Balancer("vannes-2");
+  late.Kill();
+  late.Start();
+  std::this_thread::sleep_for(kSpread);
+  EXPECT_EQ(Versions(w), versions) << late.Status().dump(1);
+  EXPECT_EQ(late.Status()["rosters"].size(), 3) << late.Status().dump(1);
+  Fault(w, "none");
+  EXPECT_TRUE(w.WaitInForce(10s));
+}
+
+TEST(ProcessPlatform, NoTableRevertsByStaleReadsAndOldEvents) {
+  world w(ArmorBalancers(), 62);
+  ASSERT_EQ(StartArmor(w, kFeeds), "");
+  for (const char* mode : {"stale_read", "old_watch", "stale_read"}) {
+    ASSERT_EQ(w.Ctl({"drain", "survey-link", "survey-1"}).code, 0);
+    ASSERT_EQ(w.Ctl({"join", "survey-link", "survey-1"}).code, 0);
+    ASSERT_TRUE(w.WaitInForce(kSpread));
+    auto last = Versions(w);
+    Fault(w, mode);
+    w.Balancer("rennes-3").Kill();
+    w.Balancer("rennes-3").Start();
+    last["rennes-3"] = 0;
+    for (int look = 0; look < 40; ++look) {
+      std::this_thread::sleep_for(100ms);
+      const auto now = Versions(w);
+      for (const auto& [name, version] : now)
+        EXPECT_GE(version, last[name]) << mode << " " << name;
+      last = now;
+    }
+    Fault(w, "none");
+    EXPECT_TRUE(w.WaitInForce(10s)) << mode;
+  }
+}
+
+TEST(ProcessPlatform, OwnerIsKilledInAnOutage) {
+  world w(ArmorBalancers(), 63);
+  ASSERT_EQ(StartArmor(w, kFeeds), "");
+  Fault(w, "outage");
+  StartFlows(w, 15);
+  std::this_thread::sleep_for(2s);
+  const std::string owner = OwnerOf(w, "rennes");
+  ASSERT_NE(owner, "");
+  w.Balancer(owner).Kill();
+  std::this_thread::sleep_for(kRouted);
+  w.Spray();
+  std::this_thread::sleep_for(8s);
+  Fault(w, "none");
+  EXPECT_TRUE(w.WaitInForce(15s));
+  const json report = EndLoad(w);
+  EXPECT_LE(LongestGap(report), kPlacedAgainMs);
+  EXPECT_EQ(w.WaitIdle(10s), "");
+  ExpectSafe(w);
+}
+
+TEST(ProcessPlatform, AnswersAreLostAfterWrites) {
+  world w(ArmorBalancers(), 64);
+  ASSERT_EQ(StartArmor(w, kFeeds), "");
+  StartFlows(w, 12);
+  Fault(w, "lost_answer", 1);
+  const ctl_result drained = w.Ctl({"drain", "survey-link", "survey-1"});
+  std::cout << drained.code << " " << drained.output;
+  EXPECT_TRUE(w.WaitInForce(kSpread));
+  Fault(w, "lost_answer");
+  const std::string owner = OwnerOf(w, "rennes");
+  w.Balancer(owner).Kill();
+  std::this_thread::sleep_for(kRouted);
+  w.Spray();
+  EXPECT_TRUE(w.WaitInForce(10s)) << "one owner although answers are lost";
+  Fault(w, "none");
+  EXPECT_TRUE(w.WaitInForce(10s));
+  EndLoad(w);
+  EXPECT_EQ(w.WaitIdle(10s), "");
+  ExpectSafe(w);
+}
+
+}  // namespace
+}  // namespace radishyard
--- /dev/null
+++ b/test/support/armor_load.cc
@@ -0,0 +1,77 @@
+// Rates stay far below the slots at service times of a few milliseconds, so
+// that nothing has to be refused for want of room.
+#include "support/armor_load.h"
+
+#include <algorithm>
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kFlowsPerSecond = 60;  // Of each kind.
+constexpr int kTimeoutMs = 8000;
+
+json Flows(const char* service, const char* address, int port,
+           const char* protocol, int seconds, int most_ms) {
+  return {{"cmd", "run"},
+          {"service", service},
+          {"address", address},
+          {"port", port},
+          {"protocol", protocol},
+          {"flows", kFlowsPerSecond * seconds},
+          {"rate", kFlowsPerSecond},
+          {"concurrency", 1000},
+          {"idempotent", port != 7002},
+          {"ms", {1, most_ms}},
+          {"bytes", {100, 3000}},
+          {"timeout_ms", kTimeoutMs},
+          {"seed", port + seconds}};
+}
+
+}  // namespace
+
+std::string ArmorTable(const std::string& service) {
+  return RY_BIN_DIR "/../examples/armor/" + service + ".json";
+}
+
+std::string StartArmor(world& w, int feeds) {
+  const ctl_result applied =
+      w.Apply({ArmorTable("survey-link"), ArmorTable("drawing-archive")});
+  if (applied.code != 0) return applied.output;
+  if (!w.WaitInForce(20s)) return "not in force";
+  w.callers().Ask({{"cmd", "run"},
+                   {"service", "survey-link"},
+                   {"address", "10.20.0.1"},
+                   {"port", 7000},
+                   {"kind", "feed"},
+                   {"flows", feeds},
+                   {"concurrency", feeds},
+                   {"rate", 400},
+                   {"push_ms", 1000},
+                   {"timeout_ms", kTimeoutMs}});
+  const bool settled = w.callers().Ask({{"cmd", "wait"}})["settled"];
+  return settled ? "" : "feeds not accepted";
+}
+
+void StartFlows(world& w, int seconds, int most_ms) {
+  const auto run = [&](const json& flows) { w.callers().Ask(flows); };
+  run(Flows("survey-link", "10.20.0.1", 7001, "tcp", seconds, most_ms));
+  run(Flows("survey-link", "10.20.0.1", 7002, "udp", seconds, most_ms));
+  run(Flows("drawing-archive", "10.20.0.2", 8001, "udp", seconds, most_ms));
+}
+
+json EndLoad(world& w) {
+  w.callers().Ask({{"cmd", "wait"}});
+  return w.callers().Ask({{"cmd", "stop_feeds"}});
+}
+
+double LongestGap(const json& report) {
+  double longest = 0;
+  for (const json& run : report["runs"])
+    if (run["kind"] == "request")
+      longest = std::max(longest, run["longest_gap_ms"].get<double>());
+  return longest;
+}
+
+}  // namespace radishyard
--- a/test/support/world.cc
+++ b/test/support/world.cc
@@ -181,10 +181,10 @@
   throw std::invalid_argument("no balancer " + name);
 }
 
-void world::Spray() {
+void world::Spray(const std::string& without) {
   json list = json::array();
   for (const balancer& b : balancers_)
-    if (b.is_running()) list.push_back(b.data());
+    if (b.is_running() && b.name() != without) list.push_back(b.data());
   fabric_.Ask({{"cmd", "balancers"}, {"list", list}});
 }
 
--- a/test/support/world.h
+++ b/test/support/world.h
@@ -125,8 +125,8 @@
   /// \brief Waits until no balancer counts a connection or a slot in use.
   /// \returns the pools that still do, one a line; empty where all is well.
   std::string WaitIdle(duration timeout);
-  /// \brief Has the fabric spray over the balancers that run.
-  void Spray();
+  /// \brief Has the fabric spray over the balancers that run, but one.
+  void Spray(const std::string& without = "");
 
   /// \brief POST to an admin page of the platform, such as "/admin/fault".
   bool Platform(const std::string& page, const nlohmann::json& body);
