--- a/bench/support/control_fleet.h
+++ b/bench/support/control_fleet.h
@@ -18,7 +18,9 @@
     held = std::move(view);
     ++published;
   }
-  void Grant(const traffic_grants&) override {}
+  void Grant(const traffic_grants&, std::function<void()> done) override {
+    if (done) done();
+  }
   void Export(const pool_name&, std::function<void(flow_batch)>) override {}
   void Import(const pool_name&, flow_batch) override {}
   void Forget(const pool_name&) override {}
