Refuse no UDP request of which a copy may have run

Cause: process_kill_test saw 12-38 requests refused that had run: a repetition met a full queue after the first copy had run at the lost owner, or before its answer was lost. An owner now drops such a request without an answer, and refuses none in the first 10 s after it took the pool over.

--- a/src/traffic/duplicate_filter.cc
+++ b/src/traffic/duplicate_filter.cc
@@ -16,9 +16,22 @@
   }
 }
 
+std::optional<time_point> duplicate_filter::AddedAt(uint64_t digest) const {
+  const auto found = seen_.find(digest);
+  if (found == seen_.end()) return std::nullopt;
+  return found->second;
+}
+
+std::vector<uint64_t> duplicate_filter::List() const {
+  std::vector<uint64_t> digests;
+  digests.reserve(seen_.size());
+  for (const auto& [digest, at] : seen_) digests.push_back(digest);
+  return digests;
+}
+
 bool duplicate_filter::Add(uint64_t digest, time_point now) {
   Forget(now);
-  if (!seen_.insert(digest).second) return false;
+  if (!seen_.try_emplace(digest, now).second) return false;
   by_age_.push_back({now, digest});
   return true;
 }
--- a/src/traffic/duplicate_filter.h
+++ b/src/traffic/duplicate_filter.h
@@ -1,10 +1,11 @@
 // Digests of requests that were taken in, so that a copy made by the fabric
 // does not run a second time.
 #pragma once
-#include <absl/container/flat_hash_set.h>
+#include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include "base/time.h"
@@ -28,8 +29,11 @@
 
   bool Has(uint64_t digest) const { return seen_.contains(digest); }
 
+  /// \brief When the digest was added, if it is present.
+  std::optional<time_point> AddedAt(uint64_t digest) const;
+
   /// \brief Digests held, for the hand-over of a pool.
-  std::vector<uint64_t> List() const { return {seen_.begin(), seen_.end()}; }
+  std::vector<uint64_t> List() const;
   size_t size() const { return seen_.size(); }
 
  private:
@@ -41,7 +45,7 @@
 
   duration retention_;
   // Invariant: both hold the same digests; by_age_ is in order of time.
-  absl::flat_hash_set<uint64_t> seen_;
+  absl::flat_hash_map<uint64_t, time_point> seen_;
   std::deque<aged_digest> by_age_;
 };
 
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -50,6 +50,8 @@
     served_.back()->name = route.name;
   }
   served_pool& pool = *served_[index];
+  const bool begins = pool.moved_to.has_value() || pool.taken_at == time_point{};
+  if (begins) pool.taken_at = now;
   pool.moved_to.reset();
   if (route.table) Configure(pool.state, *route.table, route.name.domain, now);
   return pool;
@@ -91,8 +93,7 @@
       !in.packet.Has(kSyn)) {
     return GiveUpOpening(in, slot, now);
   }
-  KeepOnUpstream(in, slot, now);
-  return outcome::kDone;
+  return KeepOnUpstream(in, slot, now);
 }
 
 // The caller goes on although no SYN-ACK came from the upstream that was chosen
@@ -106,20 +107,21 @@
 }
 
 // A packet of a flow that has its upstream, or waits for one.
-void flow_owner::KeepOnUpstream(inbound& in, uint32_t slot, time_point now) {
+flow_owner::outcome flow_owner::KeepOnUpstream(inbound& in, uint32_t slot, time_point now) {
   flow_record& flow = flows_.At(slot);
-  if (flow.phase == flow_phase::kQueued)
-    return;  // The first copy waits already.
+  if (flow.phase == flow_phase::kQueued) return outcome::kDone;  // The first copy waits already.
   if (in.IsUnsafe() && AsksPrevious(in)) {
     AskPrevious(in);
-    return;
+    return outcome::kDone;
   }
-  if (!MayPlace(in, now)) return;
+  const admission admitted = Admit(in, now);
+  if (admitted == admission::kNoLease) return outcome::kWithheld;
+  if (admitted == admission::kCopy) return outcome::kDone;
   ForwardToUpstream(in, flow, now);
-  if (in.packet.proto != protocol::kTcp) return;
+  if (in.packet.proto != protocol::kTcp) return outcome::kDone;
   if (in.packet.Has(kRst)) End(slot, flow_end::kAbandoned, now);
-  if (flow.Has(kCallerFin) && flow.Has(kUpstreamFin))
-    End(slot, flow_end::kCompleted, now);
+  if (flow.Has(kCallerFin) && flow.Has(kUpstreamFin)) End(slot, flow_end::kCompleted, now);
+  return outcome::kDone;
 }
 
 bool flow_owner::PassedPoolIsServed(const flow_record& flow) const {
@@ -192,8 +194,9 @@
     return outcome::kDone;
   }
   if (!in.IsOpening()) return outcome::kUnknownFlow;
-  if (!MayPlace(in, now)) return outcome::kDone;
-  Place(in, now);
+  const admission admitted = Admit(in, now);
+  if (admitted == admission::kNoLease) return outcome::kWithheld;
+  if (admitted != admission::kCopy) Place(in, admitted == admission::kRepeated, now);
   return outcome::kDone;
 }
 
@@ -205,20 +208,18 @@
          until != grants_.unsafe_until.end() && now < until->second;
 }
 
-// Whether a datagram may go to an upstream. One that may not is dropped without
-// a word: another balancer may have run it, or its first copy may be running.
-bool flow_owner::MayPlace(const inbound& in, time_point now) {
-  if (in.packet.proto != protocol::kUdp || in.port.kind != port_kind::kRequest)
-    return true;
-  if (in.IsUnsafe() && !HasLease(Route(in), now)) {
-    ++counters_.unsafe_withheld;
-    return false;
-  }
+// A copy made by the fabric comes within the packet lifetime. Later ones are repetitions by the
+// caller: of an idempotent request they are placed again, of another they are not.
+flow_owner::admission flow_owner::Admit(const inbound& in, time_point now) {
+  if (in.packet.proto != protocol::kUdp || in.port.kind != port_kind::kRequest) return admission::kFirst;
+  if (in.IsUnsafe() && !HasLease(Route(in), now)) return admission::kNoLease;
+  const uint64_t digest = duplicate_filter::DigestOf(in.key, in.packet.payload);
   duplicate_filter& seen = in.IsUnsafe() ? duplicates_ : copies_;
-  if (seen.Add(duplicate_filter::DigestOf(in.key, in.packet.payload), now))
-    return true;
+  if (seen.Add(digest, now)) return admission::kFirst;
+  const auto added_at = seen.AddedAt(digest);
+  if (in.port.idempotent && now - *added_at > kPacketLifetime) return admission::kRepeated;
   ++counters_.duplicates;
-  return false;
+  return admission::kCopy;
 }
 
 // A copy of the SYN that opened a flow which has ended since.
@@ -227,7 +228,7 @@
          flow.syn_seq == in.packet.seq;
 }
 
-void flow_owner::Place(inbound& in, time_point now) {
+void flow_owner::Place(inbound& in, bool may_have_run, time_point now) {
   served_pool& pool = *served_[ServedIndex(in.pool)];
   const uint32_t slot = flows_.Insert(in.key);
   flow_record& flow = flows_.At(slot);
@@ -238,6 +239,8 @@
   flow.last_seen_ms = Ms(now);
   flow.syn_seq = in.packet.seq;
   if (in.CameAs(forward_kind::kPassedOpening)) flow.Set(kWasPassed);
+  const bool is_new_owner = now - pool.taken_at < kRetryWindow;
+  if (may_have_run || is_new_owner) flow.Set(kMayHaveRun);
   held_[slot].assign(in.bytes.begin(), in.bytes.end());
   Trace(in, "owner", "open", now);
   Settle(slot,
@@ -291,6 +294,12 @@
 void flow_owner::Refuse(uint32_t slot, std::span<uint8_t> bytes) {
   assert(!flows_.At(slot).Has(kPayloadSent) &&
          "a request that may have run is not refused");
+  const bool is_silent = flows_.At(slot).key.proto == protocol::kUdp && flows_.At(slot).Has(kMayHaveRun);
+  if (is_silent) {
+    ++counters_.unsafe_withheld;
+    Remove(slot);
+    return;
+  }
   ++counters_.refused;
   failure why;
   const auto packet = ParsePacket(bytes, why);
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -26,6 +26,11 @@
 /// this time is taken for a repetition and not placed.
 constexpr duration kRepeatWindow = 60s;
 
+/// \brief An idempotent request that is repeated within this time may have run, and so is not refused.
+/// For as long after it took a pool over, an owner refuses no UDP request: the owner before may have
+/// run a copy.
+constexpr duration kRetryWindow = 10s;
+
 /// \brief Timing of the owner.
 struct owner_timing {
   duration unanswered_after =
@@ -46,6 +51,7 @@
   enum class outcome : uint8_t {
     kDone,         ///< Forwarded, queued, refused or dropped.
     kUnknownFlow,  ///< Not an opening, and the flow is not known here.
+    kWithheld,     ///< Needs a lease that this balancer has not now.
   };
 
   flow_owner(traffic_sink& sink, traffic_counters& counters,
@@ -59,6 +65,12 @@
   /// \brief True if the flow has a record here.
   bool Knows(const flow_key& key) const { return flows_.Find(key).has_value(); }
 
+  /// \brief True if the flow has a record here and was not passed to another pool.
+  bool Keeps(const flow_key& key) const {
+    const auto slot = flows_.Find(key);
+    return slot && flows_.At(*slot).phase != flow_phase::kPassed;
+  }
+
   /// \brief True for a copy of a non-idempotent request that was taken in here.
   bool IsDuplicate(const inbound& in) const {
     return in.IsUnsafe() && duplicates_.Has(duplicate_filter::DigestOf(
@@ -123,6 +135,7 @@
     std::optional<endpoint> moved_to;  // Set while another balancer serves it
                                        // and flows remain here.
     size_t flows = 0;                  // Records whose `pool` is this one.
+    time_point taken_at{};             // Since when it is served here.
     uint32_t witness_at = 0;  // Slot where the search for untold flows goes on.
   };
   struct opening_timer {
@@ -156,15 +169,17 @@
                    const endpoint& to);
   void MoveAway(served_pool& pool, const pool_route& route);
   outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
-  void KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
+  outcome KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
   served_pool* FindServed(const pool_name& name) const;
   bool AsksPrevious(const inbound& in) const;
   void AskPrevious(const inbound& in);
-  bool MayPlace(const inbound& in, time_point now);
+  /// \brief Whether a datagram may go to an upstream now.
+  enum class admission : uint8_t { kFirst, kRepeated, kCopy, kNoLease };
+  admission Admit(const inbound& in, time_point now);
   bool HasLease(const pool_route& route, time_point now) const;
   bool IsLateSyn(const inbound& in, const flow_record& flow) const;
-  void Place(inbound& in, time_point now);
+  void Place(inbound& in, bool may_have_run, time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
   void SendHeld(uint32_t slot, time_point now);
   void Refuse(uint32_t slot, std::span<uint8_t> bytes);
@@ -206,7 +221,7 @@
       served_of_view_;  // By index of the view; kNotServed if none.
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_{kRepeatWindow};  // Of non-idempotent requests.
-  duplicate_filter copies_{kPacketLifetime};    // Of other UDP requests.
+  duplicate_filter copies_{kRetryWindow};       // Of idempotent requests.
   traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
