Look a packet's flow up once, and hash its key once

Cause: ingress and owner each looked the flow up, and the witness cache hashed the key anew; the profile had 9% in flow_table::Find and 7% in XXH3.

--- a/src/flow/witness_cache.cc
+++ b/src/flow/witness_cache.cc
@@ -19,9 +19,7 @@
   return found == set + kWays ? nullptr : found;
 }
 
-void witness_cache::Put(const flow_key& key, uint32_t upstream,
-                        uint32_t now_ms) {
-  const uint64_t hash = StableHash(key);
+void witness_cache::Put(uint64_t hash, uint32_t upstream, uint32_t now_ms) {
   entry* victim = Find(hash);
   if (victim == nullptr) {
     entry* const set = &entries_[(hash & set_mask_) * kWays];
@@ -37,13 +35,13 @@
   *victim = {static_cast<uint32_t>(hash >> 32), upstream, now_ms};
 }
 
-uint32_t witness_cache::Get(const flow_key& key) const {
-  const entry* const found = Find(StableHash(key));
+uint32_t witness_cache::Get(uint64_t hash) const {
+  const entry* const found = Find(hash);
   return found == nullptr ? 0 : found->upstream;
 }
 
-void witness_cache::Drop(const flow_key& key) {
-  if (entry* const found = Find(StableHash(key))) *found = entry{};
+void witness_cache::Drop(uint64_t hash) {
+  if (entry* const found = Find(hash)) *found = entry{};
 }
 
 }  // namespace radishyard
--- a/src/flow/witness_cache.h
+++ b/src/flow/witness_cache.h
@@ -20,11 +20,17 @@
   explicit witness_cache(size_t entries);
 
   /// \brief Remembers that `upstream` serves the flow.
-  void Put(const flow_key& key, uint32_t upstream, uint32_t now_ms);
+  /// \param hash StableHash of the flow's key, here and below.
+  void Put(uint64_t hash, uint32_t upstream, uint32_t now_ms);
+  void Put(const flow_key& key, uint32_t upstream, uint32_t now_ms) {
+    Put(StableHash(key), upstream, now_ms);
+  }
   /// \brief Address of the upstream, or 0.
-  uint32_t Get(const flow_key& key) const;
+  uint32_t Get(uint64_t hash) const;
+  uint32_t Get(const flow_key& key) const { return Get(StableHash(key)); }
   /// \brief Forgets the flow, which has ended.
-  void Drop(const flow_key& key);
+  void Drop(uint64_t hash);
+  void Drop(const flow_key& key) { Drop(StableHash(key)); }
 
  private:
   static constexpr size_t kWays = 4;
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -59,9 +59,10 @@
   return {flow.upstream, flow.key.caller.address, flow.kind, flow.priority};
 }
 
-flow_owner::outcome flow_owner::HandleCaller(inbound& in, time_point now) {
-  if (const auto slot = flows_.Find(in.key)) return HandleKnown(in, *slot, now);
-  return HandleUnknown(in, now);
+flow_owner::outcome flow_owner::HandleCaller(inbound& in,
+                                             std::optional<uint32_t> slot,
+                                             time_point now) {
+  return slot ? HandleKnown(in, *slot, now) : HandleUnknown(in, now);
 }
 
 flow_owner::outcome flow_owner::HandleKnown(inbound& in, uint32_t slot,
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,7 +38,8 @@
 /// \brief Flows of the pools that one traffic thread serves.
 ///
 /// \code
-/// if (owner.HandleCaller(in, now) == owner_outcome::kUnknownFlow)
+/// const auto slot = owner.flows().Find(in.key);
+/// if (owner.HandleCaller(in, slot, now) == flow_owner::outcome::kUnknownFlow)
 /// AskWitnesses(in); \endcode Invariant: each flow in flows_ that holds a
 /// connection or slot is counted in its pool.
 class flow_owner {
@@ -56,9 +58,6 @@
   /// serves.
   void SetView(std::shared_ptr<const routing_view> view, time_point now);
 
-  /// \brief True if the flow has a record here.
-  bool Knows(const flow_key& key) const { return flows_.Find(key).has_value(); }
-
   /// \brief True for a copy of a non-idempotent request that was taken in here.
   bool IsDuplicate(const inbound& in) const {
     return in.IsUnsafe() && duplicates_.Has(duplicate_filter::DigestOf(
@@ -67,11 +66,15 @@
 
   /// \brief A caller's packet for a flow that is known here, or for a pool that
   /// is served here.
-  outcome HandleCaller(inbound& in, time_point now);
+  /// \param slot of the flow in flows(); nothing if it is not known.
+  outcome HandleCaller(inbound& in, std::optional<uint32_t> slot,
+                       time_point now);
 
   /// \brief An upstream's packet for a flow that is known here, or for a pool
   /// that is served here.
-  outcome HandleUpstream(inbound& in, time_point now);
+  /// \param slot as in HandleCaller().
+  outcome HandleUpstream(inbound& in, std::optional<uint32_t> slot,
+                         time_point now);
 
   /// \brief Learns that `upstream` serves the flow, and forwards the caller's
   /// packet to it.
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -6,8 +6,9 @@
 
 namespace radishyard {
 
-flow_owner::outcome flow_owner::HandleUpstream(inbound& in, time_point now) {
-  auto slot = flows_.Find(in.key);
+flow_owner::outcome flow_owner::HandleUpstream(inbound& in,
+                                               std::optional<uint32_t> slot,
+                                               time_point now) {
   if (slot && flows_.At(*slot).phase == flow_phase::kPassed) {
     Remove(*slot);  // The pool that it was passed to is served here by now.
     slot.reset();
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -88,8 +88,8 @@
   }
   if (in.CameAs(forward_kind::kWitnessed)) {
     TakeWitness(in, now);
-  } else if (owner_.Knows(in.key)) {
-    if (owner_.HandleCaller(in, now) == flow_owner::outcome::kUnknownFlow)
+  } else if (const auto slot = owner_.flows().Find(in.key)) {
+    if (owner_.HandleCaller(in, slot, now) == flow_owner::outcome::kUnknownFlow)
       AskWitnesses(in, now);
   } else if (in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
@@ -104,7 +104,7 @@
   std::optional<uint16_t> pool;
   if (in.forward) pool = PoolByTag(route, in.forward->pool);
   if (!pool && !in.forward && in.IsWitnessed() && !in.packet.IsSyn()) {
-    if (const uint32_t seen = witnesses_.Get(in.key))
+    if (const uint32_t seen = witnesses_.Get(in.hash))
       pool = PoolOfUpstream(in, seen);
   }
   if (!pool) pool = PickPool(*view_, route, in.hash);
@@ -135,7 +135,7 @@
 void traffic_core::ServeOrForward(inbound& in, time_point now) {
   const bool use_hint = in.IsWitnessed() && !in.packet.IsSyn();
   uint32_t hint = use_hint ? in.Hint() : 0;
-  if (use_hint && hint == 0) hint = witnesses_.Get(in.key);
+  if (use_hint && hint == 0) hint = witnesses_.Get(in.hash);
   const pool_route& route = view_->pools[in.pool];
   if (route.role == pool_role::kNone) {
     ForwardToOwner(in,
@@ -153,7 +153,8 @@
     owner_.AdoptAndForward(in, hint, now);
     return;
   }
-  if (owner_.HandleCaller(in, now) == flow_owner::outcome::kDone) return;
+  if (owner_.HandleCaller(in, std::nullopt, now) == flow_owner::outcome::kDone)
+    return;
   if (hinted_pool && !is_ours) {
     in.pool = *hinted_pool;
     ForwardToOwner(in, forward_kind::kToOwner, hint, now);
@@ -191,17 +192,17 @@
     const bool ends = in.packet.proto == protocol::kTcp &&
                       (in.packet.Has(kFin) || in.packet.Has(kRst));
     if (ends) {
-      witnesses_.Drop(in.key);
+      witnesses_.Drop(in.hash);
     } else {
-      witnesses_.Put(in.key, in.packet.source.address, Ms(now));
+      witnesses_.Put(in.hash, in.packet.source.address, Ms(now));
     }
   }
-  const bool is_known = owner_.Knows(in.key);
+  const auto slot = owner_.flows().Find(in.key);
   const bool serves = view_->pools[in.pool].role != pool_role::kNone;
-  if (!is_known && in.CameAs(forward_kind::kToPrevious)) {
+  if (!slot && in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
-  } else if (is_known || serves) {
-    owner_.HandleUpstream(in, now);
+  } else if (slot || serves) {
+    owner_.HandleUpstream(in, slot, now);
   } else {
     ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
   }
@@ -214,7 +215,7 @@
     ++counters_.duplicates;
     return;
   }
-  const uint32_t hint = in.Hint() != 0 ? in.Hint() : witnesses_.Get(in.key);
+  const uint32_t hint = in.Hint() != 0 ? in.Hint() : witnesses_.Get(in.hash);
   sink_.ToBalancer(
       in.from,
       {forward_kind::kUnknownFlow, static_cast<uint8_t>(in.Hops() + 1),
@@ -223,7 +224,7 @@
 }
 
 void traffic_core::AnswerWitness(inbound& in) {
-  uint32_t upstream = witnesses_.Get(in.key);
+  uint32_t upstream = witnesses_.Get(in.hash);
   const auto slot = owner_.flows().Find(in.key);
   if (slot && owner_.flows().At(*slot).phase != flow_phase::kClosed)
     upstream = owner_.flows().At(*slot).upstream;
@@ -239,7 +240,7 @@
   const uint32_t upstream = in.Hint();
   const auto pool = PoolOfUpstream(in, upstream);
   if (!pool) return;
-  witnesses_.Put(in.key, upstream, Ms(now));
+  witnesses_.Put(in.hash, upstream, Ms(now));
   in.pool = *pool;
   if (view_->pools[*pool].role != pool_role::kNone) {
     owner_.AdoptAndForward(in, upstream, now);
