Take the pool of a flow that is open here from its record

Cause: for a flow of its own the owner read the witness cache first, 12 MB in which nearly every look misses the processor's cache (13% in the profile).

--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -82,13 +82,14 @@
     AnswerWitness(in);
     return;
   }
-  if (!ChoosePool(in, route)) {
+  const auto slot = owner_.flows().Find(in.key);
+  if (!ChoosePool(in, route, slot)) {
     ++counters_.no_pool;
     return;
   }
   if (in.CameAs(forward_kind::kWitnessed)) {
     TakeWitness(in, now);
-  } else if (const auto slot = owner_.flows().Find(in.key)) {
+  } else if (slot) {
     if (owner_.HandleCaller(in, slot, now) == flow_owner::outcome::kUnknownFlow)
       AskWitnesses(in, now);
   } else if (in.CameAs(forward_kind::kToPrevious)) {
@@ -100,11 +101,12 @@
 
 // A packet that another balancer sent names its pool; the first balancer goes
 // by what it saw of the flow, and by weighted rendezvous otherwise.
-bool traffic_core::ChoosePool(inbound& in, const port_route& route) {
+bool traffic_core::ChoosePool(inbound& in, const port_route& route,
+                              std::optional<uint32_t> slot) {
   std::optional<uint16_t> pool;
   if (in.forward) pool = PoolByTag(route, in.forward->pool);
   if (!pool && !in.forward && in.IsWitnessed() && !in.packet.IsSyn()) {
-    if (const uint32_t seen = witnesses_.Get(in.hash))
+    if (const uint32_t seen = SeenUpstream(in, slot))
       pool = PoolOfUpstream(in, seen);
   }
   if (!pool) pool = PickPool(*view_, route, in.hash);
@@ -113,6 +115,16 @@
   return true;
 }
 
+// The record of a flow that is open here spares the look into the cache.
+uint32_t traffic_core::SeenUpstream(const inbound& in,
+                                    std::optional<uint32_t> slot) const {
+  if (slot) {
+    const flow_record& flow = owner_.flows().At(*slot);
+    if (flow.phase == flow_phase::kOpen) return flow.upstream;
+  }
+  return witnesses_.Get(in.hash);
+}
+
 std::optional<uint16_t> traffic_core::PoolByTag(const port_route& route,
                                                 uint16_t tag) const {
   const auto found = std::ranges::find_if(
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -45,7 +45,9 @@
   bool Trusts(const endpoint& from, const geneve_frame& frame) const;
   void FromCaller(inbound& in, const port_route& route, time_point now);
   void FromUpstream(inbound& in, time_point now);
-  bool ChoosePool(inbound& in, const port_route& route);
+  bool ChoosePool(inbound& in, const port_route& route,
+                  std::optional<uint32_t> slot);
+  uint32_t SeenUpstream(const inbound& in, std::optional<uint32_t> slot) const;
   std::optional<uint16_t> PoolByTag(const port_route& route,
                                     uint16_t tag) const;
   std::optional<uint16_t> PoolOfUpstream(const inbound& in,
