--- a/bench/support/control_fleet.cc
+++ b/bench/support/control_fleet.cc
@@ -1,6 +1,8 @@
 // Start and progress of a fleet.
 #include "support/control_fleet.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 
 #include "roster/roster_json.h"
@@ -9,6 +11,37 @@
 namespace radishyard {
 namespace {
 
+constexpr size_t kFirstPort = 20000;  // Below the ports of dialed connections.
+constexpr size_t kEndPort = 32000;
+
+bool IsFree(asio::io_context& io, uint16_t port) {
+  asio::ip::tcp::acceptor probe(io);
+  error_code error;
+  probe.open(asio::ip::tcp::v4(), error);
+  probe.set_option(asio::socket_base::reuse_address(true), error);
+  probe.bind({asio::ip::address_v4::loopback(), port}, error);
+  return !error;
+}
+
+// The first of `count` free ports in a row. Processes begin at different
+// places.
+uint16_t FreePorts(asio::io_context& io, size_t count) {
+  const size_t places = kEndPort - kFirstPort - count;
+  size_t begin = kFirstPort + static_cast<size_t>(getpid()) * 128 % places;
+  size_t found = 0;
+  while (found < count) {
+    if (begin + count > kEndPort) begin = kFirstPort;
+    const auto port = static_cast<uint16_t>(begin + found);
+    if (IsFree(io, port)) {
+      ++found;
+    } else {
+      begin += found + 1;
+      found = 0;
+    }
+  }
+  return static_cast<uint16_t>(begin);
+}
+
 settings SettingsOf(const member& m) {
   settings config;
   config.name = m.id.name;
@@ -21,8 +54,8 @@
 
 }  // namespace
 
-control_fleet::control_fleet(const fleet_size& size, uint16_t base_port)
-    : store_(io_) {
+control_fleet::control_fleet(const fleet_size& size) : store_(io_) {
+  const uint16_t base_port = FreePorts(io_, size.balancers);
   const table_set table = MakeTable(size.services, size.domains);
   for (const auto& [name, record] : table.records)
     store_.Set(ServiceKey(name), RecordJson(record->value, record->edit_id));
--- a/bench/support/control_fleet.h
+++ b/bench/support/control_fleet.h
@@ -44,12 +44,13 @@
 /// \brief The running fleet.
 ///
 /// \code
-/// control_fleet fleet({.balancers = 24, .members = 24}, 21000);
+/// control_fleet fleet({.balancers = 24, .members = 24});
 /// if (fleet.Settle(10s)) fleet.Run(5s);
 /// \endcode
 class control_fleet {
  public:
-  control_fleet(const fleet_size& size, uint16_t base_port);
+  /// The balancers listen on ports of 127.0.0.1 that were free.
+  explicit control_fleet(const fleet_size& size);
 
   /// \brief Runs until every balancer hears all others. False after `most`.
   bool Settle(duration most);
--- a/bench/support/measure_peers.cc
+++ b/bench/support/measure_peers.cc
@@ -65,7 +65,7 @@
   measurement messages{"control.messages_sent_per_node", "peers", "1/s", {}};
   measurement spent{"control.processor_per_node", "peers", "% of a core", {}};
   for (const size_t n : sizes) {
-    control_fleet fleet({n, kServices, 1, n}, kPort);
+    control_fleet fleet({n, kServices, 1, n});
     if (!fleet.Settle(30s)) {
       std::fprintf(stderr, "%zu balancers did not hear each other\n", n);
       continue;
--- a/bench/support/measure_state.cc
+++ b/bench/support/measure_state.cc
@@ -43,7 +43,7 @@
     roster_bytes.samples.push_back({size, since()});
     const routing_view view = BuildView(table, inputs);
     view_bytes.samples.push_back({size, since()});
-    control_fleet fleet({1, services, kFullDomains, members}, kPort);
+    control_fleet fleet({1, services, kFullDomains, members});
     since();
     fleet.Run(2s);
     all_bytes.samples.push_back({size, since()});
--- a/bench/support/measure_table.cc
+++ b/bench/support/measure_table.cc
@@ -1,4 +1,5 @@
 // The table: cost by its size, and the spread of one edit.
+#include <algorithm>
 #include <cstdio>
 
 #include "control/view_builder.h"
@@ -42,13 +43,15 @@
 }
 
 double MicrosecondsOfAdopt(const table_set& table) {
-  return 1e6 * SecondsOf(kRounds,
-                         [&] {
-                           table_set copy = table;
-                           findings found;
-                           Adopt(copy, {MakeService(0), 2, "edit"}, found);
-                         }) -
-         1e6 * SecondsOf(kRounds, [&] { table_set copy = table; });
+  double least = 1e9;
+  for (int i = 0; i < kRounds; ++i) {
+    table_set copy = table;
+    findings found;
+    least = std::min(least, SecondsOf(1, [&] {
+                       Adopt(copy, {MakeService(0), 2, "edit"}, found);
+                     }));
+  }
+  return 1e6 * least;
 }
 
 void MeasureBySize(const std::vector<size_t>& sizes,
@@ -105,7 +108,7 @@
   measurement spent{"spread.processor_of_all", "balancers", "s", {}};
   constexpr duration kMost = 7s;
   for (const size_t n : fleets) {
-    control_fleet fleet({n, 100, 1, n}, kPort);
+    control_fleet fleet({n, 100, 1, n});
     if (!fleet.Settle(30s)) {
       std::fprintf(stderr, "%zu balancers did not hear each other\n", n);
       continue;
