--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -138,8 +138,10 @@
   const bool bulk = IsBulk(r.kind, r.priority);
   const size_t waiting =
       bulk ? pool.queue.bulk.size() : pool.queue.short_work.size();
-  if (waiting >= (bulk ? BulkCap(pool, now) : pool.policy.max_waiting))
-    return refusal::kQueueFull;
+  const size_t most =
+      bulk ? BulkCap(pool, now) * pool.policy.max_bulk_waiting_per_slot
+           : pool.policy.max_waiting;
+  if (waiting >= most) return refusal::kQueueFull;
   if (bulk || r.kind == port_kind::kFeed || !pool.policy.refuse_by_prediction)
     return refusal::kNone;
   const caller_use use = internal::UseOf(pool.callers, r.key.caller.address);
@@ -220,9 +222,11 @@
              time_point now) {
   if (!pool.queue.short_work.empty()) return false;
   if (!MayTake(pool, kind, priority, now)) return false;
-  return std::any_of(
-      pool.upstreams.begin(), pool.upstreams.end(),
-      [&](const pool_upstream& u) { return TakesNew(u, kind, now); });
+  return std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
+                     [&](const pool_upstream& u) {
+                       return TakesNew(u, kind, now) &&
+                              !internal::IsWorthPassing(u, kind);
+                     });
 }
 
 std::optional<open_decision> PopForPeer(pool_state& pool, time_point /*now*/) {
