--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -89,7 +89,7 @@
 daemon::daemon(const settings& config, uint64_t incarnation)
     : config_(config),
       signals_(io_, SIGTERM, SIGINT),
-      store_(MakeHttpStore(io_, config.platform, kStoreTimeout)),
+      store_(MakeHttpStore(io_, config.platform, kStoreTimeout, config.name)),
       traffic_(io_, config.data, config.data_threads, config.limits.held_flows),
       controller_(io_, *store_, config, incarnation, traffic_) {}
 
--- a/src/pool/pool_policy.h
+++ b/src/pool/pool_policy.h
@@ -40,7 +40,7 @@
   /// Second placements per 100 first ones in any 10 s.
   uint32_t retry_percent = 10;
   /// An inherited flow that stays silent for so long has ended.
-  duration inherited_age = 60s;
+  duration inherited_age = 8s;
   /// An inherited request that stays silent for so long has ended.
   duration inherited_slot_age = 5s;
   /// Requests go by observed speed.
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,9 +27,9 @@
 /// this time is taken for a repetition and not placed.
 constexpr duration kRepeatWindow = 60s;
 
-/// \brief An idempotent request that is repeated within this time may have run, and so is not refused.
-/// For as long after it took a pool over, an owner refuses no UDP request: the owner before may have
-/// run a copy.
+/// \brief An idempotent request that is repeated within this time may have run,
+/// and so is not refused. For as long after it took a pool over, an owner
+/// refuses no UDP request: the owner before may have run a copy.
 constexpr duration kRetryWindow = 10s;
 
 /// \brief Timing of the owner.
@@ -42,7 +43,8 @@
 /// \brief Flows of the pools that one traffic thread serves.
 ///
 /// \code
-/// if (owner.HandleCaller(in, now) == owner_outcome::kUnknownFlow)
+/// const auto slot = owner.flows().Find(in.key);
+/// if (owner.HandleCaller(in, slot, now) == flow_owner::outcome::kUnknownFlow)
 /// AskWitnesses(in); \endcode Invariant: each flow in flows_ that holds a
 /// connection or slot is counted in its pool.
 class flow_owner {
@@ -62,15 +64,6 @@
   /// serves.
   void SetView(std::shared_ptr<const routing_view> view, time_point now);
 
-  /// \brief True if the flow has a record here.
-  bool Knows(const flow_key& key) const { return flows_.Find(key).has_value(); }
-
-  /// \brief True if the flow has a record here and was not passed to another pool.
-  bool Keeps(const flow_key& key) const {
-    const auto slot = flows_.Find(key);
-    return slot && flows_.At(*slot).phase != flow_phase::kPassed;
-  }
-
   /// \brief True for a copy of a non-idempotent request that was taken in here.
   bool IsDuplicate(const inbound& in) const {
     return in.IsUnsafe() && duplicates_.Has(duplicate_filter::DigestOf(
@@ -79,11 +72,15 @@
 
   /// \brief A caller's packet for a flow that is known here, or for a pool that
   /// is served here.
-  outcome HandleCaller(inbound& in, time_point now);
+  /// \param slot of the flow in flows(); nothing if it is not known.
+  outcome HandleCaller(inbound& in, std::optional<uint32_t> slot,
+                       time_point now);
 
   /// \brief An upstream's packet for a flow that is known here, or for a pool
   /// that is served here.
-  outcome HandleUpstream(inbound& in, time_point now);
+  /// \param slot as in HandleCaller().
+  outcome HandleUpstream(inbound& in, std::optional<uint32_t> slot,
+                         time_point now);
 
   /// \brief Learns that `upstream` serves the flow, and forwards the caller's
   /// packet to it.
@@ -117,10 +114,10 @@
   /// again.
   void ForgetWitnessed(const pool_name& name);
 
-  /// rief Lease deadlines of own pools and free slots of others.
+  /// \brief Lease deadlines of own pools and free slots of others.
   void SetGrants(const traffic_grants& grants) { grants_ = grants; }
 
-  /// rief Pools that another balancer serves although flows of them remain
+  /// \brief Pools that another balancer serves although flows of them remain
   /// here.
   std::vector<pool_name> Leftover() const;
 
@@ -157,9 +154,7 @@
     return view_->pools[in.pool];
   }
   served_pool& Serve(uint16_t view_pool, time_point now);
-  uint16_t ServedIndex(uint16_t view_pool) const {
-    return served_of_view_[view_pool];
-  }
+  uint16_t ServedIndex(uint16_t view_pool) const;
 
   outcome HandleKnown(inbound& in, uint32_t slot, time_point now);
   outcome HandleUnknown(inbound& in, time_point now);
