Act on nothing that is older than a pause; end unanswered UDP requests sooner

Cause, found by process_kill_test: an owner that was paused for 4 s handled 4 s of queued datagrams when it woke and refused openings that the new owner had placed (1 refused request had run, 1 flow broken, 6 over a slot limit); and UDP requests whose answers went to a dead balancer held their slots for the 30 s of the examples (4 of 4 archive slots at one pool). After a pause longer than the packet lifetime a traffic thread discards what waits in its socket, refuses nothing that waited, and places nothing for one packet lifetime.

--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -205,6 +205,7 @@
     return outcome::kDone;
   }
   if (!in.IsOpening()) return outcome::kUnknownFlow;
+  if (now < resume_at_) return outcome::kDone;  // The caller repeats it.
   const admission admitted = Admit(in, now);
   if (admitted == admission::kNoLease) return outcome::kWithheld;
   if (admitted != admission::kCopy)
@@ -255,7 +256,8 @@
   flow.syn_seq = in.packet.seq;
   if (in.CameAs(forward_kind::kPassedOpening)) flow.Set(kWasPassed);
   const bool is_new_owner = now - pool.taken_at < kRetryWindow;
-  if (may_have_run || is_new_owner) flow.Set(kMayHaveRun);
+  const bool is_udp = in.packet.proto == protocol::kUdp;
+  if (is_udp && (may_have_run || is_new_owner)) flow.Set(kMayHaveRun);
   held_[slot].assign(in.bytes.begin(), in.bytes.end());
   Trace(in, "owner", "open", now);
   Settle(slot,
@@ -309,9 +311,7 @@
 void flow_owner::Refuse(uint32_t slot, std::span<uint8_t> bytes) {
   assert(!flows_.At(slot).Has(kPayloadSent) &&
          "a request that may have run is not refused");
-  const bool is_silent = flows_.At(slot).key.proto == protocol::kUdp &&
-                         flows_.At(slot).Has(kMayHaveRun);
-  if (is_silent) {
+  if (flows_.At(slot).Has(kMayHaveRun)) {
     ++counters_.unsafe_withheld;
     Remove(slot);
     return;
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -35,9 +35,9 @@
 /// \brief Timing of the owner.
 struct owner_timing {
   duration unanswered_after =
-      300ms;                  ///< An opening without answer is placed again.
-  duration linger = 2s;       ///< A closed flow still passes late packets.
-  duration idle_sweep = 10s;  ///< One pass over all flows.
+      300ms;                 ///< An opening without answer is placed again.
+  duration linger = 2s;      ///< A closed flow still passes late packets.
+  duration idle_sweep = 2s;  ///< One pass over all flows.
 };
 
 /// \brief Flows of the pools that one traffic thread serves.
@@ -86,6 +86,11 @@
   /// packet to it.
   void AdoptAndForward(inbound& in, uint32_t upstream, time_point now);
 
+  /// \brief This process was paused: other balancers may have placed what waits
+  /// here, so nothing of it is refused, and no new flow is placed until the
+  /// control thread has heard of its peers.
+  void ResumeAfterPause(time_point now);
+
   /// \brief Queue decisions, unanswered openings, ends of linger and idle
   /// flows.
   void Tick(time_point now);
@@ -221,6 +226,7 @@
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
   size_t closed_ = 0;                   // Records in phase kClosed or kPassed.
+  time_point resume_at_{};              // No new flow before.
   uint32_t sweep_at_ = 0;
   time_point swept_at_;
 };
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -12,6 +12,14 @@
 
 }  // namespace
 
+void flow_owner::ResumeAfterPause(time_point now) {
+  resume_at_ = now + kPacketLifetime;
+  for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
+    if (flows_.Holds(slot) && flows_.At(slot).phase == flow_phase::kQueued)
+      flows_.At(slot).Set(kMayHaveRun);
+  }
+}
+
 void flow_owner::Tick(time_point now) {
   PollPools(now);
   CheckOpenings(now);
--- a/src/traffic/traffic_thread.cc
+++ b/src/traffic/traffic_thread.cc
@@ -3,6 +3,8 @@
 
 #include <array>
 
+#include "lease/lease_times.h"
+
 namespace radishyard {
 namespace {
 
@@ -45,6 +47,7 @@
 }
 
 void traffic_thread::Run() {
+  active_at_ = std::chrono::steady_clock::now();
   WaitForPackets();
   WaitForTick();
   io_.run();
@@ -72,7 +75,28 @@
                      });
 }
 
+// A process that was paused finds datagrams older than the packet lifetime in
+// its socket; what they ask for may have been done by another balancer since.
+void traffic_thread::CheckPause() {
+  const time_point now = std::chrono::steady_clock::now();
+  const bool was_paused = now - active_at_ > kPacketLifetime;
+  active_at_ = now;
+  if (!was_paused) return;
+  DiscardWaiting();
+  core_.owner().ResumeAfterPause(now);
+}
+
+void traffic_thread::DiscardWaiting() {
+  constexpr int kMost = 1 << 20;
+  error_code error;
+  for (int i = 0; i < kMost && !error; ++i) {
+    asio::ip::udp::endpoint from;
+    socket_.receive_from(asio::buffer(buffer_), from, 0, error);
+  }
+}
+
 void traffic_thread::ReceiveBatch() {
+  CheckPause();
   for (int i = 0; i < kBatch; ++i) {
     asio::ip::udp::endpoint from;
     error_code error;
@@ -91,6 +115,7 @@
   tick_.expires_after(kTick);
   tick_.async_wait([this](error_code error) {
     if (error) return;
+    CheckPause();
     const time_point now = std::chrono::steady_clock::now();
     core_.Tick(now);
     if (now - reported_at_ >= options_.report_every) {
--- a/src/traffic/traffic_thread.h
+++ b/src/traffic/traffic_thread.h
@@ -57,6 +57,8 @@
   void Run();
   void WaitForPackets();
   void ReceiveBatch();
+  void CheckPause();
+  void DiscardWaiting();
   void WaitForTick();
   void Send(const endpoint& to, const geneve_frame& frame);
 
@@ -70,6 +72,7 @@
   traffic_core core_;
   std::vector<uint8_t> buffer_;
   time_point reported_at_{};
+  time_point active_at_;  // When this thread ran last.
   uint64_t send_failed_ = 0;
   std::thread thread_;
 };
