--- a/test/replay_targets_test.cc
+++ b/test/replay_targets_test.cc
@@ -22,7 +22,7 @@
   }
 };
 
-class ReplayTargets
+class replay_targets
     : public testing::TestWithParam<std::tuple<workload, uint64_t>> {
  protected:
   workload users = std::get<0>(GetParam());
@@ -30,17 +30,17 @@
 };
 
 INSTANTIATE_TEST_SUITE_P(
-    Traces, ReplayTargets,
+    Traces, replay_targets,
     testing::Combine(testing::Values(workload::kArmor, workload::kAtlasColle),
                      testing::Values(1, 2, 3)));
 
-TEST_P(ReplayTargets, FeedsAreWithinFivePercentOfTheirWeights) {
+TEST_P(replay_targets, FeedsAreWithinFivePercentOfTheirWeights) {
   const run r(ManyFeeds(users, seed));
   EXPECT_LE(Imbalance(r.View(0, 50'000)), 0.05);
   EXPECT_EQ(r.result.violations, 0U);
 }
 
-TEST_P(ReplayTargets, CrestAtTwiceTheCapacityIsServedAndRefusedEarly) {
+TEST_P(replay_targets, CrestAtTwiceTheCapacityIsServedAndRefusedEarly) {
   const run r(Crest(users, seed));
   EXPECT_GE(Served(r.View(10'500, 15'000)), 0.95);
   EXPECT_LE(LatestRefusalMs(r.View()), 250);
@@ -51,7 +51,7 @@
   EXPECT_EQ(r.result.violations, 0U);
 }
 
-TEST_P(ReplayTargets, LongWorkDoesNotHoldShortWorkUp) {
+TEST_P(replay_targets, LongWorkDoesNotHoldShortWorkUp) {
   const run with(SteadyLoad(users, 0.8, 0.03, seed));
   const run without(SteadyLoad(users, 0.8, 0, seed));
   scenario uncapped = with.s;
@@ -71,14 +71,14 @@
   EXPECT_GE(done, 0.95 * (done + refused));
 }
 
-TEST_P(ReplayTargets, LongWorkStillFinishesAtTheCrest) {
+TEST_P(replay_targets, LongWorkStillFinishesAtTheCrest) {
   const run r(Crest(users, seed));
   const replay_view crest = r.View(10'500, 15'000);
   EXPECT_GT(Count(crest, flow_set::kLong, end::kCompleted), 0U);
   EXPECT_LE(WaitMs(crest, flow_set::kLong, 100), 10'100);
 }
 
-TEST_P(ReplayTargets, SlowUpstreamTakesAtMostItsShareBySpeed) {
+TEST_P(replay_targets, SlowUpstreamTakesAtMostItsShareBySpeed) {
   const run r(WithFault(users, {3, 0, 0, fault::kSlow, 0.125}, seed));
   const replay_view late = r.View(12'000, 25'000);
   const double speed = r.s.setup.speeds[3] * 0.125;
@@ -88,7 +88,7 @@
             speed / all);
 }
 
-TEST_P(ReplayTargets, BlackHolesGetProbesOnlyAndRetriesStayInBudget) {
+TEST_P(replay_targets, BlackHolesGetProbesOnlyAndRetriesStayInBudget) {
   for (fault what : {fault::kBlackHole, fault::kFailFast}) {
     const run r(WithFault(users, {3, 0, 0, what, 1}, seed));
     // Probes double their interval from 0.5 s to 8 s: at most 8 in 14 s.
@@ -104,7 +104,7 @@
             1.0 / 14);
 }
 
-TEST_P(ReplayTargets, JoiningUpstreamRampsAndTheRampYields) {
+TEST_P(replay_targets, JoiningUpstreamRampsAndTheRampYields) {
   const run calm(Join(users, 0.5, seed));
   scenario at_once = calm.s;
   at_once.setup.policy.ramp = {};
@@ -121,7 +121,7 @@
   EXPECT_GE(Served(full.View(16'000, 25'000)), 0.95);
 }
 
-TEST_P(ReplayTargets, GreedyCallerTakesAtMostItsShare) {
+TEST_P(replay_targets, GreedyCallerTakesAtMostItsShare) {
   scenario s = GreedyCaller(users, seed);
   const run r(s);
   s.setup.policy.fair_callers = false;
@@ -132,7 +132,7 @@
   EXPECT_GE(Served(r.View(5'000, 30'000)), 0.95);
 }
 
-TEST_P(ReplayTargets, BalancerLostAtTheCrest) {
+TEST_P(replay_targets, BalancerLostAtTheCrest) {
   const run r(CrestWithLoss(users, seed));
   EXPECT_EQ(r.result.violations, 0U);
   EXPECT_LE(RetryShare(r.View()), 0.10);
@@ -141,7 +141,7 @@
                 0.001 * 2 * r.s.setup.hop_us);
 }
 
-TEST_P(ReplayTargets, BeatsTheBaselines) {
+TEST_P(replay_targets, BeatsTheBaselines) {
   scenario s = SteadyLoad(users, 0.8, 0.03, seed);
   const run own(s);
   for (placing how : {placing::kRoundRobin, placing::kConsistentHash,
--- a/test/support/replay.cc
+++ b/test/support/replay.cc
@@ -260,24 +260,22 @@
   After(kReportUs, [this] { Report(); });
 }
 
-void replay_engine::ShareOut() {
+// Slots in use stay where they are; free ones go to who has least for its
+// demand.
+std::vector<std::vector<uint32_t>> replay_engine::Quotas() const {
   const size_t n = table.upstreams.size();
-  std::vector<double> demand(sites.size());
   std::vector<std::vector<uint32_t>> units(sites.size(),
                                            std::vector<uint32_t>(n));
-  std::vector<pool_load> loads;
+  std::vector<double> demand(sites.size());
+  std::vector<uint32_t> held(sites.size());
   for (size_t s = 0; s < sites.size(); ++s) {
-    loads.push_back(Load(sites[s].pool, Now()));
-    demand[s] = loads[s].waiting + 0.5;
-    for (const upstream_load& u : loads[s].upstreams) {
+    const pool_load load = Load(sites[s].pool, Now());
+    for (const upstream_load& u : load.upstreams) {
       units[s][RowOf(u.address)] = u.slots;
-      demand[s] += u.slots;
+      held[s] += u.slots;
     }
-    result.control_bytes += 2 * (kAnnounceBytes + 4 * n);
+    demand[s] = load.waiting + held[s] + 0.5;
   }
-  std::vector<uint32_t> held(sites.size());
-  for (size_t s = 0; s < sites.size(); ++s)
-    for (uint32_t u : units[s]) held[s] += u;
   for (size_t r = 0; r < n; ++r) {
     uint32_t used = 0;
     for (const auto& u : units) used += u[r];
@@ -291,7 +289,14 @@
       ++held[neediest];
     }
   }
+  return units;
+}
+
+void replay_engine::ShareOut() {
+  const size_t n = table.upstreams.size();
+  const auto units = Quotas();
   for (size_t s = 0; s < sites.size(); ++s) {
+    result.control_bytes += 2 * (kAnnounceBytes + 4 * n);
     service part = OneDomain(table);
     for (size_t r = 0; r < n; ++r) {
       part.upstreams[r].slots = units[s][r];
--- a/test/support/replay_engine.h
+++ b/test/support/replay_engine.h
@@ -85,6 +85,7 @@
 
   // Changes around them.
   void Report();
+  std::vector<std::vector<uint32_t>> Quotas() const;
   void ShareOut();
   void Lose();
   void TakeOver();
