--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -229,6 +229,11 @@
                      });
 }
 
+const waiting_opening* FirstWaiting(const pool_state& pool) {
+  const auto& list = pool.queue.short_work;
+  return list.empty() ? nullptr : &list.front();
+}
+
 std::optional<open_decision> PopForPeer(pool_state& pool, time_point /*now*/) {
   auto& list = pool.queue.short_work;
   if (list.empty()) return std::nullopt;
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -120,8 +120,14 @@
 
 /// \brief Takes the opening that is due next out of the queue, so that a pool
 /// of the same service with room places it.
+/// \sa FirstWaiting
 std::optional<open_decision> PopForPeer(pool_state& pool, time_point now);
 
+/// \brief The opening that `PopForPeer` would take; none where none waits.
+/// \warning Ask it before popping: an opening that is opened again starts a new
+/// wait, unless its `waited` says how long it has waited.
+const waiting_opening* FirstWaiting(const pool_state& pool);
+
 /// \brief Share of `domain` among the pools of a service: the weight of its
 /// rows that are not leaving. It follows from the table alone.
 uint64_t PoolWeight(const service& table, std::string_view domain);
--- a/test/pool_test.cc
+++ b/test/pool_test.cc
@@ -94,6 +94,7 @@
   EXPECT_EQ(Poll(pool, AtMs(5))[0].token, 2U);
   ASSERT_TRUE(NextWake(pool));
   EXPECT_EQ(*NextWake(pool), AtMs(1) + pool.policy.max_wait);
+  EXPECT_EQ(FirstWaiting(pool)->request.token, 1U);
   const auto late = Poll(pool, *NextWake(pool));
   ASSERT_EQ(late.size(), 1U);
   EXPECT_EQ(late[0].why, refusal::kWaitTooLong);
