--- /dev/null
+++ b/include/radishyard/control.h
@@ -0,0 +1,17 @@
+// \file The control thread of a balancer: it follows the table and the rosters,
+// exchanges heartbeats, keeps the domain's pools owned, hands their flows over,
+// and publishes routing views to the traffic threads.
+//
+//   using namespace radishyard;
+//   controller control(io, *store, config, incarnation, traffic);
+//   control.Start();
+//   io.run();
+//   ...
+//   control.Leave([&] { io.stop(); });   // Hands over pools and flows first.
+#pragma once
+#include "control/controller.h"
+#include "control/handover.h"
+#include "control/peer_hub.h"
+#include "control/roster_keeper.h"
+#include "control/store_follower.h"
+#include "control/view_builder.h"
--- /dev/null
+++ b/include/radishyard/flow.h
@@ -0,0 +1,14 @@
+// \file Flow state of a traffic thread: the table of the flows that it owns,
+// the batches in which flows move to another balancer, and the cache of flows
+// that it has seen pass without owning them.
+//
+//   using namespace radishyard;
+//   flow_table flows;
+//   const uint32_t slot = flows.Insert(key);
+//   flows.At(slot).upstream = upstream;
+//   if (const auto known = flows.Find(key)) flows.Erase(*known);
+#pragma once
+#include "flow/flow_batch.h"
+#include "flow/flow_record.h"
+#include "flow/flow_table.h"
+#include "flow/witness_cache.h"
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "daemon/balancer_metrics.h"
 #include "observe/log.h"
 #include "store/http_store.h"
 
@@ -75,7 +76,7 @@
       signals_(io_, SIGTERM, SIGINT),
       store_(MakeHttpStore(io_, config.platform, kStoreTimeout)),
       traffic_(io_, config.data, config.data_threads, config.limits.held_flows),
-      controller_(io_, *store_, config, incarnation, traffic_) {}
+      controller_(io_, store_, config, incarnation, traffic_) {}
 
 void daemon::TakeReports(const std::vector<traffic_report>& reports) {
   std::vector<served_load> loads;
@@ -88,15 +89,26 @@
   controller_.TakeReport(loads, leftover);
 }
 
+void daemon::OpenTraces() {
+  if (config_.trace.file.empty()) return;
+  failure why;
+  traces_ = trace_writer::Open(io_, config_.name, config_.trace.file, why);
+  if (!traces_) Log(severity::kError, "trace_failed", {{"reason", why.text}});
+}
+
 void daemon::Run() {
+  OpenTraces();
   traffic_.Start(
       [this](const std::vector<traffic_report>& reports) {
         TakeReports(reports);
       },
-      [](const hop_span&) {});
+      [this](const hop_span& hop) {
+        if (traces_) traces_->Offer(hop);
+      });
   admin_ = std::make_unique<admin_server>(
       io_, config_.admin,
-      admin_server::page_map{{"/status", [this] { return StatusPage(); }}});
+      admin_server::page_map{{"/status", [this] { return StatusPage(); }},
+                             {"/metrics", [this] { return MetricsPage(); }}});
   OnSignal();
   controller_.Start();
   Log(severity::kInfo, "started",
@@ -121,6 +133,16 @@
   controller_.Leave([this] { io_.stop(); });
 }
 
+admin_page daemon::MetricsPage() const {
+  balancer_figures figures{traffic_.reports(), controller_.hub().counters(),
+                           controller_.handovers().totals(), store_.calls()};
+  if (traces_) {
+    figures.spans_written = traces_->written();
+    figures.spans_dropped = traces_->dropped();
+  }
+  return {"text/plain; version=0.0.4", BalancerMetrics(figures)};
+}
+
 admin_page daemon::StatusPage() const {
   json page = {{"balancer", config_.name},
                {"domain", config_.domain},
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,8 @@
 
 #include "admin/admin_server.h"
 #include "control/controller.h"
+#include "daemon/counting_store.h"
+#include "observe/trace.h"
 #include "traffic/traffic_group.h"
 
 namespace radishyard {
@@ -21,12 +23,15 @@
   void TakeReports(const std::vector<traffic_report>& reports);
   void OnSignal();
   void Shutdown();
+  void OpenTraces();
   admin_page StatusPage() const;
+  admin_page MetricsPage() const;
 
   settings config_;
   asio::io_context io_;
   asio::signal_set signals_;
-  std::unique_ptr<object_store> store_;
+  counting_store store_;
+  std::unique_ptr<trace_writer> traces_;  // Null where nothing is traced.
   traffic_group traffic_;
   controller controller_;
   std::unique_ptr<admin_server> admin_;
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -68,7 +68,7 @@
 void OpenLog(std::string_view program, severity least,
              const std::string& file) {
   const std::string pattern =
-      "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p program=" +
+      "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{UTC} level=%p program=" +
       std::string(program) + " %m%n";
   const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
   log4cxx::AppenderPtr appender;
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -269,6 +269,8 @@
 // second placement.
 void flow_owner::SendHeld(uint32_t slot, time_point now) {
   flow_record& flow = flows_.At(slot);
+  if (flow.attempt == 0)
+    times_.queue_wait.Add(milliseconds(Ms(now) - flow.last_seen_ms));
   flow.opened_ms = Ms(now);
   const auto route = view_->ports.find({flow.key.proto, flow.key.service});
   const uint16_t upstream_port = route == view_->ports.end()
@@ -320,6 +322,7 @@
   if (!flow.Has(kHoldsConnection)) return;
   flow.Clear(kHoldsConnection);
   const duration held = milliseconds(Ms(now) - flow.opened_ms);
+  if (flow.kind == port_kind::kRequest) times_.slot_hold.Add(held);
   Closed(served_[flow.pool]->state, Held(flow), how, held, now);
 }
 
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -19,6 +19,7 @@
 #include "traffic/traffic_counters.h"
 #include "traffic/traffic_grants.h"
 #include "traffic/traffic_sink.h"
+#include "traffic/traffic_times.h"
 
 namespace radishyard {
 
@@ -115,6 +116,7 @@
   std::vector<served_load> Loads(time_point now) const;
   const flow_table& flows() const { return flows_; }
   size_t OpenFlows() const { return flows_.size() - closed_; }
+  const traffic_times& times() const { return times_; }
 
  private:
   struct served_pool {
@@ -210,7 +212,8 @@
   traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
-  size_t closed_ = 0;                   // Records in phase kClosed or kPassed.
+  traffic_times times_;
+  size_t closed_ = 0;  // Records in phase kClosed or kPassed.
   uint32_t sweep_at_ = 0;
   time_point swept_at_;
 };
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -70,7 +70,9 @@
     ++counters_.stale_answers;  // Of an earlier connection with the same ports.
     return false;
   }
-  Answered(pool, flow.upstream, milliseconds(Ms(now) - flow.opened_ms), now);
+  const duration answer_time = milliseconds(Ms(now) - flow.opened_ms);
+  if (in.packet.proto == protocol::kTcp) times_.opening.Add(answer_time);
+  Answered(pool, flow.upstream, answer_time, now);
   flow.phase = flow_phase::kOpen;
   held_.erase(slot);
   return true;
--- a/src/traffic/traffic_thread.cc
+++ b/src/traffic/traffic_thread.cc
@@ -96,8 +96,8 @@
     if (now - reported_at_ >= options_.report_every) {
       reported_at_ = now;
       traffic_report report{core_.counters(), core_.owner().Loads(now),
-                            core_.owner().Leftover(),
-                            core_.owner().OpenFlows()};
+                            core_.owner().Leftover(), core_.owner().OpenFlows(),
+                            core_.owner().times()};
       report.counters.send_failed = send_failed_;
       on_report_(report);
     }
--- a/src/traffic/traffic_thread.h
+++ b/src/traffic/traffic_thread.h
@@ -17,6 +17,7 @@
   std::vector<served_load> loads;
   std::vector<pool_name> leftover;  ///< \sa flow_owner::Leftover()
   size_t open_flows = 0;
+  traffic_times times;
 };
 
 /// \brief Settings of a traffic thread.
--- /dev/null
+++ b/test/observe_test.cc
@@ -0,0 +1,154 @@
+// Log lines, the metrics page and traces.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <regex>
+
+#include "daemon/balancer_metrics.h"
+#include "observe/log.h"
+#include "observe/metrics.h"
+#include "observe/trace.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+using testing::HasSubstr;
+
+std::vector<std::string> LinesOf(const std::string& file) {
+  std::ifstream in(file);
+  std::vector<std::string> lines;
+  for (std::string line; std::getline(in, line);) lines.push_back(line);
+  return lines;
+}
+
+std::string NewFile(const std::string& name) {
+  const std::string file = testing::TempDir() + "/" + name;
+  std::remove(file.c_str());
+  return file;
+}
+
+TEST(Log, AnEventIsOneLineOfPairsWithItsTimeInUtc) {
+  const std::string file = NewFile("observe.log");
+  setenv("TZ", "Africa/Casablanca", 1);
+  OpenLog("radishyardd", severity::kInfo, file);
+  Log(severity::kWarn, "service_malformed",
+      {{"version", 7}, {"findings", "a \"b\"\nc=\\"}, {"empty", ""}});
+  Log(severity::kDebug, "unseen");
+  const auto lines = LinesOf(file);
+  ASSERT_EQ(lines.size(), 1U);
+  std::smatch match;
+  const std::regex form(
+      R"(time=(\d{4}-\d\d-\d\dT\d\d):\d\d:\d\d\.\d{3}Z level=WARN )"
+      R"(program=radishyardd event=service_malformed version=7 )"
+      R"(findings="a \\"b\\" c=\\\\" empty="")");
+  ASSERT_TRUE(std::regex_match(lines[0], match, form)) << lines[0];
+  const std::time_t now = std::time(nullptr);
+  std::array<char, 32> hour{};
+  std::strftime(hour.data(), hour.size(), "%Y-%m-%dT%H", std::gmtime(&now));
+  EXPECT_EQ(match[1], hour.data());
+}
+
+TEST(TimeHistogram, CountsTimesUpToDoublingBounds) {
+  time_histogram times;
+  for (const duration time : {duration(0), duration(3ms), duration(3ms)})
+    times.Add(time);
+  time_histogram sum = times;
+  sum += times;
+  sum.Add(100s);
+  const auto buckets = sum.Buckets();
+  EXPECT_EQ(buckets.size(), 17U);
+  EXPECT_NEAR(buckets[0].at_most_s, 0.001, 1e-9);
+  EXPECT_EQ(buckets[0].count, 2U);
+  EXPECT_EQ(buckets[1].count, 2U);
+  EXPECT_EQ(buckets[2].count, 6U);
+  EXPECT_NEAR(buckets.back().at_most_s, 65.536, 1e-6);
+  EXPECT_EQ(buckets.back().count, 6U);
+  EXPECT_EQ(sum.Count(), 7U);
+  EXPECT_NEAR(sum.SumSeconds(), 100.012, 1e-9);
+  EXPECT_EQ(times.Count(), 3U);
+}
+
+TEST(Metrics, ThePageHasEveryThreadPoolAndTime) {
+  balancer_figures figures;
+  figures.threads.resize(2);
+  figures.threads[1].counters.placed = 12;
+  figures.threads[1].open_flows = 5;
+  figures.threads[1].loads = {
+      {{"survey-link", "rennes"}, {{{1, 3, 1}, {2, 4, 2}}, 6, 8}}};
+  for (traffic_report& report : figures.threads)
+    report.times.queue_wait.Add(3ms);
+  figures.peers.bytes_sent = 1'000;
+  figures.handovers.longest = 250ms;
+  figures.calls.watches = 4;
+  const std::string page = BalancerMetrics(figures);
+  for (const char* line :
+       {"# TYPE radishyard_traffic_placed_total counter\n",
+        "radishyard_traffic_placed_total{thread=\"1\"} 12\n",
+        "radishyard_open_flows{thread=\"1\"} 5\n",
+        "radishyard_pool_connections{service=\"survey-link\",domain=\"rennes\"}"
+        " 7\n",
+        "radishyard_pool_slots{service=\"survey-link\",domain=\"rennes\"} 3\n",
+        "radishyard_queue_wait_seconds_bucket{le=\"0.002\"} 0\n",
+        "radishyard_queue_wait_seconds_bucket{le=\"0.004\"} 2\n",
+        "radishyard_queue_wait_seconds_bucket{le=\"+Inf\"} 2\n",
+        "radishyard_queue_wait_seconds_count 2\n",
+        "radishyard_peer_bytes_sent_total 1000\n",
+        "radishyard_handover_longest_seconds 0.25\n",
+        "radishyard_platform_calls_total{call=\"watch\"} 4\n"})
+    EXPECT_THAT(page, HasSubstr(line));
+}
+
+TEST(Metrics, LabelsAreEscaped) {
+  metrics_text page;
+  page.Begin(metric_kind::kGauge, "g", "Help.");
+  page.Sample({{"a", "x\"y\\z\n"}}, 0.5);
+  EXPECT_THAT(page.Text(), HasSubstr("g{a=\"x\\\"y\\\\z\\n\"} 0.5\n"));
+}
+
+// Two balancers write a hop each of one flow; the second names the first as its
+// parent.
+TEST(Trace, LinesOfTwoBalancersJoinByTheirIds) {
+  asio::io_context io;
+  failure why;
+  const std::string file = NewFile("observe.trace");
+  const auto ingress = trace_writer::Open(io, "rennes-1", file, why);
+  const auto owner = trace_writer::Open(io, "quimper-1", file, why);
+  const flow_key key{{0x0a010002, 4000}, {0x0a140001, 7001}, protocol::kTcp};
+  const time_point now = std::chrono::steady_clock::now();
+  ASSERT_TRUE(ingress->Offer({77, 5, 0, "ingress", "to-owner", key, now}));
+  ASSERT_TRUE(owner->Offer({77, 6, 5, "owner", "open", key, now}));
+  EXPECT_TRUE(LinesOf(file).empty()) << "written by the control thread only";
+  io.run();
+  const auto lines = LinesOf(file);
+  ASSERT_EQ(lines.size(), 2U);
+  const json first = json::parse(lines[0]);
+  const json second = json::parse(lines[1]);
+  EXPECT_EQ(first["trace"], second["trace"]);
+  EXPECT_EQ(first["span"], second["parent"]);
+  EXPECT_FALSE(first.contains("parent"));
+  EXPECT_EQ(second["balancer"], "quimper-1");
+  EXPECT_EQ(second["outcome"], "open");
+  EXPECT_EQ(second["caller"], "10.1.0.2:4000");
+  EXPECT_EQ(second["service"], "10.20.0.1:7001");
+}
+
+TEST(Trace, AFullQueueDropsAndCounts) {
+  asio::io_context io;
+  failure why;
+  const auto writer = trace_writer::Open(io, "b", NewFile("full.trace"), why);
+  for (size_t i = 0; i < kMaxWaitingHops; ++i)
+    ASSERT_TRUE(writer->Offer({1, i + 1, 0, "owner", "open", {}, {}}));
+  EXPECT_FALSE(writer->Offer({1, 1, 0, "owner", "open", {}, {}}));
+  io.run();
+  EXPECT_EQ(writer->written(), kMaxWaitingHops);
+  EXPECT_EQ(writer->dropped(), 1U);
+  EXPECT_TRUE(writer->Offer({1, 1, 0, "owner", "open", {}, {}}));
+  EXPECT_EQ(trace_writer::Open(io, "b", "/nowhere/t", why), nullptr);
+  EXPECT_THAT(why.text, HasSubstr("/nowhere/t"));
+}
+
+}  // namespace
+}  // namespace radishyard
--- a/test/standins/demo_main.cc
+++ b/test/standins/demo_main.cc
@@ -40,10 +40,11 @@
   Say("radishyardctl apply");
   const ctl_result applied = w.Apply(files);
   std::cout << applied.output;
-  if (applied.code != 0 || !w.WaitInForce(kInForce)) return false;
+  const bool is_in_force = applied.code == 0 && w.WaitInForce(kInForce);
   Say("radishyardctl status");
   std::cout << w.Ctl({"status"}).output;
-  return true;
+  if (!is_in_force) Say("the table is NOT in force everywhere");
+  return is_in_force;
 }
 
 bool ChangeMeanwhile(world& w) {
