--- a/test/support/world.cc
+++ b/test/support/world.cc
@@ -181,10 +181,10 @@
   throw std::invalid_argument("no balancer " + name);
 }
 
-void world::Spray() {
+void world::Spray(const std::string& without) {
   json list = json::array();
   for (const balancer& b : balancers_)
-    if (b.is_running()) list.push_back(b.data());
+    if (b.is_running() && b.name() != without) list.push_back(b.data());
   fabric_.Ask({{"cmd", "balancers"}, {"list", list}});
 }
 
@@ -256,9 +256,11 @@
           status["services"][name]["version"] != object["version"])
         return false;
     }
-    for (const json& pool : status["pools"])
+    for (const json& pool : status["pools"]) {
+      if (pool["lease_ms"] == 0) return false;  // A new owner still waits.
       owned.insert(pool["service"].get<std::string>() + " " +
                    pool["domain"].get<std::string>());
+    }
   }
   const std::set<std::string> pools = PoolsOf(objects["objects"]);
   return owned == std::multiset<std::string>(pools.begin(), pools.end());
