--- a/src/observe/trace.cc
+++ b/src/observe/trace.cc
@@ -18,6 +18,7 @@
 using json = nlohmann::json;
 using system_time = std::chrono::system_clock::time_point;
 
+constexpr size_t kMostBufferedBytes = 64 << 10;
 constexpr const char* kSpanTag = "radishyard.span";  // The span's own id.
 
 std::string IdText(uint64_t id) {
@@ -74,15 +75,15 @@
 // A span that is one line of the file once it is finished.
 class line_span : public ot::Span {
  public:
-  line_span(std::shared_ptr<const ot::Tracer> tracer, std::ostream& out,
+  line_span(std::shared_ptr<const ot::Tracer> tracer, std::string& lines,
             const span_context& context, json line)
       : tracer_(std::move(tracer)),
-        out_(out),
+        lines_(lines),
         context_(context),
         line_(std::move(line)) {}
 
   void FinishWithOptions(const ot::FinishSpanOptions&) noexcept override {
-    if (!is_finished_) out_ << line_.dump() << "\n";
+    if (!is_finished_) lines_ += line_.dump() + "\n";
     is_finished_ = true;
   }
   void SetOperationName(ot::string_view name) noexcept override {
@@ -106,7 +107,7 @@
 
  private:
   std::shared_ptr<const ot::Tracer> tracer_;
-  std::ostream& out_;
+  std::string& lines_;
   span_context context_;
   json line_;
   bool is_finished_ = false;
@@ -127,7 +128,14 @@
       : balancer_(std::move(balancer)), out_(file, std::ios::app) {}
 
   bool IsOpen() const { return out_.is_open(); }
-  void Flush() { out_.flush(); }
+  size_t BufferedBytes() const { return lines_.size(); }
+  // Whole lines in one write, so that a reader or another writer of the same
+  // file finds no partial ones.
+  void Flush() {
+    out_.write(lines_.data(), static_cast<std::streamsize>(lines_.size()));
+    out_.flush();
+    lines_.clear();
+  }
 
   std::unique_ptr<ot::Span> StartSpanWithOptions(
       ot::string_view name,
@@ -145,7 +153,7 @@
     }
     line["trace"] = IdText(trace);
     return std::make_unique<line_span>(
-        shared_from_this(), out_, span_context(trace, id), std::move(line));
+        shared_from_this(), lines_, span_context(trace, id), std::move(line));
   }
 
   ot::expected<void> Inject(const ot::SpanContext&,
@@ -175,7 +183,8 @@
 
  private:
   std::string balancer_;
-  mutable std::ofstream out_;
+  std::ofstream out_;
+  mutable std::string lines_;  // Of finished spans, not yet written.
 };
 
 std::unique_ptr<trace_writer> trace_writer::Open(asio::io_context& io,
@@ -204,7 +213,8 @@
   asio::post(io_, [this, hop] {
     Write(hop);
     const size_t waiting = waiting_.fetch_sub(1, std::memory_order_relaxed);
-    if (waiting == 1) tracer_->Flush();
+    if (waiting == 1 || tracer_->BufferedBytes() > kMostBufferedBytes)
+      tracer_->Flush();
   });
   return true;
 }
--- /dev/null
+++ b/test/process_observe_test.cc
@@ -0,0 +1,102 @@
+// What running daemons show: metrics of every part, and the hops of a flow over
+// several balancers joined by its trace.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <map>
+#include <set>
+
+#include "settings/settings.h"
+#include "support/http_client.h"
+#include "support/world.h"
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+// The sum of a metric's samples over the page's lines; -1 where it has none.
+double SumOf(const std::string& page, const std::string& name) {
+  double sum = -1;
+  std::istringstream in(page);
+  for (std::string line; std::getline(in, line);) {
+    const bool is_sample =
+        line.starts_with(name + " ") || line.starts_with(name + "{");
+    if (is_sample)
+      sum = std::max(sum, 0.0) + std::stod(line.substr(line.rfind(' ')));
+  }
+  return sum;
+}
+
+struct seen_trace {
+  std::set<std::string> balancers;
+  std::set<std::string> spans;
+  std::set<std::string> parents;
+  bool opens = false;
+};
+
+std::map<std::string, seen_trace> ReadTraces(const std::string& file) {
+  std::map<std::string, seen_trace> traces;
+  std::ifstream in(file);
+  for (std::string line; std::getline(in, line);) {
+    const json hop = json::parse(line);
+    seen_trace& trace = traces[hop["trace"]];
+    trace.balancers.insert(hop["balancer"]);
+    trace.spans.insert(hop["span"]);
+    if (hop.contains("parent")) trace.parents.insert(hop["parent"]);
+    trace.opens |= hop["outcome"] == "open";
+  }
+  return traces;
+}
+
+TEST(ProcessObserve, MetricsAndTracesOfFlowsOverSevenBalancers) {
+  constexpr int kFlows = 100;
+  const std::string file = testing::TempDir() + "/process_observe.trace";
+  std::remove(file.c_str());
+  world w(ArmorBalancers(), 3,
+          {{"trace", {{"sample_one_in", 1}, {"file", file}}}});
+  ASSERT_EQ(
+      w.Apply({RY_BIN_DIR "/../examples/armor/drawing-archive.json"}).code, 0);
+  ASSERT_TRUE(w.WaitInForce(10s));
+  w.callers().Ask({{"cmd", "run"},
+                   {"service", "drawing-archive"},
+                   {"address", "10.20.0.2"},
+                   {"port", 8000},
+                   {"flows", kFlows},
+                   {"concurrency", 4}});
+  ASSERT_TRUE(w.callers().Ask({{"cmd", "wait"}})["settled"]) << w.Verdict();
+  EXPECT_EQ(w.WaitIdle(5s), "");
+  std::map<std::string, double> sums;
+  for (const balancer& b : w.balancers()) {
+    failure why;
+    const auto page = HttpGet(*ParseEndpoint(b.admin()), "/metrics", why);
+    ASSERT_TRUE(page && page->status == 200) << why.text;
+    for (const char* name :
+         {"radishyard_traffic_placed_total", "radishyard_opening_seconds_count",
+          "radishyard_slot_hold_seconds_count",
+          "radishyard_peer_bytes_sent_total", "radishyard_platform_calls_total",
+          "radishyard_open_flows",
+          "radishyard_trace_spans_total{fate=\"dropped\"}"})
+      sums[name] += SumOf(page->body, name);
+  }
+  EXPECT_EQ(sums["radishyard_traffic_placed_total"], kFlows);
+  EXPECT_EQ(sums["radishyard_opening_seconds_count"], kFlows);
+  EXPECT_EQ(sums["radishyard_slot_hold_seconds_count"], kFlows);
+  EXPECT_EQ(sums["radishyard_open_flows"], 0);
+  EXPECT_EQ(sums["radishyard_trace_spans_total{fate=\"dropped\"}"], 0);
+  EXPECT_GT(sums["radishyard_peer_bytes_sent_total"], 0);
+  EXPECT_GE(sums["radishyard_platform_calls_total"], 7);
+  const auto traces = ReadTraces(file);
+  EXPECT_EQ(traces.size(), kFlows);
+  size_t joined = 0;
+  for (const auto& [id, trace] : traces) {
+    EXPECT_TRUE(trace.opens) << id;
+    EXPECT_THAT(trace.spans, testing::IsSupersetOf(trace.parents)) << id;
+    joined += trace.balancers.size() > 1 ? 1 : 0;
+  }
+  EXPECT_GT(joined, kFlows / 2) << "sprayed packets pass several balancers";
+}
+
+}  // namespace
+}  // namespace radishyard
