--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,11 @@
 /// this time is taken for a repetition and not placed.
 constexpr duration kRepeatWindow = 60s;
 
+/// \brief An idempotent request that is repeated within this time may have run,
+/// and so is not refused. For as long after it took a pool over, an owner
+/// refuses no UDP request: the owner before may have run a copy.
+constexpr duration kRetryWindow = 10s;
+
 /// \brief Timing of the owner.
 struct owner_timing {
   duration unanswered_after =
@@ -38,7 +44,8 @@
 /// \brief Flows of the pools that one traffic thread serves.
 ///
 /// \code
-/// if (owner.HandleCaller(in, now) == owner_outcome::kUnknownFlow)
+/// const auto slot = owner.flows().Find(in.key);
+/// if (owner.HandleCaller(in, slot, now) == flow_owner::outcome::kUnknownFlow)
 /// AskWitnesses(in); \endcode Invariant: each flow in flows_ that holds a
 /// connection or slot is counted in its pool.
 class flow_owner {
@@ -47,6 +54,7 @@
   enum class outcome : uint8_t {
     kDone,         ///< Forwarded, queued, refused or dropped.
     kUnknownFlow,  ///< Not an opening, and the flow is not known here.
+    kWithheld,     ///< Needs a lease that this balancer has not now.
   };
 
   flow_owner(traffic_sink& sink, traffic_counters& counters,
@@ -57,9 +65,6 @@
   /// serves.
   void SetView(std::shared_ptr<const routing_view> view, time_point now);
 
-  /// \brief True if the flow has a record here.
-  bool Knows(const flow_key& key) const { return flows_.Find(key).has_value(); }
-
   /// \brief True for a copy of a non-idempotent request that was taken in here.
   bool IsDuplicate(const inbound& in) const {
     return in.IsUnsafe() && duplicates_.Has(duplicate_filter::DigestOf(
@@ -68,11 +73,15 @@
 
   /// \brief A caller's packet for a flow that is known here, or for a pool that
   /// is served here.
-  outcome HandleCaller(inbound& in, time_point now);
+  /// \param slot of the flow in flows(); nothing if it is not known.
+  outcome HandleCaller(inbound& in, std::optional<uint32_t> slot,
+                       time_point now);
 
   /// \brief An upstream's packet for a flow that is known here, or for a pool
   /// that is served here.
-  outcome HandleUpstream(inbound& in, time_point now);
+  /// \param slot as in HandleCaller().
+  outcome HandleUpstream(inbound& in, std::optional<uint32_t> slot,
+                         time_point now);
 
   /// \brief Learns that `upstream` serves the flow, and forwards the caller's
   /// packet to it.
@@ -106,10 +115,10 @@
   /// again.
   void ForgetWitnessed(const pool_name& name);
 
-  /// rief Lease deadlines of own pools and free slots of others.
+  /// \brief Lease deadlines of own pools and free slots of others.
   void SetGrants(const traffic_grants& grants) { grants_ = grants; }
 
-  /// rief Pools that another balancer serves although flows of them remain
+  /// \brief Pools that another balancer serves although flows of them remain
   /// here.
   std::vector<pool_name> Leftover() const;
 
@@ -125,6 +134,7 @@
     std::optional<endpoint> moved_to;  // Set while another balancer serves it
                                        // and flows remain here.
     size_t flows = 0;                  // Records whose `pool` is this one.
+    time_point taken_at{};             // Since when it is served here.
     uint32_t witness_at = 0;  // Slot where the search for untold flows goes on.
   };
   struct opening_timer {
@@ -146,9 +156,7 @@
     return view_->pools[in.pool];
   }
   served_pool& Serve(uint16_t view_pool, time_point now);
-  uint16_t ServedIndex(uint16_t view_pool) const {
-    return served_of_view_[view_pool];
-  }
+  uint16_t ServedIndex(uint16_t view_pool) const;
 
   outcome HandleKnown(inbound& in, uint32_t slot, time_point now);
   outcome HandleUnknown(inbound& in, time_point now);
@@ -158,15 +166,17 @@
                    const endpoint& to);
   void MoveAway(served_pool& pool, const pool_route& route);
   outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
-  void KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
+  outcome KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
   served_pool* FindServed(const pool_name& name) const;
   bool AsksPrevious(const inbound& in) const;
   void AskPrevious(const inbound& in);
-  bool MayPlace(const inbound& in, time_point now);
+  /// \brief Whether a datagram may go to an upstream now.
+  enum class admission : uint8_t { kFirst, kRepeated, kCopy, kNoLease };
+  admission Admit(const inbound& in, time_point now);
   bool HasLease(const pool_route& route, time_point now) const;
   bool IsLateSyn(const inbound& in, const flow_record& flow) const;
-  void Place(inbound& in, time_point now);
+  void Place(inbound& in, bool may_have_run, time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
   void SendHeld(uint32_t slot, time_point now);
   void Refuse(uint32_t slot, std::span<uint8_t> bytes);
@@ -208,7 +218,7 @@
       served_of_view_;  // By index of the view; kNotServed if none.
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_{kRepeatWindow};  // Of non-idempotent requests.
-  duplicate_filter copies_{kPacketLifetime};    // Of other UDP requests.
+  duplicate_filter copies_{kRetryWindow};       // Of idempotent requests.
   traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -8,6 +8,9 @@
 
 constexpr double kWitnessQuestionsPerSecond = 2000;
 constexpr double kWitnessBurst = 2000;
+constexpr size_t kMostWithheld = 1000;
+constexpr duration kRetryWithheldEvery = 50ms;
+constexpr duration kLongestWithheld = 1s;
 
 }  // namespace
 
@@ -41,6 +44,8 @@
 void traffic_core::Receive(std::span<uint8_t> datagram, const endpoint& from,
                            time_point now) {
   ++counters_.packets;
+  datagram_ = datagram;
+  sender_ = from;
   failure why;
   const auto frame = DecodeGeneve(datagram, why);
   const auto packet = frame ? ParsePacket(frame->inner, why) : std::nullopt;
@@ -82,15 +87,15 @@
     AnswerWitness(in);
     return;
   }
-  if (!ChoosePool(in, route)) {
+  const auto slot = owner_.flows().Find(in.key);
+  if (!ChoosePool(in, route, slot)) {
     ++counters_.no_pool;
     return;
   }
   if (in.CameAs(forward_kind::kWitnessed)) {
     TakeWitness(in, now);
-  } else if (owner_.Knows(in.key)) {
-    if (owner_.HandleCaller(in, now) == flow_owner::outcome::kUnknownFlow)
-      AskWitnesses(in, now);
+  } else if (slot) {
+    TakeOutcome(in, owner_.HandleCaller(in, slot, now), now);
   } else if (in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
   } else {
@@ -100,11 +105,12 @@
 
 // A packet that another balancer sent names its pool; the first balancer goes
 // by what it saw of the flow, and by weighted rendezvous otherwise.
-bool traffic_core::ChoosePool(inbound& in, const port_route& route) {
+bool traffic_core::ChoosePool(inbound& in, const port_route& route,
+                              std::optional<uint32_t> slot) {
   std::optional<uint16_t> pool;
   if (in.forward) pool = PoolByTag(route, in.forward->pool);
   if (!pool && !in.forward && in.IsWitnessed() && !in.packet.IsSyn()) {
-    if (const uint32_t seen = witnesses_.Get(in.key))
+    if (const uint32_t seen = SeenUpstream(in, slot))
       pool = PoolOfUpstream(in, seen);
   }
   if (!pool) pool = PickPool(*view_, route, in.hash);
@@ -113,6 +119,16 @@
   return true;
 }
 
+// The record of a flow that is open here spares the look into the cache.
+uint32_t traffic_core::SeenUpstream(const inbound& in,
+                                    std::optional<uint32_t> slot) const {
+  if (slot) {
+    const flow_record& flow = owner_.flows().At(*slot);
+    if (flow.phase == flow_phase::kOpen) return flow.upstream;
+  }
+  return witnesses_.Get(in.hash);
+}
+
 std::optional<uint16_t> traffic_core::PoolByTag(const port_route& route,
                                                 uint16_t tag) const {
   const auto found = std::ranges::find_if(
@@ -135,7 +151,7 @@
 void traffic_core::ServeOrForward(inbound& in, time_point now) {
   const bool use_hint = in.IsWitnessed() && !in.packet.IsSyn();
   uint32_t hint = use_hint ? in.Hint() : 0;
-  if (use_hint && hint == 0) hint = witnesses_.Get(in.key);
+  if (use_hint && hint == 0) hint = witnesses_.Get(in.hash);
   const pool_route& route = view_->pools[in.pool];
   if (route.role == pool_role::kNone) {
     ForwardToOwner(in,
@@ -153,13 +169,52 @@
     owner_.AdoptAndForward(in, hint, now);
     return;
   }
-  if (owner_.HandleCaller(in, now) == flow_owner::outcome::kDone) return;
-  if (hinted_pool && !is_ours) {
+  const flow_owner::outcome result = owner_.HandleCaller(in, std::nullopt, now);
+  if (result == flow_owner::outcome::kUnknownFlow && hinted_pool && !is_ours) {
     in.pool = *hinted_pool;
     ForwardToOwner(in, forward_kind::kToOwner, hint, now);
     return;
   }
-  AskWitnesses(in, now);
+  TakeOutcome(in, result, now);
+}
+
+void traffic_core::TakeOutcome(inbound& in, flow_owner::outcome result,
+                               time_point now) {
+  if (result == flow_owner::outcome::kUnknownFlow) AskWitnesses(in, now);
+  if (result == flow_owner::outcome::kWithheld) Withhold(now);
+}
+
+void traffic_core::Withhold(time_point now) {
+  if (withheld_.size() >= kMostWithheld) {
+    ++counters_.unsafe_withheld;
+    return;
+  }
+  withheld_.push_back({{datagram_.begin(), datagram_.end()},
+                       sender_,
+                       withheld_since_.value_or(now)});
+}
+
+// A new owner waits before it may place such requests, and an old one may have
+// given the pool up meanwhile: each attempt takes the way that is right by
+// then.
+void traffic_core::RetryWithheld(time_point now) {
+  if (withheld_.empty() || now < withheld_due_) return;
+  withheld_due_ = now + kRetryWithheldEvery;
+  std::vector<withheld_datagram> waiting = std::exchange(withheld_, {});
+  for (withheld_datagram& datagram : waiting) {
+    if (now - datagram.since > kLongestWithheld) {
+      ++counters_.unsafe_withheld;
+      continue;
+    }
+    withheld_since_ = datagram.since;
+    Receive(datagram.bytes, datagram.from, now);
+    withheld_since_.reset();
+  }
+}
+
+void traffic_core::Tick(time_point now) {
+  RetryWithheld(now);
+  owner_.Tick(now);
 }
 
 void traffic_core::ForwardToOwner(inbound& in, forward_kind kind, uint32_t hint,
@@ -191,17 +246,20 @@
     const bool ends = in.packet.proto == protocol::kTcp &&
                       (in.packet.Has(kFin) || in.packet.Has(kRst));
     if (ends) {
-      witnesses_.Drop(in.key);
+      witnesses_.Drop(in.hash);
     } else {
-      witnesses_.Put(in.key, in.packet.source.address, Ms(now));
+      witnesses_.Put(in.hash, in.packet.source.address, Ms(now));
     }
   }
-  const bool is_known = owner_.Knows(in.key);
   const bool serves = view_->pools[in.pool].role != pool_role::kNone;
-  if (!is_known && in.CameAs(forward_kind::kToPrevious)) {
+  auto slot = owner_.flows().Find(in.key);
+  const bool was_passed =
+      slot && owner_.flows().At(*slot).phase == flow_phase::kPassed;
+  if (was_passed && !serves) slot.reset();
+  if (!slot && in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
-  } else if (is_known || serves) {
-    owner_.HandleUpstream(in, now);
+  } else if (slot || serves) {
+    owner_.HandleUpstream(in, slot, now);
   } else {
     ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
   }
@@ -214,7 +272,7 @@
     ++counters_.duplicates;
     return;
   }
-  const uint32_t hint = in.Hint() != 0 ? in.Hint() : witnesses_.Get(in.key);
+  const uint32_t hint = in.Hint() != 0 ? in.Hint() : witnesses_.Get(in.hash);
   sink_.ToBalancer(
       in.from,
       {forward_kind::kUnknownFlow, static_cast<uint8_t>(in.Hops() + 1),
@@ -223,7 +281,7 @@
 }
 
 void traffic_core::AnswerWitness(inbound& in) {
-  uint32_t upstream = witnesses_.Get(in.key);
+  uint32_t upstream = witnesses_.Get(in.hash);
   const auto slot = owner_.flows().Find(in.key);
   if (slot && owner_.flows().At(*slot).phase != flow_phase::kClosed)
     upstream = owner_.flows().At(*slot).upstream;
@@ -239,7 +297,7 @@
   const uint32_t upstream = in.Hint();
   const auto pool = PoolOfUpstream(in, upstream);
   if (!pool) return;
-  witnesses_.Put(in.key, upstream, Ms(now));
+  witnesses_.Put(in.hash, upstream, Ms(now));
   in.pool = *pool;
   if (view_->pools[*pool].role != pool_role::kNone) {
     owner_.AdoptAndForward(in, upstream, now);
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -32,7 +32,7 @@
                time_point now);
 
   /// \brief Runs the timers; call it about every 10 ms.
-  void Tick(time_point now) { owner_.Tick(now); }
+  void Tick(time_point now);
 
   /// \brief Flows that an owner told this balancer as its standby.
   void TakeWitnesses(const flow_batch& batch, time_point now);
@@ -45,7 +45,9 @@
   bool Trusts(const endpoint& from, const geneve_frame& frame) const;
   void FromCaller(inbound& in, const port_route& route, time_point now);
   void FromUpstream(inbound& in, time_point now);
-  bool ChoosePool(inbound& in, const port_route& route);
+  bool ChoosePool(inbound& in, const port_route& route,
+                  std::optional<uint32_t> slot);
+  uint32_t SeenUpstream(const inbound& in, std::optional<uint32_t> slot) const;
   std::optional<uint16_t> PoolByTag(const port_route& route,
                                     uint16_t tag) const;
   std::optional<uint16_t> PoolOfUpstream(const inbound& in,
@@ -56,6 +58,9 @@
   void AnswerWitness(inbound& in);
   void TakeWitness(inbound& in, time_point now);
   void AskWitnesses(inbound& in, time_point now);
+  void TakeOutcome(inbound& in, flow_owner::outcome result, time_point now);
+  void Withhold(time_point now);
+  void RetryWithheld(time_point now);
   void Bounce(inbound& in);
   uint32_t Ms(time_point now) const {
     return static_cast<uint32_t>(ToMs(now - start_));
@@ -67,6 +72,18 @@
   time_point start_;
   std::shared_ptr<const routing_view> view_;
   flow_owner owner_;
+  // A datagram that needs a lease; it is handled anew until there is one.
+  struct withheld_datagram {
+    byte_buffer bytes;
+    endpoint from;
+    time_point since;
+  };
+  std::vector<withheld_datagram> withheld_;
+  time_point withheld_due_{};
+  // The datagram that is being handled.
+  std::span<uint8_t> datagram_;
+  endpoint sender_;
+  std::optional<time_point> withheld_since_;
   // Tokens for questions to witnesses, refilled with time, so that a flood of
   // unknown packets cannot multiply.
   double witness_tokens_ = 0;
