--- a/bench/support/measure_peers.cc
+++ b/bench/support/measure_peers.cc
@@ -31,6 +31,31 @@
   return beat;
 }
 
+// What a pool adds to a heartbeat where one of its counts has changed, or only
+// its free slots.
+void MeasureLoads(std::vector<measurement>& all) {
+  measurement exact{"heartbeat.bytes_with_counts", "pools changed", "B", {}};
+  measurement slots{"heartbeat.bytes_with_slots", "pools changed", "B", {}};
+  for (const size_t pools : {1, 6, 12}) {
+    heartbeat beat = FullHeartbeat(0);
+    for (size_t i = 0; i < pools; ++i) {
+      beat.loads.push_back(
+          {ServiceName(2000 + i), DomainName(12), false, {}, 3, 80});
+    }
+    failure why;
+    const auto size = static_cast<double>(pools);
+    const auto bytes = [&] {
+      return static_cast<double>(EncodeFrame(beat, why).value().size());
+    };
+    slots.samples.push_back({size, bytes()});
+    for (pool_delta& load : beat.loads)
+      load.counts.push_back({0x0a800000, 1500, 70});
+    exact.samples.push_back({size, bytes()});
+  }
+  all.push_back(exact);
+  all.push_back(slots);
+}
+
 void MeasureCodec(std::vector<measurement>& all) {
   measurement bytes{"heartbeat.bytes", "domains", "B", {}};
   measurement spent{"heartbeat.encode_decode", "domains", "us", {}};
@@ -87,6 +112,7 @@
   }
   std::vector<measurement> all{bytes, messages, spent};
   MeasureCodec(all);
+  MeasureLoads(all);
   return all;
 }
 
