--- a/test/support/armor_load.cc
+++ b/test/support/armor_load.cc
@@ -13,26 +13,26 @@
 constexpr int kTimeoutMs = 8000;
 
 json Flows(const char* service, const char* address, int port,
-           const char* protocol, int seconds, int most_ms) {
+           const char* protocol, int for_s, int most_ms) {
   return {{"cmd", "run"},
           {"service", service},
           {"address", address},
           {"port", port},
           {"protocol", protocol},
-          {"flows", kFlowsPerSecond * seconds},
+          {"flows", kFlowsPerSecond * for_s},
           {"rate", kFlowsPerSecond},
           {"concurrency", 1000},
           {"idempotent", port != 7002},
           {"ms", {1, most_ms}},
           {"bytes", {100, 3000}},
           {"timeout_ms", kTimeoutMs},
-          {"seed", port + seconds}};
+          {"seed", port + for_s}};
 }
 
 }  // namespace
 
 std::string ArmorTable(const std::string& service) {
-  return RY_BIN_DIR "/../examples/armor/" + service + ".json";
+  return BinaryPath("../examples/armor/" + service + ".json");
 }
 
 std::string StartArmor(world& w, int feeds) {
@@ -54,11 +54,11 @@
   return settled ? "" : "feeds not accepted";
 }
 
-void StartFlows(world& w, int seconds, int most_ms) {
+void StartFlows(world& w, int for_s, int most_ms) {
   const auto run = [&](const json& flows) { w.callers().Ask(flows); };
-  run(Flows("survey-link", "10.20.0.1", 7001, "tcp", seconds, most_ms));
-  run(Flows("survey-link", "10.20.0.1", 7002, "udp", seconds, most_ms));
-  run(Flows("drawing-archive", "10.20.0.2", 8001, "udp", seconds, most_ms));
+  run(Flows("survey-link", "10.20.0.1", 7001, "tcp", for_s, most_ms));
+  run(Flows("survey-link", "10.20.0.1", 7002, "udp", for_s, most_ms));
+  run(Flows("drawing-archive", "10.20.0.2", 8001, "udp", for_s, most_ms));
 }
 
 json EndLoad(world& w) {
--- a/test/support/armor_load.h
+++ b/test/support/armor_load.h
@@ -15,9 +15,9 @@
 /// feeds and waits for them. \returns what went wrong; empty where nothing did.
 std::string StartArmor(world& w, int feeds);
 
-/// \brief Starts short flows of all kinds that go on for about `seconds`.
+/// \brief Starts short flows of all kinds that go on for about `for_s` seconds.
 /// \param most_ms longest service time.
-void StartFlows(world& w, int seconds, int most_ms = 5);
+void StartFlows(world& w, int for_s, int most_ms = 5);
 
 /// \brief Waits for the end of all short flows, then closes the feeds.
 /// \returns the report of the callers.
--- /dev/null
+++ b/test/support/control_world.cc
@@ -0,0 +1,143 @@
+// All nodes share the test's thread; each has an executor of its own, so that
+// one can be paused or dropped alone.
+#include "support/control_world.h"
+
+#include <thread>
+
+#include "support/loopback.h"
+#include "table/table_json.h"
+
+namespace radishyard {
+namespace {
+
+constexpr uint32_t kLoopback = 0x7f000001;
+const std::vector<std::string> kDomains = {"rennes", "quimper"};
+
+settings Settings(const std::string& name, const std::string& domain) {
+  settings config;
+  config.name = name;
+  config.domain = domain;
+  config.data = {kLoopback, FreePort()};
+  config.control = {kLoopback, FreePort()};
+  config.admin = {kLoopback, FreePort()};
+  config.domains = kDomains;
+  return config;
+}
+
+service Service(const std::string& name, uint32_t weight) {
+  service s;
+  s.name = name;
+  s.address = 0x0a140001;
+  s.ports.push_back({.port = 7002,
+                     .upstream_port = 7002,
+                     .proto = protocol::kUdp,
+                     .kind = port_kind::kRequest,
+                     .idempotent = false});
+  uint32_t address = 0x0a1e0101;
+  for (const std::string& domain : kDomains) {
+    upstream row;
+    row.name = "up-" + domain;
+    row.address = address++;
+    row.domain = domain;
+    row.weight = weight;
+    row.slots = 2;
+    row.connections = 100;
+    s.upstreams.push_back(row);
+  }
+  return s;
+}
+
+}  // namespace
+
+control_node::control_node(const settings& config, fake_platform& platform,
+                           uint64_t incarnation)
+    : store(io, platform), control(io, store, config, incarnation, traffic) {}
+
+uint64_t control_node::Version(const std::string& service) const {
+  const auto& records = control.table().records;
+  const auto found = records.find(service);
+  return found == records.end() ? 0 : found->second->version;
+}
+
+std::set<pool_name> control_node::MayPlace(time_point now) const {
+  std::set<pool_name> may;
+  for (const auto& [name, until] : traffic.grants.unsafe_until)
+    if (until > now) may.insert(name);
+  return may;
+}
+
+control_node& control_world::Start(const std::string& name,
+                                   const std::string& domain,
+                                   fault_mode fault) {
+  settings config = Settings(name, domain);
+  config.limits = limits;
+  config.peers = controls_;
+  controls_.push_back(config.control);
+  auto node = std::make_unique<control_node>(config, platform, ++incarnation_);
+  node->store.SetFault({.mode = fault});
+  node->control.Start();
+  std::erase_if(versions_,
+                [&](const auto& v) { return v.first.starts_with(name + " "); });
+  return *(nodes[name] = std::move(node));
+}
+
+uint64_t control_world::Edit(const std::string& name, uint32_t weight) {
+  const std::string key = "services/" + name;
+  const auto found = platform.Find(key, false);
+  failure why;
+  return platform
+      .Put(key, RecordJson(Service(name, weight), "edit", {}),
+           found ? found->version : 0, why)
+      .value();
+}
+
+bool control_world::RunUntil(const std::function<bool()>& holds,
+                             duration timeout) {
+  const time_point until = std::chrono::steady_clock::now() + timeout;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() >= until) return false;
+    for (const auto& [name, node] : nodes)
+      if (!node->is_paused) node->io.poll();
+    Check();
+    std::this_thread::sleep_for(1ms);
+  }
+  return true;
+}
+
+void control_world::RunFor(duration span) {
+  RunUntil([] { return false; }, span);
+}
+
+// A paused node counts too: its traffic threads may go on.
+void control_world::Check() {
+  const time_point now = std::chrono::steady_clock::now();
+  std::map<pool_name, std::string> placers;
+  for (const auto& [name, node] : nodes) {
+    for (const pool_name& pool : node->MayPlace(now)) {
+      const auto [other, is_first] = placers.emplace(pool, name);
+      if (!is_first && two_placers.empty())
+        two_placers = pool.domain + ": " + other->second + " and " + name;
+    }
+    for (const auto& [service, record] : node->control.table().records) {
+      uint64_t& seen = versions_[name + " " + service];
+      if (record->version < seen && reverted.empty()) reverted = name;
+      seen = record->version;
+    }
+  }
+}
+
+std::optional<std::string> control_world::PlacerOf(
+    const pool_name& pool) const {
+  for (const auto& [name, node] : nodes)
+    if (node->MayPlace(std::chrono::steady_clock::now()).contains(pool))
+      return name;
+  return std::nullopt;
+}
+
+bool control_world::HasOneOwnerEach() const {
+  for (const std::string& domain : kDomains)
+    if (!PlacerOf({"survey-link", domain})) return false;
+  return true;
+}
+
+}  // namespace radishyard
