--- a/src/control/store_follower.cc
+++ b/src/control/store_follower.cc
@@ -48,22 +48,25 @@
     running_ = false;
     return;
   }
-  store_.Watch(
-      kEverything, revision_, kWatchWait,
-      [this](std::optional<object_batch> batch, const failure&) {
-        on_contact_(batch.has_value());
-        if (!batch) {
-          Retry();
-          return;
-        }
-        Take(*batch);
-        if (batch->revision < revision_) {
-          Retry();  // An older state of the store: start over with a list.
-          return;
-        }
-        revision_ = batch->revision;
-        Watch();
-      });
+  store_.Watch(kEverything, revision_, kWatchWait,
+               [this](std::optional<object_batch> batch, const failure&) {
+                 on_contact_(batch.has_value());
+                 if (!batch) {
+                   Retry();
+                   return;
+                 }
+                 Take(*batch);
+                 // An older state of the store, or an event that is repeated.
+                 const bool is_old =
+                     batch->revision < revision_ ||
+                     (batch->revision == revision_ && !batch->objects.empty());
+                 if (is_old) {
+                   Retry();
+                   return;
+                 }
+                 revision_ = batch->revision;
+                 Watch();
+               });
 }
 
 void store_follower::Retry() {
