Open no flow again whose end passed its record on the way

Ends of unknown flows are now remembered for the linger time; a request learned from another balancer counts for 10 s without a packet from its upstream. Also: a waiting opening is looked at before it is popped, so its wait does not begin anew.

--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -331,9 +331,15 @@
 
 void flow_owner::AdoptAndForward(inbound& in, uint32_t upstream,
                                  time_point now) {
-  auto slot = flows_.Find(in.key);
-  if (!slot) slot = AdoptFlow(in, upstream, now);
-  ForwardToUpstream(in, flows_.At(*slot), now);
+  if (!flows_.Find(in.key)) {
+    const bool ends = in.packet.Has(kFin) || in.packet.Has(kRst);
+    if (ends) {
+      RememberEnd(in, upstream, now);
+    } else {
+      AdoptFlow(in, upstream, now);
+    }
+  }
+  ForwardToUpstream(in, flows_.At(*flows_.Find(in.key)), now);
 }
 
 uint32_t flow_owner::AdoptFlow(const inbound& in, uint32_t upstream,
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -191,6 +191,7 @@
   void ReplaceOpening(uint32_t slot, time_point now);
   void LearnFromUpstream(const inbound& in, time_point now);
   uint32_t AdoptFlow(const inbound& in, uint32_t upstream, time_point now);
+  void RememberEnd(const inbound& in, uint32_t upstream, time_point now);
   uint32_t AdoptEntry(const flow_entry& entry, uint16_t pool, time_point now);
   void ForwardToCaller(inbound& in);
 
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -36,6 +36,7 @@
     return;
   }
   flow.last_seen_ms = Ms(now);
+  flow.Clear(kUnconfirmed);
   if (flow.phase == flow_phase::kOpening && !HandleOpeningAnswer(in, slot, now))
     return;
   ForwardToCaller(in);
@@ -101,7 +102,11 @@
 void flow_owner::LearnFromUpstream(const inbound& in, time_point now) {
   const bool ends = in.packet.proto == protocol::kTcp &&
                     (in.packet.Has(kRst) || in.packet.Has(kFin));
-  if (in.IsWitnessed() && !ends) AdoptFlow(in, in.packet.source.address, now);
+  if (in.IsWitnessed() && !ends) {
+    AdoptFlow(in, in.packet.source.address, now);
+  } else {
+    RememberEnd(in, in.packet.source.address, now);
+  }
   inbound copy = in;
   ForwardToCaller(copy);
   Trace(in, "owner", "learned", now);
--- a/src/traffic/flow_owner_moves.cc
+++ b/src/traffic/flow_owner_moves.cc
@@ -67,6 +67,16 @@
   }
 }
 
+// A flow that ended while its record was on its way here: the record must not
+// open it again.
+void flow_owner::RememberEnd(const inbound& in, uint32_t upstream,
+                             time_point now) {
+  const uint32_t slot =
+      AdoptEntry({in.key, upstream, in.port.kind, in.port.priority, 0},
+                 ServedIndex(in.pool), now);
+  End(slot, flow_end::kAbandoned, now);
+}
+
 uint32_t flow_owner::AdoptEntry(const flow_entry& entry, uint16_t pool,
                                 time_point now) {
   const uint32_t slot = flows_.Insert(entry.key);
@@ -78,6 +88,7 @@
   flow.priority = entry.priority;
   flow.marks = entry.marks;
   flow.Set(kPayloadSent);
+  if (entry.kind == port_kind::kRequest) flow.Set(kUnconfirmed);
   flow.phase = flow_phase::kOpen;
   flow.opened_ms = flow.last_seen_ms = Ms(now);
   if (flow.Has(kHoldsConnection)) Adopt(served_[pool]->state, Held(flow), now);
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -45,18 +45,12 @@
 }
 
 bool flow_owner::PassOne(served_pool& pool, time_point now) {
-  if (!OthersHaveRoom(pool.name)) return false;
-  const auto waiting = PopForPeer(pool.state, now);
-  if (!waiting) return false;
-  const auto slot = static_cast<uint32_t>(waiting->token);
+  const waiting_opening* const first = FirstWaiting(pool.state);
+  if (first == nullptr || !OthersHaveRoom(pool.name)) return false;
+  const auto slot = static_cast<uint32_t>(first->request.token);
   flow_record& flow = flows_.At(slot);
   const auto to = PoolWithRoom(flow);
-  if (!to || flow.Has(kWasPassed)) {
-    Settle(slot,
-           Open(pool.state, {flow.key, flow.kind, flow.priority, slot}, now),
-           now);
-    return false;
-  }
+  if (!to || flow.Has(kWasPassed) || !PopForPeer(pool.state, now)) return false;
   const pool_route& route = view_->pools[*to];
   --grants_.free_slots[route.name];
   ++counters_.passed;
@@ -129,6 +123,8 @@
 uint32_t flow_owner::IdleLimitMs(const flow_record& flow) const {
   constexpr uint32_t kMsPerSecond = 1000;
   constexpr uint32_t kDefaultIdleMs = 300 * kMsPerSecond;
+  constexpr uint32_t kUnconfirmedMs = 10 * kMsPerSecond;
+  if (flow.Has(kUnconfirmed)) return kUnconfirmedMs;
   const auto route = view_->ports.find({flow.key.proto, flow.key.service});
   return route == view_->ports.end()
              ? kDefaultIdleMs
