--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -20,6 +20,7 @@
 #include "traffic/traffic_counters.h"
 #include "traffic/traffic_grants.h"
 #include "traffic/traffic_sink.h"
+#include "traffic/traffic_times.h"
 
 namespace radishyard {
 
@@ -27,12 +28,17 @@
 /// this time is taken for a repetition and not placed.
 constexpr duration kRepeatWindow = 60s;
 
+/// \brief An idempotent request that is repeated within this time may have run,
+/// and so is not refused. For as long after it took a pool over, an owner
+/// refuses no UDP request: the owner before may have run a copy.
+constexpr duration kRetryWindow = 10s;
+
 /// \brief Timing of the owner.
 struct owner_timing {
   duration unanswered_after =
-      300ms;                  ///< An opening without answer is placed again.
-  duration linger = 2s;       ///< A closed flow still passes late packets.
-  duration idle_sweep = 10s;  ///< One pass over all flows.
+      300ms;                 ///< An opening without answer is placed again.
+  duration linger = 2s;      ///< A closed flow still passes late packets.
+  duration idle_sweep = 2s;  ///< One pass over all flows.
 };
 
 /// \brief Flows of the pools that one traffic thread serves.
@@ -48,6 +54,7 @@
   enum class outcome : uint8_t {
     kDone,         ///< Forwarded, queued, refused or dropped.
     kUnknownFlow,  ///< Not an opening, and the flow is not known here.
+    kWithheld,     ///< Needs a lease that this balancer has not now.
   };
 
   flow_owner(traffic_sink& sink, traffic_counters& counters,
@@ -80,6 +87,11 @@
   /// packet to it.
   void AdoptAndForward(inbound& in, uint32_t upstream, time_point now);
 
+  /// \brief This process was paused: other balancers may have placed what waits
+  /// here, so nothing of it is refused, and no new flow is placed until the
+  /// control thread has heard of its peers.
+  void ResumeAfterPause(time_point now);
+
   /// \brief Queue decisions, unanswered openings, ends of linger and idle
   /// flows.
   void Tick(time_point now);
@@ -108,16 +120,17 @@
   /// again.
   void ForgetWitnessed(const pool_name& name);
 
-  /// rief Lease deadlines of own pools and free slots of others.
+  /// \brief Lease deadlines of own pools and free slots of others.
   void SetGrants(const traffic_grants& grants) { grants_ = grants; }
 
-  /// rief Pools that another balancer serves although flows of them remain
+  /// \brief Pools that another balancer serves although flows of them remain
   /// here.
   std::vector<pool_name> Leftover() const;
 
   std::vector<served_load> Loads(time_point now) const;
   const flow_table& flows() const { return flows_; }
   size_t OpenFlows() const { return flows_.size() - closed_; }
+  const traffic_times& times() const { return times_; }
 
  private:
   struct served_pool {
@@ -126,6 +139,7 @@
     std::optional<endpoint> moved_to;  // Set while another balancer serves it
                                        // and flows remain here.
     size_t flows = 0;                  // Records whose `pool` is this one.
+    time_point taken_at{};             // Since when it is served here.
     uint32_t witness_at = 0;  // Slot where the search for untold flows goes on.
   };
   struct opening_timer {
@@ -147,9 +161,7 @@
     return view_->pools[in.pool];
   }
   served_pool& Serve(uint16_t view_pool, time_point now);
-  uint16_t ServedIndex(uint16_t view_pool) const {
-    return served_of_view_[view_pool];
-  }
+  uint16_t ServedIndex(uint16_t view_pool) const;
 
   outcome HandleKnown(inbound& in, uint32_t slot, time_point now);
   outcome HandleUnknown(inbound& in, time_point now);
@@ -159,15 +171,17 @@
                    const endpoint& to);
   void MoveAway(served_pool& pool, const pool_route& route);
   outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
-  void KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
+  outcome KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
   served_pool* FindServed(const pool_name& name) const;
   bool AsksPrevious(const inbound& in) const;
   void AskPrevious(const inbound& in);
-  bool MayPlace(const inbound& in, time_point now);
+  /// \brief Whether a datagram may go to an upstream now.
+  enum class admission : uint8_t { kFirst, kRepeated, kCopy, kNoLease };
+  admission Admit(const inbound& in, time_point now);
   bool HasLease(const pool_route& route, time_point now) const;
   bool IsLateSyn(const inbound& in, const flow_record& flow) const;
-  void Place(inbound& in, time_point now);
+  void Place(inbound& in, bool may_have_run, time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
   void SendHeld(uint32_t slot, time_point now);
   void Refuse(uint32_t slot, std::span<uint8_t> bytes);
@@ -209,11 +223,13 @@
       served_of_view_;  // By index of the view; kNotServed if none.
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_{kRepeatWindow};  // Of non-idempotent requests.
-  duplicate_filter copies_{kPacketLifetime};    // Of other UDP requests.
+  duplicate_filter copies_{kRetryWindow};       // Of idempotent requests.
   traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
-  size_t closed_ = 0;                   // Records in phase kClosed or kPassed.
+  traffic_times times_;
+  size_t closed_ = 0;       // Records in phase kClosed or kPassed.
+  time_point resume_at_{};  // No new flow before.
   uint32_t sweep_at_ = 0;
   time_point swept_at_;
 };
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -8,6 +8,9 @@
 
 constexpr double kWitnessQuestionsPerSecond = 2000;
 constexpr double kWitnessBurst = 2000;
+constexpr size_t kMostWithheld = 1000;
+constexpr duration kRetryWithheldEvery = 50ms;
+constexpr duration kLongestWithheld = 1s;
 
 }  // namespace
 
@@ -41,6 +44,8 @@
 void traffic_core::Receive(std::span<uint8_t> datagram, const endpoint& from,
                            time_point now) {
   ++counters_.packets;
+  datagram_ = datagram;
+  sender_ = from;
   failure why;
   const auto frame = DecodeGeneve(datagram, why);
   const auto packet = frame ? ParsePacket(frame->inner, why) : std::nullopt;
@@ -90,8 +95,7 @@
   if (in.CameAs(forward_kind::kWitnessed)) {
     TakeWitness(in, now);
   } else if (slot) {
-    if (owner_.HandleCaller(in, slot, now) == flow_owner::outcome::kUnknownFlow)
-      AskWitnesses(in, now);
+    TakeOutcome(in, owner_.HandleCaller(in, slot, now), now);
   } else if (in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
   } else {
@@ -165,14 +169,52 @@
     owner_.AdoptAndForward(in, hint, now);
     return;
   }
-  if (owner_.HandleCaller(in, std::nullopt, now) == flow_owner::outcome::kDone)
-    return;
-  if (hinted_pool && !is_ours) {
+  const flow_owner::outcome result = owner_.HandleCaller(in, std::nullopt, now);
+  if (result == flow_owner::outcome::kUnknownFlow && hinted_pool && !is_ours) {
     in.pool = *hinted_pool;
     ForwardToOwner(in, forward_kind::kToOwner, hint, now);
     return;
   }
-  AskWitnesses(in, now);
+  TakeOutcome(in, result, now);
+}
+
+void traffic_core::TakeOutcome(inbound& in, flow_owner::outcome result,
+                               time_point now) {
+  if (result == flow_owner::outcome::kUnknownFlow) AskWitnesses(in, now);
+  if (result == flow_owner::outcome::kWithheld) Withhold(now);
+}
+
+void traffic_core::Withhold(time_point now) {
+  if (withheld_.size() >= kMostWithheld) {
+    ++counters_.unsafe_withheld;
+    return;
+  }
+  withheld_.push_back({{datagram_.begin(), datagram_.end()},
+                       sender_,
+                       withheld_since_.value_or(now)});
+}
+
+// A new owner waits before it may place such requests, and an old one may have
+// given the pool up meanwhile: each attempt takes the way that is right by
+// then.
+void traffic_core::RetryWithheld(time_point now) {
+  if (withheld_.empty() || now < withheld_due_) return;
+  withheld_due_ = now + kRetryWithheldEvery;
+  std::vector<withheld_datagram> waiting = std::exchange(withheld_, {});
+  for (withheld_datagram& datagram : waiting) {
+    if (now - datagram.since > kLongestWithheld) {
+      ++counters_.unsafe_withheld;
+      continue;
+    }
+    withheld_since_ = datagram.since;
+    Receive(datagram.bytes, datagram.from, now);
+    withheld_since_.reset();
+  }
+}
+
+void traffic_core::Tick(time_point now) {
+  RetryWithheld(now);
+  owner_.Tick(now);
 }
 
 void traffic_core::ForwardToOwner(inbound& in, forward_kind kind, uint32_t hint,
@@ -209,8 +251,11 @@
       witnesses_.Put(in.hash, in.packet.source.address, Ms(now));
     }
   }
-  const auto slot = owner_.flows().Find(in.key);
   const bool serves = view_->pools[in.pool].role != pool_role::kNone;
+  auto slot = owner_.flows().Find(in.key);
+  const bool was_passed =
+      slot && owner_.flows().At(*slot).phase == flow_phase::kPassed;
+  if (was_passed && !serves) slot.reset();
   if (!slot && in.CameAs(forward_kind::kToPrevious)) {
     Bounce(in);
   } else if (slot || serves) {
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -32,7 +32,7 @@
                time_point now);
 
   /// \brief Runs the timers; call it about every 10 ms.
-  void Tick(time_point now) { owner_.Tick(now); }
+  void Tick(time_point now);
 
   /// \brief Flows that an owner told this balancer as its standby.
   void TakeWitnesses(const flow_batch& batch, time_point now);
@@ -58,6 +58,9 @@
   void AnswerWitness(inbound& in);
   void TakeWitness(inbound& in, time_point now);
   void AskWitnesses(inbound& in, time_point now);
+  void TakeOutcome(inbound& in, flow_owner::outcome result, time_point now);
+  void Withhold(time_point now);
+  void RetryWithheld(time_point now);
   void Bounce(inbound& in);
   uint32_t Ms(time_point now) const {
     return static_cast<uint32_t>(ToMs(now - start_));
@@ -69,6 +72,18 @@
   time_point start_;
   std::shared_ptr<const routing_view> view_;
   flow_owner owner_;
+  // A datagram that needs a lease; it is handled anew until there is one.
+  struct withheld_datagram {
+    byte_buffer bytes;
+    endpoint from;
+    time_point since;
+  };
+  std::vector<withheld_datagram> withheld_;
+  time_point withheld_due_{};
+  // The datagram that is being handled.
+  std::span<uint8_t> datagram_;
+  endpoint sender_;
+  std::optional<time_point> withheld_since_;
   // Tokens for questions to witnesses, refilled with time, so that a flood of
   // unknown packets cannot multiply.
   double witness_tokens_ = 0;
