--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -144,5 +144,19 @@
   EXPECT_TRUE(w.RunUntil([&] { return IsSettled(); }, 10s));
 }
 
+// The lease switched off, in effect: it outlasts the take-over. The check of
+// the tests above must see two that may place.
+TEST(ControlWithoutLease, APausedOwnerAndItsSuccessorBothPlace) {
+  control_world w;
+  w.limits.lease = 20s;
+  w.Edit("survey-link", 10);
+  for (const char* name : {"rennes-1", "rennes-2", "rennes-3"})
+    w.Start(name, "rennes");
+  ASSERT_TRUE(w.RunUntil([&] { return !!w.PlacerOf(kRennes); }, 15s));
+  w.RunFor(2s);
+  w.nodes.at(*w.PlacerOf(kRennes))->is_paused = true;
+  EXPECT_TRUE(w.RunUntil([&] { return !w.two_placers.empty(); }, 10s));
+}
+
 }  // namespace
 }  // namespace radishyard
