Keep the turns of callers that never waited out of memory

The turns now stand in a map of their own, with an entry for those callers only, which goes with the caller's entry; so each decision stays as it was.

--- a/src/pool/caller_share.cc
+++ b/src/pool/caller_share.cc
@@ -30,7 +30,9 @@
   const bool after = IsRequesting(use);
   if (after && !before) ++callers.requesting;
   if (before && !after) --callers.requesting;
-  if (use.empty()) callers.by_address.erase(caller);
+  if (!use.empty()) return;
+  callers.by_address.erase(caller);
+  callers.next_turn.erase(caller);
 }
 
 caller_use UseOf(const caller_table& callers, uint32_t caller) {
@@ -38,12 +40,17 @@
   return it == callers.by_address.end() ? caller_use{} : it->second;
 }
 
+time_point NextTurn(const caller_table& callers, uint32_t caller) {
+  const auto it = callers.next_turn.find(caller);
+  return it == callers.next_turn.end() ? time_point{} : it->second;
+}
+
 time_point TakeTurn(caller_table& callers, uint32_t caller, duration interval,
                     time_point now) {
   ChangeUse(callers, caller, 0, 0, 1);
-  caller_use& use = callers.by_address[caller];
-  const time_point turn = std::max(now, use.next_turn);
-  use.next_turn = turn + interval * callers.requesting;
+  time_point& next = callers.next_turn[caller];
+  const time_point turn = std::max(now, next);
+  next = turn + interval * callers.requesting;
   return turn;
 }
 
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -144,8 +144,8 @@
   if (waiting >= most) return refusal::kQueueFull;
   if (bulk || r.kind == port_kind::kFeed || !pool.policy.refuse_by_prediction)
     return refusal::kNone;
-  const caller_use use = internal::UseOf(pool.callers, r.key.caller.address);
-  const time_point turn = std::max(now, use.next_turn);
+  const time_point turn =
+      std::max(now, internal::NextTurn(pool.callers, r.key.caller.address));
   if (PredictedWait(pool, r, now, now) > pool.policy.max_wait)
     return refusal::kWaitTooLong;
   if (PredictedWait(pool, r, turn, now) > pool.policy.max_wait)
