Rank the members of a domain only where a pool's owner and successors are lost

The first member is the same: the owner if alive, then the live successors, then the ranking. roster_test (13) and traffic_test (11) pass.

--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -39,9 +39,9 @@
 }
 
 // Where no balancer of the domain is alive, one of another domain stands in.
-std::vector<member_id> ForeignOrder(const pool_name& name,
-                                    const view_inputs& inputs,
-                                    const member_index& members) {
+std::optional<member_id> ForeignFirst(const pool_name& name,
+                                      const view_inputs& inputs,
+                                      const member_index& members) {
   std::vector<member_id> ids;
   std::vector<rendezvous_candidate> candidates;
   for (const auto& [id, m] : members.All()) {
@@ -50,15 +50,14 @@
     ids.push_back(id);
     candidates.push_back({NameHash(id.name), static_cast<double>(m->size)});
   }
-  if (ids.empty()) return {};
-  return {
-      ids[PickFirst(NameHash(name.service + "/" + name.domain), candidates)]};
+  if (ids.empty()) return std::nullopt;
+  return ids[PickFirst(NameHash(name.service + "/" + name.domain), candidates)];
 }
 
 void SetRole(pool_route& route, const view_inputs& inputs,
-             const pool_assignment& pool, const std::vector<member_id>& order) {
+             const pool_assignment& pool, const member_id& first) {
   const bool is_owner = pool.owner == inputs.self;
-  if (order.empty() || order.front() != inputs.self) return;
+  if (first != inputs.self) return;
   route.role = is_owner ? pool_role::kOwner : pool_role::kActing;
 }
 
@@ -70,13 +69,13 @@
       FindPool(held->second, route.name.service);
   if (pool == nullptr) return;
   const pool_name& name = route.name;
-  std::vector<member_id> order =
-      RouteOrder(held->second, route.name.service, inputs.alive);
-  if (order.empty()) order = ForeignOrder(name, inputs, members);
+  std::optional<member_id> first =
+      FirstOfRoute(held->second, *pool, inputs.alive);
+  if (!first) first = ForeignFirst(name, inputs, members);
   route.epoch = pool->since_epoch;
-  SetRole(route, inputs, *pool, order);
-  if (order.empty()) return;
-  const member* const serving = members.Find(order.front());
+  if (!first) return;
+  SetRole(route, inputs, *pool, *first);
+  const member* const serving = members.Find(*first);
   if (serving == nullptr) return;
   route.reachable = true;
   route.owner = ThreadEndpoint(*serving, name);
--- a/src/roster/route_order.cc
+++ b/src/roster/route_order.cc
@@ -37,4 +37,17 @@
   return order;
 }
 
+std::optional<member_id> FirstOfRoute(const roster& r,
+                                      const pool_assignment& pool,
+                                      const std::set<member_id>& alive) {
+  if (alive.contains(pool.owner)) return pool.owner;
+  const auto successor = std::ranges::find_if(
+      pool.successors,
+      [&alive](const member_id& id) { return alive.contains(id); });
+  if (successor != pool.successors.end()) return *successor;
+  const std::vector<member_id> order = RouteOrder(r, pool.service, alive);
+  if (order.empty()) return std::nullopt;
+  return order.front();
+}
+
 }  // namespace radishyard
--- a/src/roster/route_order.h
+++ b/src/roster/route_order.h
@@ -1,5 +1,6 @@
 // To whom an ingress sends the packets of a pool.
 #pragma once
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -17,4 +18,10 @@
 std::vector<member_id> RouteOrder(const roster& r, std::string_view service,
                                   const std::set<member_id>& alive);
 
+/// \brief The first of RouteOrder; nothing where no member is alive. Ranks the
+/// members only where neither the owner nor a successor is.
+std::optional<member_id> FirstOfRoute(const roster& r,
+                                      const pool_assignment& pool,
+                                      const std::set<member_id>& alive);
+
 }  // namespace radishyard
