--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -139,7 +139,8 @@
   std::map<member_id, time_point> table_asked_at_;
   vm_sightings vms_;
   bool store_reachable_ = false;
-  bool changed_ = false;  // Something the view depends on.
+  bool links_due_ = true;  // Rosters or liveness have changed.
+  bool changed_ = false;   // Something the view depends on.
   std::optional<time_point> change_due_since_;
   time_point propose_after_{};
   time_point liveness_due_{};
--- a/src/control/controller_peers.cc
+++ b/src/control/controller_peers.cc
@@ -86,6 +86,7 @@
       {{"alive", alive.size()}, {"before", alive_.size()}});
   alive_ = std::move(alive);
   changed_ = true;
+  links_due_ = true;
 }
 
 // The members believed alive, and all of each domain of which none is: a link
@@ -103,6 +104,7 @@
 }
 
 void controller::UpdateLinks() {
+  if (!std::exchange(links_due_, false)) return;
   std::vector<roster> rosters;
   for (const auto& [domain, held] : rosters_.All())
     rosters.push_back(held.value);
--- a/src/control/controller_roster.cc
+++ b/src/control/controller_roster.cc
@@ -46,6 +46,7 @@
     if (m.id != self_.id) liveness_ = OnPeerListed(std::move(liveness_), m.id);
   }
   changed_ = true;
+  links_due_ = true;
   PublishIfChanged();
 }
 
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -186,8 +186,8 @@
 
 std::vector<open_decision> Poll(pool_state& pool, time_point now) {
   decisions made;
-  if (pool.queue.empty()) return made;
   internal::AgeInherited(pool, now);
+  if (pool.queue.empty()) return made;
   PlacePatientBulk(pool, now, made);
   const size_t before = made.size();
   PlaceWaiting(pool, pool.queue.short_work, now, made);
