--- a/test/observe_test.cc
+++ b/test/observe_test.cc
@@ -103,7 +103,10 @@
                                           {"slots", "3"},
                                           {"queued", "6"},
                                           {"free_slots", "8"}})
-    EXPECT_THAT(page, HasSubstr("radishyard_pool_" + name + of_pool + value));
+    EXPECT_THAT(page, HasSubstr(std::string("radishyard_pool_")
+                                    .append(name)
+                                    .append(of_pool)
+                                    .append(value)));
 }
 
 TEST(Metrics, LabelsAreEscaped) {
