--- a/test/standins/demo_main.cc
+++ b/test/standins/demo_main.cc
@@ -106,5 +106,10 @@
 }  // namespace radishyard
 
 int main(int argc, char** argv) {
-  return radishyard::Main({argv + 1, argv + argc});
+  try {  // Unwinds, so that the processes end.
+    return radishyard::Main({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    std::cerr << "demo: " << error.what() << "\n";
+    return 1;
+  }
 }
