Count a connection that its caller never confirmed for 5 s only

Cause: after a planned move a copy of a SYN may be placed beside the flow itself; its upstream answers, the caller does not, and the slot stayed counted for the idle time-out (300 s by default). The same holds for a flow learned from another balancer whose upstream stays silent.

--- a/src/flow/flow_record.h
+++ b/src/flow/flow_record.h
@@ -20,10 +20,11 @@
 
 /// \brief Marks on a flow.
 enum flow_mark : uint8_t {
-  kCallerFin = 0x01,    ///< The caller sent FIN.
-  kUpstreamFin = 0x02,  ///< The upstream sent FIN.
-  kUnconfirmed = 0x04,  ///< Learned from another balancer; nothing came from
-                        ///< the upstream yet.
+  kCallerFin = 0x01,        ///< The caller sent FIN.
+  kUpstreamFin = 0x02,      ///< The upstream sent FIN.
+  kUnconfirmed = 0x04,      ///< The caller has not answered the SYN-ACK, or the
+                            ///< flow was learned from another balancer and its
+                            ///< upstream has sent nothing since.
   kHoldsConnection = 0x08,  ///< Counts against the upstream's connections.
   kWitnessSent = 0x10,      ///< The standby has been told of this flow.
   kWasPassed =
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -53,6 +53,7 @@
   const bool begins =
       pool.moved_to.has_value() || pool.taken_at == time_point{};
   if (begins) pool.taken_at = now;
+  if (begins && pool.flows == 0) pool.state = {};
   pool.moved_to.reset();
   if (route.table) Configure(pool.state, *route.table, route.name.domain, now);
   return pool;
@@ -147,6 +148,7 @@
 void flow_owner::ForwardToUpstream(inbound& in, flow_record& flow,
                                    time_point now) {
   flow.last_seen_ms = Ms(now);
+  flow.Clear(kUnconfirmed);
   if (!in.packet.payload.empty()) flow.Set(kPayloadSent);
   if (in.packet.Has(kFin) && in.packet.proto == protocol::kTcp)
     flow.Set(kCallerFin);
@@ -332,15 +334,18 @@
 
 void flow_owner::AdoptAndForward(inbound& in, uint32_t upstream,
                                  time_point now) {
-  if (!flows_.Find(in.key)) {
-    const bool ends = in.packet.Has(kFin) || in.packet.Has(kRst);
-    if (ends) {
-      RememberEnd(in, upstream, now);
-    } else {
-      AdoptFlow(in, upstream, now);
-    }
+  auto slot = flows_.Find(in.key);
+  const bool is_new = !slot;
+  if (is_new && (in.packet.Has(kFin) || in.packet.Has(kRst))) {
+    RememberEnd(in, upstream, now);
+  } else if (is_new) {
+    AdoptFlow(in, upstream, now);
+  }
+  slot = flows_.Find(in.key);
+  ForwardToUpstream(in, flows_.At(*slot), now);
+  if (is_new && in.port.kind == port_kind::kRequest) {
+    flows_.At(*slot).Set(kUnconfirmed);
   }
-  ForwardToUpstream(in, flows_.At(*flows_.Find(in.key)), now);
 }
 
 uint32_t flow_owner::AdoptFlow(const inbound& in, uint32_t upstream,
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -76,6 +76,7 @@
   if (in.packet.proto == protocol::kTcp) times_.opening.Add(answer_time);
   Answered(pool, flow.upstream, answer_time, now);
   flow.phase = flow_phase::kOpen;
+  if (in.packet.proto == protocol::kTcp) flow.Set(kUnconfirmed);
   held_.erase(slot);
   return true;
 }
