End a shutdown that waits for the platform at the second signal; end silent openings after 5 s

Cause: without the platform a balancer cannot release its pools, and SIGTERM alone left it serving without a way to end it but SIGKILL. And a TCP opening whose upstream answers nothing but for an earlier connection kept its slot for the idle time-out of 300 s.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -142,6 +142,18 @@
     Log(severity::kInfo, "shutdown_begun",
         {{"signal", static_cast<uint64_t>(number)}});
     Shutdown();
+    EndAtNextSignal();
+  });
+}
+
+// Without the platform the pools cannot be released, so a graceful shutdown
+// waits for it; the operator may end that wait.
+void daemon::EndAtNextSignal() {
+  signals_.async_wait([this](error_code error, int number) {
+    if (error) return;
+    Log(severity::kWarn, "shutdown_forced",
+        {{"signal", static_cast<uint64_t>(number)}});
+    io_.stop();
   });
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -22,6 +22,7 @@
  private:
   void TakeReports(const std::vector<traffic_report>& reports);
   void OnSignal();
+  void EndAtNextSignal();
   void Shutdown();
   void OpenTraces();
   admin_page StatusPage() const;
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -124,7 +124,9 @@
   constexpr uint32_t kMsPerSecond = 1000;
   constexpr uint32_t kDefaultIdleMs = 300 * kMsPerSecond;
   constexpr uint32_t kUnconfirmedMs = 5 * kMsPerSecond;
-  if (flow.Has(kUnconfirmed)) return kUnconfirmedMs;
+  const bool is_opening =
+      flow.key.proto == protocol::kTcp && flow.phase == flow_phase::kOpening;
+  if (is_opening || flow.Has(kUnconfirmed)) return kUnconfirmedMs;
   const auto route = view_->ports.find({flow.key.proto, flow.key.service});
   return route == view_->ports.end()
              ? kDefaultIdleMs
