--- a/src/traffic/traffic_group.cc
+++ b/src/traffic/traffic_group.cc
@@ -17,8 +17,8 @@
       held_flows_(held_flows),
       reports_(threads) {}
 
-void traffic_group::Start(reports_handler on_reports,
-                          traffic_thread::hop_handler on_hop) {
+void traffic_group::Start(const reports_handler& on_reports,
+                          const traffic_thread::hop_handler& on_hop) {
   for (uint16_t i = 0; i < count_; ++i) {
     traffic_options options;
     options.listen = {first_.address, static_cast<uint16_t>(first_.port + i)};
--- a/src/traffic/traffic_group.h
+++ b/src/traffic/traffic_group.h
@@ -22,7 +22,8 @@
                 uint16_t threads, size_t held_flows);
 
   /// \brief Starts the threads. \param on_hop is called on the traffic threads.
-  void Start(reports_handler on_reports, traffic_thread::hop_handler on_hop);
+  void Start(const reports_handler& on_reports,
+             const traffic_thread::hop_handler& on_hop);
   void Stop();
   const std::vector<traffic_report>& reports() const { return reports_; }
 
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -10,7 +10,7 @@
 const pool_name kRennes{"survey-link", "rennes"};
 
 // Three balancers of rennes and two of quimper.
-class Control : public testing::Test {
+class control_test : public testing::Test {
  protected:
   void StartAll() {
     version = w.Edit("survey-link", 10);
@@ -43,7 +43,7 @@
   uint64_t version = 0;
 };
 
-TEST_F(Control, AllProposeAtOnceAndAllAreListed) {
+TEST_F(control_test, AllProposeAtOnceAndAllAreListed) {
   StartAll();
   ASSERT_TRUE(w.RunUntil(
       [&] {
@@ -54,7 +54,7 @@
       5s));
 }
 
-TEST_F(Control, StaleReadsAndOldEventsNeverRevert) {
+TEST_F(control_test, StaleReadsAndOldEventsNeverRevert) {
   StartAll();
   version = w.Edit("survey-link", 11);
   ASSERT_TRUE(w.RunUntil([&] { return AllHave(version); }, 3s));
@@ -70,7 +70,7 @@
   EXPECT_TRUE(w.RunUntil([&] { return IsSettled(); }, 5s));
 }
 
-TEST_F(Control, OneInformedBalancerTellsAll) {
+TEST_F(control_test, OneInformedBalancerTellsAll) {
   StartAll();
   SetFaults({.mode = fault_mode::kOutage});
   w.nodes.at("rennes-1")->store.SetFault({});
@@ -80,7 +80,7 @@
   EXPECT_TRUE(w.RunUntil([&] { return AllHave(version); }, 3s));
 }
 
-TEST_F(Control, ASuccessorTakesOverFromASilentOwner) {
+TEST_F(control_test, ASuccessorTakesOverFromASilentOwner) {
   StartAll();
   const std::string owner = *w.PlacerOf(kRennes);
   const roster before =
@@ -94,7 +94,7 @@
   })) << taker;
 }
 
-TEST_F(Control, LostAnswersOfRosterUpdatesLeaveOneOwner) {
+TEST_F(control_test, LostAnswersOfRosterUpdatesLeaveOneOwner) {
   StartAll();
   SetFaults({.mode = fault_mode::kLostAnswer});
   w.Kill(*w.PlacerOf(kRennes));
@@ -103,7 +103,7 @@
   EXPECT_TRUE(w.RunUntil([&] { return IsSettled(); }, 10s));
 }
 
-TEST_F(Control, APausedOwnerPlacesNothingAfterItsSuccessor) {
+TEST_F(control_test, APausedOwnerPlacesNothingAfterItsSuccessor) {
   StartAll();
   const std::string owner = *w.PlacerOf(kRennes);
   w.nodes.at(owner)->is_paused = true;
@@ -118,7 +118,7 @@
   EXPECT_TRUE(IsSettled());
 }
 
-TEST_F(Control, ANewRunLearnsFromItsPeersInAnOutage) {
+TEST_F(control_test, ANewRunLearnsFromItsPeersInAnOutage) {
   StartAll();
   SetFaults({.mode = fault_mode::kOutage});
   w.RunFor(500ms);
@@ -129,7 +129,7 @@
   EXPECT_TRUE(w.RunUntil([&] { return IsSettled(); }, 10s));
 }
 
-TEST_F(Control, ADomainWithoutThePlatformGoesOnAndHeals) {
+TEST_F(control_test, ADomainWithoutThePlatformGoesOnAndHeals) {
   StartAll();
   SetFaults({.mode = fault_mode::kOutage}, "rennes");
   w.RunFor(4s);
--- a/test/support/control_world.cc
+++ b/test/support/control_world.cc
@@ -84,7 +84,7 @@
   node->store.SetFault({.mode = fault});
   node->control.Start();
   std::erase_if(versions_,
-                [&](const auto& v) { return v.first.starts_with(name + " "); });
+                [&](const auto& v) { return v.first.first == name; });
   return *(nodes[name] = std::move(node));
 }
 
@@ -126,7 +126,7 @@
         two_placers = pool.domain + ": " + other->second + " and " + name;
     }
     for (const auto& [service, record] : node->control.table().records) {
-      uint64_t& seen = versions_[name + " " + service];
+      uint64_t& seen = versions_[{name, service}];
       if (record->version < seen && reverted.empty()) reverted = name;
       seen = record->version;
     }
--- a/test/support/control_world.h
+++ b/test/support/control_world.h
@@ -92,7 +92,8 @@
 
   uint64_t incarnation_ = 0;
   std::vector<endpoint> controls_;
-  std::map<std::string, uint64_t> versions_;  // By "node service".
+  std::map<std::pair<std::string, std::string>, uint64_t>
+      versions_;  // By node and service.
 };
 
 }  // namespace radishyard
