Stand in for a domain only if it was alive and has been lost

Cause, found by the times of hand-overs in the logs of process_change_test: a balancer that had just started had not heard of the other domains yet, took them for lost and served their pools itself for 150 ms; its flows stayed counted at the real owners (4 to 8 slots after seven replacements). Ruled out by an added trace of counted flows: flows in flight at the move itself, copies of a SYN, inherited counts. Now only a domain that was alive in this run and has had no live balancer for 1 s is stood in for, members of domains not heard of are presumed alive for 3 s after the start, and an answer for a pool that nobody serves goes to its caller from the ingress.

--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -50,6 +50,7 @@
 }
 
 void controller::Start() {
+  started_at_ = std::chrono::steady_clock::now();
   follower_.Start();
   DialSeeds();
   WaitForTick();
@@ -138,6 +139,7 @@
   }
   inputs.alive = alive_;
   for (const auto& [name, who] : strangers_) inputs.strangers.push_back(who);
+  inputs.abandoned = abandoned_;
   inputs.fabric = config_.fabric;
   inputs.trace_one_in = config_.trace.sample_one_in;
   const auto view =
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -95,6 +95,7 @@
   handover_handlers HandoverHandlers();
   void UpdateLiveness(time_point now);
   void UpdateLinks();
+  void UpdateAbandoned(time_point now);
   std::set<member_id> PresumedAlive(const std::vector<roster>& rosters) const;
   heartbeat MakeHeartbeat();
   std::map<pool_name, pool_counts> LoadsFor(const member& to,
@@ -130,6 +131,10 @@
   std::set<member_id> linked_;
   peer_hub hub_;
   handover_desk handovers_;
+  std::map<std::string, time_point>
+      domain_alive_at_;  // When a member was last alive.
+  time_point started_at_{};
+  std::set<std::string> abandoned_;  // By view_inputs::abandoned.
   std::map<std::string, member>
       strangers_;  // Runs that are not listed but said hello, by name.
   std::vector<served_load> loads_;
--- a/src/control/controller_peers.cc
+++ b/src/control/controller_peers.cc
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr duration kTableAskEvery = 1s;
+// After the start the members of domains not heard of yet are presumed alive.
+constexpr duration kPresumeAlive = 3s;
+// Without a live balancer, beyond the time that the detection takes.
+constexpr duration kAbandonedAfter = 1s;
 constexpr duration kStandbyEvery = 500ms;
 constexpr size_t kStandbyFlows = 150;  // Flows told in one batch: about 1 KB.
 
@@ -75,18 +79,45 @@
   std::set<member_id> alive{self_.id};
   for (const auto& [domain, held] : rosters_.All()) {
     const std::set<member_id> remote = AliveIn(remote_, held.value, now);
+    const bool is_unheard = now - started_at_ < kPresumeAlive &&
+                            !domain_alive_at_.contains(domain) &&
+                            remote.empty();
     for (const member& m : held.value.members) {
       const bool direct = domain == config_.domain || linked_.contains(m.id);
-      if (direct ? heard.contains(m.id) : remote.contains(m.id))
+      const bool is_alive =
+          direct ? heard.contains(m.id) : remote.contains(m.id);
+      if (is_alive || (is_unheard && domain != config_.domain))
         alive.insert(m.id);
     }
   }
-  if (alive == alive_) return;
-  Log(severity::kInfo, "alive_changed",
-      {{"alive", alive.size()}, {"before", alive_.size()}});
-  alive_ = std::move(alive);
+  if (alive != alive_) {
+    Log(severity::kInfo, "alive_changed",
+        {{"alive", alive.size()}, {"before", alive_.size()}});
+    alive_ = std::move(alive);
+    changed_ = true;
+    links_due_ = true;
+  }
+  UpdateAbandoned(now);
+}
+
+// A balancer that has just started knows nothing of the other domains; it must
+// not take them for lost.
+void controller::UpdateAbandoned(time_point now) {
+  std::set<std::string> abandoned;
+  for (const auto& [domain, held] : rosters_.All()) {
+    const bool has_live = std::ranges::any_of(
+        held.value.members,
+        [this](const member& m) { return alive_.contains(m.id); });
+    const bool is_presumed = now - started_at_ < kPresumeAlive;
+    if (has_live && !is_presumed) domain_alive_at_[domain] = now;
+    const auto seen = domain_alive_at_.find(domain);
+    const bool was_alive = seen != domain_alive_at_.end();
+    if (was_alive && now - seen->second >= kAbandonedAfter)
+      abandoned.insert(domain);
+  }
+  if (abandoned == abandoned_) return;
+  abandoned_ = std::move(abandoned);
   changed_ = true;
-  links_due_ = true;
 }
 
 // The members believed alive, and all of each domain of which none is: a link
--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -71,7 +71,9 @@
   const pool_name& name = route.name;
   std::optional<member_id> first =
       FirstOfRoute(held->second, *pool, inputs.alive);
-  if (!first) first = ForeignFirst(name, inputs, members);
+  if (!first && inputs.abandoned.contains(name.domain)) {
+    first = ForeignFirst(name, inputs, members);
+  }
   route.epoch = pool->since_epoch;
   if (!first) return;
   SetRole(route, inputs, *pool, *first);
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -20,6 +20,9 @@
   std::set<member_id> alive;              ///< `self` included.
   std::set<pool_name>
       handed_over;  ///< Own pools whose previous owner has finished.
+  /// Domains that were reachable and have had no live balancer for some time;
+  /// balancers of other domains stand in for them.
+  std::set<std::string> abandoned;
   std::vector<member> strangers;  ///< Balancers that are not listed yet; their
                                   ///< packets are trusted.
   std::vector<endpoint> fabric;
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -260,7 +260,13 @@
   } else if (slot || serves) {
     owner_.HandleUpstream(in, slot, now);
   } else {
-    ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
+    if (view_->pools[in.pool].reachable) {
+      ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
+    } else {
+      // Nobody serves the pool now; the caller still gets its answer.
+      RewriteSource(in.bytes, in.key.service);
+      sink_.ToFabric(in.bytes, in.hash);
+    }
   }
 }
 
