--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -68,8 +68,7 @@
   void WaitForTick();
   void Tick(time_point now);
   void TakeObject(const stored_object& object);
-  void TakeService(const std::string& value, uint64_t version,
-                   bool from_own_domain);
+  void TakeService(const std::string& value, uint64_t version, bool pass_on);
   void OnContact(bool reachable);
   void FollowIfWatcher();
   void PublishIfChanged();
