Serve flows by mark with direct server return; run on the users' platform

The platform lets both ends of a flow return 32 bits that the balancer wrote into the opening, and upstreams answer callers directly. So a packet of an open flow needs no state of the flow: src/direct decides, platform/ translates.

--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -40,6 +40,7 @@
       response_.result(http::status::not_found);
     } else {
       admin_page answer = page->second();
+      response_.result(answer.status);
       response_.set(http::field::content_type, answer.media_type);
       response_.body() = std::move(answer.body);
     }
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -14,6 +14,7 @@
 struct admin_page {
   std::string media_type;
   std::string body;
+  unsigned status = 200;  ///< Of HTTP.
 };
 
 /// \brief Answers GET requests from a map of paths to functions.
--- /dev/null
+++ b/src/direct/direct_balancer.cc
@@ -0,0 +1,267 @@
+// Wires sockets, registry and decisions together on one thread.
+#include "direct/direct_balancer.h"
+
+#include <array>
+#include <utility>
+
+#include "admin/admin_server.h"
+#include "direct/direct_counters.h"
+#include "direct/forwarder.h"
+#include "direct/registry_follower.h"
+#include "observe/log.h"
+
+namespace radishyard {
+namespace {
+
+using clock = std::chrono::steady_clock;
+using udp = asio::ip::udp;
+
+/// Longest datagram that is read: a packet and room to spare.
+constexpr size_t kDatagramBytes = 2048;
+/// Packets handled before other work gets its turn.
+constexpr int kPacketsPerTurn = 64;
+constexpr int kReceiveBufferBytes = 1 << 20;
+/// Share of the drain bound between two readings of the registry: a reading
+/// that fails leaves time for another.
+constexpr int kReadingsPerBound = 2;
+/// Ends this long before the grace period does.
+constexpr duration kStopMargin = 700ms;
+constexpr duration kUpkeepInterval = 1s;
+
+udp::endpoint ToUdp(const endpoint& e) {
+  return {asio::ip::address_v4(e.address), e.port};
+}
+
+follower_times TimesFor(const direct_settings& config) {
+  follower_times times;
+  times.list_interval = config.drain_bound / kReadingsPerBound;
+  return times;
+}
+
+std::string_view NameOf(directory_change::kind what) {
+  constexpr std::array<std::string_view, 5> kNames{
+      "upstream_joined", "upstream_restarted", "upstream_leaving",
+      "upstream_gone", "upstream_missing"};
+  return kNames.at(static_cast<size_t>(what));
+}
+
+}  // namespace
+
+class direct_balancer::core {
+ public:
+  core(asio::io_context& io, const direct_settings& config,
+       const packet_codec& codec, registry& source)
+      : io_(io),
+        config_(config),
+        codec_(codec),
+        socket_(io, ToUdp(config.traffic)),
+        upkeep_(io),
+        stop_(io),
+        follower_(io, source, TimesFor(config), Handlers(),
+                  std::hash<std::string>()(config.name)) {
+    state_.domain = config.domain;
+    socket_.non_blocking(true);
+    error_code ignored;  // A smaller buffer drops packets earlier, no more.
+    socket_.set_option(udp::socket::receive_buffer_size(kReceiveBufferBytes),
+                       ignored);
+    OpenPages();
+  }
+
+  void Start() {
+    Log(severity::kInfo, "started",
+        {{"name", config_.name}, {"domain", config_.domain}});
+    follower_.Start();
+    Receive();
+    Upkeep();
+  }
+
+  void Stop() {
+    if (is_leaving_) return;
+    is_leaving_ = true;
+    Log(severity::kInfo, "stopping", {{"name", config_.name}});
+    stop_.expires_after(config_.stop_grace - kStopMargin);
+    stop_.async_wait([this](error_code error) {
+      if (error) return;
+      Log(severity::kInfo, "stopped", {{"name", config_.name}});
+      io_.stop();
+    });
+  }
+
+  void Reconfigure(const direct_settings& config) {
+    config_.stop_grace = config.stop_grace;
+    config_.peers = config.peers;
+  }
+
+ private:
+  follower_handlers Handlers() {
+    return {.on_list = [this](const upstream_list& list,
+                              time_point at) { TakeList(list, at); },
+            .on_table = [this](routing_table t) { TakeNewTable(std::move(t)); },
+            .on_state =
+                [this](const std::string& name, const std::string& reason) {
+                  TakeState(name, reason);
+                }};
+  }
+
+  void OpenPages() {
+    ready_page_.emplace(
+        io_, config_.ready,
+        admin_server::page_map{{"/readiness", [this] { return ReadyPage(); }}});
+    metrics_page_.emplace(
+        io_, config_.metrics,
+        admin_server::page_map{
+            {"/metrics", [this] {
+               return admin_page{"text/plain",
+                                 MetricsPage(counters_, state_, clock::now())};
+             }}});
+  }
+
+  admin_page ReadyPage() const {
+    constexpr unsigned kOk = 200;
+    constexpr unsigned kServiceUnavailable = 503;
+    const bool is_ready = IsReady(state_) && !is_leaving_;
+    return {"text/plain", "", is_ready ? kOk : kServiceUnavailable};
+  }
+
+  void TakeList(const upstream_list& list, time_point at) {
+    ++counters_.lists;
+    const bool was_ready = IsReady(state_);
+    for (const directory_change& change :
+         TakeUpstreams(state_, list, at, clock::now()))
+      Log(severity::kInfo, NameOf(change.what),
+          {{"upstream", change.upstream}, {"revision", list.revision}});
+    LogReady(was_ready);
+  }
+
+  void TakeNewTable(routing_table table) {
+    const bool was_ready = IsReady(state_);
+    const uint64_t version = table.version;
+    const uint64_t addresses = table.addresses.size();
+    const bool taken = TakeTable(state_, std::move(table));
+    if (taken) ++counters_.tables;
+    Log(severity::kInfo, taken ? "table_taken" : "table_older",
+        {{"version", version}, {"addresses", addresses}});
+    LogReady(was_ready);
+  }
+
+  void LogReady(bool was_ready) const {
+    if (!was_ready && IsReady(state_))
+      Log(severity::kInfo, "ready",
+          {{"version", state_.table.version},
+           {"upstreams", uint64_t{state_.directory.upstreams.size()}}});
+  }
+
+  void TakeState(const std::string& name, const std::string& reason) {
+    if (!reason.empty()) ++counters_.list_failures;
+    Log(reason.empty() ? severity::kInfo : severity::kWarn,
+        reason.empty() ? "platform_regained" : "platform_lost",
+        {{"reading", name}, {"reason", reason}});
+  }
+
+  void Receive() {
+    socket_.async_wait(udp::socket::wait_read, [this](error_code error) {
+      if (error) return;
+      for (int i = 0; i < kPacketsPerTurn && ReceiveOne(); ++i) {
+      }
+      Receive();
+    });
+  }
+
+  /// \returns false where no packet was waiting.
+  bool ReceiveOne() {
+    const size_t room = codec_.HeadroomBytes();
+    error_code error;
+    udp::endpoint from;
+    const size_t size = socket_.receive_from(
+        asio::buffer(buffer_.data() + room, buffer_.size() - room), from, 0,
+        error);
+    if (error) return error != asio::error::would_block;
+    Handle(mutable_bytes(buffer_.data(), room + size));
+    return true;
+  }
+
+  void Handle(mutable_bytes datagram) {
+    failure why;
+    const auto packet =
+        codec_.Read(datagram.subspan(codec_.HeadroomBytes()), why);
+    if (!packet) {
+      ++counters_.malformed;
+      return;
+    }
+    if (packet->opens && packet->copy > 0) ++counters_.opening_copies;
+    const verdict decided = Decide(state_, *packet, clock::now());
+    ++counters_.verdicts[static_cast<size_t>(decided.reason)];
+    LogOpening(*packet, decided);
+    if (decided.what == verdict_kind::kForward)
+      Forward(datagram, *packet, decided);
+    if (decided.what == verdict_kind::kRefuse) SendRefusal(*packet);
+  }
+
+  void LogOpening(const direct_packet& packet, const verdict& decided) const {
+    if (!packet.opens) return;
+    Log(severity::kInfo, "opening",
+        {{"flow", ToString(packet.flow)},
+         {"copy", uint64_t{packet.copy}},
+         {"decision", radishyard::NameOf(decided.reason)},
+         {"upstream", decided.upstream},
+         {"mark", uint64_t{decided.mark}},
+         {"version", state_.table.version},
+         {"revision", state_.directory.revision}});
+  }
+
+  void Forward(mutable_bytes datagram, const direct_packet& packet,
+               const verdict& decided) {
+    codec_.Address(datagram, decided.upstream);
+    if (packet.opens) codec_.Mark(datagram, decided.mark);
+    Send(datagram, ToUdp(decided.to));
+  }
+
+  void SendRefusal(const direct_packet& packet) {
+    const std::vector<uint8_t> bytes = codec_.Refusal(packet);
+    Send(bytes, ToUdp({packet.flow.caller.address, config_.traffic.port}));
+  }
+
+  void Send(std::span<const uint8_t> bytes, const udp::endpoint& to) {
+    error_code error;
+    socket_.send_to(asio::buffer(bytes.data(), bytes.size()), to, 0, error);
+    if (error) ++counters_.send_failures;
+  }
+
+  void Upkeep() {
+    ForgetIdle(state_.tracker, state_.directory, state_.table.idle_timeout,
+               clock::now());
+    upkeep_.expires_after(kUpkeepInterval);
+    upkeep_.async_wait([this](error_code error) {
+      if (!error) Upkeep();
+    });
+  }
+
+  asio::io_context& io_;
+  direct_settings config_;
+  const packet_codec& codec_;
+  forwarder state_;
+  direct_counters counters_;
+  bool is_leaving_ = false;
+  std::array<uint8_t, kDatagramBytes> buffer_{};
+  udp::socket socket_;
+  asio::steady_timer upkeep_;
+  asio::steady_timer stop_;
+  std::optional<admin_server> ready_page_;
+  std::optional<admin_server> metrics_page_;
+  registry_follower follower_;
+};
+
+direct_balancer::direct_balancer(asio::io_context& io,
+                                 const direct_settings& config,
+                                 const packet_codec& codec, registry& source)
+    : core_(std::make_unique<core>(io, config, codec, source)) {}
+
+direct_balancer::~direct_balancer() = default;
+
+void direct_balancer::Start() { core_->Start(); }
+void direct_balancer::Stop() { core_->Stop(); }
+void direct_balancer::Reconfigure(const direct_settings& config) {
+  core_->Reconfigure(config);
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/direct_counters.cc
@@ -0,0 +1,82 @@
+// The metrics page of direct server return.
+#include "direct/direct_counters.h"
+
+#include "observe/metrics.h"
+
+namespace radishyard {
+namespace {
+
+void Counter(metrics_text& page, std::string_view name, std::string_view help,
+             uint64_t value) {
+  page.Begin(metric_kind::kCounter, name, help);
+  page.Sample({}, static_cast<double>(value));
+}
+
+void Gauge(metrics_text& page, std::string_view name, std::string_view help,
+           double value) {
+  page.Begin(metric_kind::kGauge, name, help);
+  page.Sample({}, value);
+}
+
+std::string IdText(upstream_id id) {
+  std::string text(16, '0');
+  for (size_t i = text.size(); i-- > 0; id >>= 4)
+    text[i] = "0123456789abcdef"[id & 15];
+  return text;
+}
+
+/// One gauge with a sample for each upstream.
+template <typename Value>
+void ByUpstream(metrics_text& page, const forwarder& state,
+                std::string_view name, std::string_view help, Value value) {
+  page.Begin(metric_kind::kGauge, name, help);
+  for (const auto& [id, known] : state.directory.upstreams) {
+    if (known.phase == upstream_phase::kGone) continue;
+    page.Sample({{"upstream", IdText(id)}, {"service", known.entry.service}},
+                value(known));
+  }
+}
+
+}  // namespace
+
+std::string MetricsPage(const direct_counters& counters, const forwarder& state,
+                        time_point now) {
+  metrics_text page;
+  page.Begin(metric_kind::kCounter, "radishyard_packets_total",
+             "Callers' packets by what decided on them.");
+  for (size_t i = 0; i < kVerdictReasons; ++i)
+    page.Sample({{"reason", std::string(NameOf(verdict_reason(i)))}},
+                static_cast<double>(counters.verdicts[i]));
+  Counter(page, "radishyard_malformed_total", "Datagrams that are no packet.",
+          counters.malformed);
+  Counter(page, "radishyard_send_failures_total",
+          "Datagrams that the kernel did not take.", counters.send_failures);
+  Counter(page, "radishyard_opening_copies_total",
+          "Openings that a caller repeated.", counters.opening_copies);
+  Counter(page, "radishyard_registry_reads_total", "Readings of the registry.",
+          counters.lists);
+  Counter(page, "radishyard_registry_failures_total",
+          "Readings of the registry that failed.", counters.list_failures);
+  Gauge(page, "radishyard_table_version", "Version of the table in force.",
+        static_cast<double>(state.table.version));
+  Gauge(page, "radishyard_registry_age_seconds",
+        "Age of what is known of the upstreams.",
+        std::chrono::duration<double>(now - state.directory.read_at).count());
+  Gauge(page, "radishyard_flows", "Open flows seen here.",
+        static_cast<double>(state.tracker.flows.size()));
+  ByUpstream(page, state, "radishyard_upstream_flows",
+             "Open flows seen here, by upstream.",
+             [](const known_upstream& u) { return u.load.flows; });
+  ByUpstream(page, state, "radishyard_upstream_waiting",
+             "Requests without an acknowledged answer, by upstream.",
+             [](const known_upstream& u) { return u.load.waiting; });
+  ByUpstream(page, state, "radishyard_upstream_answer_seconds",
+             "Smoothed time to the first acknowledged answer.",
+             [](const known_upstream& u) { return u.load.answer_s; });
+  ByUpstream(page, state, "radishyard_upstream_silent_packets",
+             "Packets in a row that went unanswered.",
+             [](const known_upstream& u) { return u.load.failures; });
+  return page.Text();
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/direct_counters.h
@@ -0,0 +1,26 @@
+// What a balancer with direct server return counts, for its metrics page.
+#pragma once
+#include <array>
+#include <cstdint>
+
+#include "direct/forwarder.h"
+#include "observe/time_histogram.h"
+
+namespace radishyard {
+
+/// \brief Counters since the start.
+struct direct_counters {
+  std::array<uint64_t, kVerdictReasons> verdicts{};  ///< By reason.
+  uint64_t malformed = 0;       ///< Datagrams that are no packet.
+  uint64_t send_failures = 0;   ///< Datagrams that the kernel did not take.
+  uint64_t opening_copies = 0;  ///< Openings that a caller repeated.
+  uint64_t lists = 0;           ///< Readings of the registry.
+  uint64_t list_failures = 0;
+  uint64_t tables = 0;  ///< Versions of the table taken.
+};
+
+/// \brief The text of the metrics page.
+std::string MetricsPage(const direct_counters& counters, const forwarder& state,
+                        time_point now);
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/flow_mark.cc
@@ -0,0 +1,20 @@
+// The flow mark as a seeded hash of the upstream's id.
+#include "direct/flow_mark.h"
+
+#include <xxhash.h>
+
+namespace radishyard {
+namespace {
+
+/// Fixed for all releases: balancers of two releases serve the same flows.
+constexpr uint64_t kMarkSeed = 0x7261646973687961;
+
+}  // namespace
+
+uint32_t FlowMark(upstream_id id) {
+  const auto mark =
+      static_cast<uint32_t>(XXH64(&id, sizeof id, kMarkSeed) >> 32);
+  return mark == 0 ? 1 : mark;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/flow_tracker.cc
@@ -0,0 +1,137 @@
+// Counting flows and timing answers from the callers' side alone.
+#include "direct/flow_tracker.h"
+
+namespace radishyard {
+namespace {
+
+using flow_iterator = absl::flat_hash_map<flow_key, tracked_flow>::iterator;
+
+void EndWaiting(tracked_flow& flow, upstream_directory& directory) {
+  if (!flow.is_waiting) return;
+  flow.is_waiting = false;
+  if (known_upstream* const u = FindByMark(directory, flow.mark))
+    --u->load.waiting;
+}
+
+void Leave(tracked_flow& flow, upstream_directory& directory) {
+  EndWaiting(flow, directory);
+  if (known_upstream* const u = FindByMark(directory, flow.mark))
+    --u->load.flows;
+  flow.mark = 0;
+}
+
+void Join(tracked_flow& flow, known_upstream& upstream) {
+  flow.mark = upstream.mark;
+  ++upstream.load.flows;
+}
+
+void Forget(flow_tracker& tracker, upstream_directory& directory,
+            flow_iterator at) {
+  Leave(at->second, directory);
+  tracker.flows.erase(at);
+}
+
+/// The caller's data: a new request, or a repetition of what went unanswered.
+void TrackData(tracked_flow& flow, const direct_packet& packet,
+               known_upstream& upstream, time_point now) {
+  const uint32_t end = packet.sequence + packet.length;
+  if (!IsAfter(end, flow.next_sequence)) {
+    LearnSilence(upstream.load, now);
+    return;
+  }
+  flow.next_sequence = end;
+  if (flow.is_waiting) return;
+  flow.is_waiting = true;
+  flow.requested_at = now;
+  ++upstream.load.waiting;
+}
+
+/// The caller's acknowledgement: where it moves, the upstream has answered.
+void TrackAcknowledgement(tracked_flow& flow, upstream_directory& directory,
+                          const direct_packet& packet, known_upstream& upstream,
+                          time_point now) {
+  if (!IsAfter(packet.acknowledged, flow.acknowledged)) return;
+  flow.acknowledged = packet.acknowledged;
+  LearnAlive(upstream.load);
+  if (!flow.is_waiting) return;
+  LearnAnswer(upstream.load, now - flow.requested_at);
+  EndWaiting(flow, directory);
+}
+
+/// First packet of a flow that was not known here, or only by its opening.
+void Adopt(tracked_flow& flow, const direct_packet& packet,
+           known_upstream& upstream) {
+  flow.is_open = true;
+  flow.next_sequence = packet.sequence;
+  flow.acknowledged = packet.acknowledged;
+  LearnAlive(upstream.load);
+}
+
+}  // namespace
+
+void TrackOpening(flow_tracker& tracker, upstream_directory& directory,
+                  const direct_packet& packet, known_upstream& upstream,
+                  time_point now) {
+  if (tracker.flows.size() >= tracker.limit &&
+      !tracker.flows.contains(packet.flow))
+    return;
+  tracked_flow& flow = tracker.flows[packet.flow];
+  if (flow.mark != 0) {
+    if (known_upstream* const silent = FindByMark(directory, flow.mark))
+      LearnSilence(silent->load, now);
+    Leave(flow, directory);
+  }
+  flow.is_open = false;
+  flow.seen_at = now;
+  Join(flow, upstream);
+}
+
+void TrackPacket(flow_tracker& tracker, upstream_directory& directory,
+                 const direct_packet& packet, known_upstream& upstream,
+                 time_point now) {
+  const bool ends = packet.finishes || packet.resets;
+  auto at = tracker.flows.find(packet.flow);
+  if (at == tracker.flows.end()) {
+    if (ends || tracker.flows.size() >= tracker.limit) return;
+    at = tracker.flows.try_emplace(packet.flow).first;
+  }
+  tracked_flow& flow = at->second;
+  if (flow.mark != upstream.mark) {
+    Leave(flow, directory);
+    Join(flow, upstream);
+  }
+  flow.seen_at = now;
+  if (!flow.is_open) Adopt(flow, packet, upstream);
+  TrackAcknowledgement(flow, directory, packet, upstream, now);
+  if (packet.length > 0) TrackData(flow, packet, upstream, now);
+  if (ends) Forget(tracker, directory, at);
+}
+
+size_t ForgetIdle(flow_tracker& tracker, upstream_directory& directory,
+                  duration idle_timeout, time_point now) {
+  size_t forgotten = 0;
+  for (auto at = tracker.flows.begin(); at != tracker.flows.end();) {
+    const auto next = std::next(at);
+    if (now - at->second.seen_at > idle_timeout) {
+      Forget(tracker, directory, at);
+      ++forgotten;
+    }
+    at = next;
+  }
+  return forgotten;
+}
+
+void RecountFlows(const flow_tracker& tracker, upstream_directory& directory) {
+  for (auto& [id, known] : directory.upstreams) {
+    known.load.flows = 0;
+    known.load.waiting = 0;
+  }
+  for (const auto& [key, flow] : tracker.flows) {
+    known_upstream* const u = FindByMark(directory, flow.mark);
+    if (u == nullptr) continue;
+    ++u->load.flows;
+    if (flow.is_waiting) ++u->load.waiting;
+  }
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/flow_tracker.h
@@ -0,0 +1,58 @@
+// A bounded memory of the flows seen here. It serves placement only: a packet
+// of an open flow is forwarded by its mark, whether the flow is known or not.
+#pragma once
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "base/time.h"
+#include "direct/direct_packet.h"
+#include "direct/upstream_directory.h"
+
+namespace radishyard {
+
+/// \brief Most flows remembered by one balancer.
+inline constexpr size_t kTrackedFlows = 65'536;
+
+/// \brief What is remembered of a flow.
+struct tracked_flow {
+  uint32_t mark = 0;           ///< Upstream that the flow is on.
+  uint32_t next_sequence = 0;  ///< After the last byte that the caller sent.
+  uint32_t acknowledged = 0;   ///< Highest acknowledgement of the caller.
+  bool is_open = false;        ///< A packet after the opening was seen.
+  bool is_waiting = false;     ///< A request has no acknowledged answer yet.
+  time_point requested_at{};   ///< Valid while waiting.
+  time_point seen_at{};
+};
+
+/// \brief The flows, by caller and service address.
+///
+/// Invariant: for each upstream of the directory, `load.flows` and
+/// `load.waiting` count the flows here that have its mark.
+struct flow_tracker {
+  absl::flat_hash_map<flow_key, tracked_flow> flows;
+  size_t limit = kTrackedFlows;
+};
+
+/// \brief Notes that the flow of an opening was placed on `upstream`. An
+/// earlier place counts as silent and is avoided from now on.
+void TrackOpening(flow_tracker& tracker, upstream_directory& directory,
+                  const direct_packet& packet, known_upstream& upstream,
+                  time_point now);
+
+/// \brief Learns from a packet of an open flow that goes to `upstream`.
+void TrackPacket(flow_tracker& tracker, upstream_directory& directory,
+                 const direct_packet& packet, known_upstream& upstream,
+                 time_point now);
+
+/// \brief Forgets flows idle for longer than `idle_timeout`.
+/// \returns how many.
+size_t ForgetIdle(flow_tracker& tracker, upstream_directory& directory,
+                  duration idle_timeout, time_point now);
+
+/// \brief Counts the flows of each upstream anew, after the directory changed.
+void RecountFlows(const flow_tracker& tracker, upstream_directory& directory);
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/forwarder.cc
@@ -0,0 +1,98 @@
+// Openings are placed, packets of open flows follow their mark.
+#include "direct/forwarder.h"
+
+#include <array>
+#include <utility>
+
+#include "direct/placement.h"
+
+namespace radishyard {
+namespace {
+
+constexpr std::array<std::string_view, kVerdictReasons> kReasonNames{
+    "placed",          "marked",      "no_table",
+    "unknown_address", "no_upstream", "unknown_mark"};
+
+verdict Forward(const known_upstream& upstream, verdict_reason reason) {
+  return {verdict_kind::kForward, reason, upstream.entry.id,
+          upstream.entry.address, upstream.mark};
+}
+
+verdict Refuse(verdict_reason reason) {
+  return {.what = verdict_kind::kRefuse, .reason = reason};
+}
+
+verdict Drop(verdict_reason reason) {
+  return {.what = verdict_kind::kDrop, .reason = reason};
+}
+
+/// Mark of the upstream that the flow was placed on before, or 0.
+uint32_t EarlierMark(const flow_tracker& tracker, const flow_key& flow) {
+  const auto known = tracker.flows.find(flow);
+  return known == tracker.flows.end() ? 0 : known->second.mark;
+}
+
+/// The upstream of a flow whose opening came again although nothing went
+/// unanswered: duplicated by the network, or overtaken by later packets.
+known_upstream* PlacedBefore(const forwarder& state,
+                             const direct_packet& packet) {
+  const auto known = state.tracker.flows.find(packet.flow);
+  if (known == state.tracker.flows.end()) return nullptr;
+  const bool is_unanswered = packet.copy > 0 && !known->second.is_open;
+  if (is_unanswered) return nullptr;
+  return FindByMark(state.directory, known->second.mark);
+}
+
+verdict Place(forwarder& state, const direct_packet& packet, time_point now) {
+  if (!IsReady(state)) return Drop(verdict_reason::kNoTable);
+  if (const known_upstream* const before = PlacedBefore(state, packet))
+    return Forward(*before, verdict_reason::kPlaced);
+  const published_address* const row = Find(state.table, packet.flow.service);
+  if (row == nullptr) return Refuse(verdict_reason::kUnknownAddress);
+  const placement_request request{
+      .service = ServiceOf(*row, packet.flow),
+      .domain = state.domain,
+      .avoided = EarlierMark(state.tracker, packet.flow),
+      .flow_hash = StableHash(packet.flow)};
+  known_upstream* const upstream =
+      ChooseUpstream(state.directory, request, now);
+  if (upstream == nullptr) return Refuse(verdict_reason::kNoUpstream);
+  TrackOpening(state.tracker, state.directory, packet, *upstream, now);
+  return Forward(*upstream, verdict_reason::kPlaced);
+}
+
+}  // namespace
+
+std::string_view NameOf(verdict_reason reason) {
+  return kReasonNames.at(static_cast<size_t>(reason));
+}
+
+verdict Decide(forwarder& state, const direct_packet& packet, time_point now) {
+  if (packet.opens) return Place(state, packet, now);
+  known_upstream* const upstream = FindByMark(state.directory, packet.mark);
+  if (upstream == nullptr) return Drop(verdict_reason::kUnknownMark);
+  TrackPacket(state.tracker, state.directory, packet, *upstream, now);
+  return Forward(*upstream, verdict_reason::kMarked);
+}
+
+bool TakeTable(forwarder& state, routing_table table) {
+  if (table.version <= state.table.version) return false;
+  state.table = std::move(table);
+  return true;
+}
+
+std::vector<directory_change> TakeUpstreams(forwarder& state,
+                                            const upstream_list& list,
+                                            time_point read_at,
+                                            time_point now) {
+  std::vector<directory_change> changes =
+      Update(state.directory, list, read_at, now);
+  if (!changes.empty()) RecountFlows(state.tracker, state.directory);
+  return changes;
+}
+
+bool IsReady(const forwarder& state) {
+  return state.table.version != 0 && state.directory.is_filled;
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/forwarder.h
@@ -0,0 +1,75 @@
+// The decision on each packet of direct server return: to which upstream, or
+// why not.
+#pragma once
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "direct/direct_packet.h"
+#include "direct/flow_tracker.h"
+#include "direct/routing_table.h"
+#include "direct/upstream_directory.h"
+
+namespace radishyard {
+
+/// \brief What to do with a packet.
+enum class verdict_kind : uint8_t {
+  kForward,
+  kRefuse,  ///< Tell the caller that the flow does not open; nothing has run.
+  kDrop,    ///< Say nothing; the caller sends again.
+};
+
+/// \brief What decided.
+enum class verdict_reason : uint8_t {
+  kPlaced,          ///< New flow on an upstream.
+  kMarked,          ///< Open flow, by its mark.
+  kNoTable,         ///< No table or no upstreams read yet.
+  kUnknownAddress,  ///< The table publishes no such address.
+  kNoUpstream,      ///< The service has no ready upstream.
+  kUnknownMark,     ///< The mark names no upstream known here.
+};
+
+/// \brief Number of values of verdict_reason.
+inline constexpr size_t kVerdictReasons = 6;
+
+/// \brief The reason as logs and metrics spell it.
+std::string_view NameOf(verdict_reason reason);
+
+/// \brief The decision on one packet. `upstream`, `to` and `mark` are valid
+/// for kForward.
+struct verdict {
+  verdict_kind what = verdict_kind::kDrop;
+  verdict_reason reason = verdict_reason::kNoTable;
+  upstream_id upstream = 0;
+  endpoint to;
+  uint32_t mark = 0;  ///< What the packet has to carry.
+  auto operator<=>(const verdict&) const = default;
+};
+
+/// \brief Everything that the decisions of one balancer rest on.
+struct forwarder {
+  std::string domain;  ///< Failure domain of this balancer.
+  routing_table table;
+  upstream_directory directory;
+  flow_tracker tracker;
+};
+
+/// \brief Decides on a packet that arrived at `now`.
+verdict Decide(forwarder& state, const direct_packet& packet, time_point now);
+
+/// \brief Takes a version of the table unless it is older than the present one.
+/// \returns whether it was taken.
+bool TakeTable(forwarder& state, routing_table table);
+
+/// \brief Takes a reading of the registry; see Update().
+std::vector<directory_change> TakeUpstreams(forwarder& state,
+                                            const upstream_list& list,
+                                            time_point read_at, time_point now);
+
+/// \brief True once packets can be placed: table and upstreams are known.
+bool IsReady(const forwarder& state);
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/registry_follower.h
@@ -0,0 +1,74 @@
+// Keeps the upstreams and the table current: lists one in steady intervals and
+// waits for changes of the other, with backoff while the platform is away.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/asio.h"
+#include "base/time.h"
+#include "direct/registry.h"
+#include "peer/backoff.h"
+
+namespace radishyard {
+
+/// \brief Times of the follower.
+struct follower_times {
+  duration list_interval = 1200ms;  ///< Between two readings of the registry.
+  duration watch_wait = 10s;        ///< Longest wait for a change of the table.
+  backoff_policy backoff{.first = 100ms, .longest = 800ms};
+  auto operator<=>(const follower_times&) const = default;
+};
+
+/// \brief What the follower tells its owner.
+struct follower_handlers {
+  /// A list that was current at the given instant.
+  std::function<void(const upstream_list&, time_point)> on_list;
+  std::function<void(routing_table)> on_table;
+  /// A dependency ("upstreams", "table") was lost, with the reason, or
+  /// regained, with an empty one.
+  std::function<void(const std::string&, const std::string&)> on_state;
+};
+
+/// \brief Follows a registry until destroyed.
+class registry_follower {
+ public:
+  /// \param seed of the jitter; should differ between balancers.
+  registry_follower(asio::io_context& io, registry& source,
+                    follower_times times, follower_handlers handlers,
+                    uint64_t seed);
+
+  void Start();
+  /// \brief Lists at once, unless a call is on its way.
+  void ListNow();
+  /// \brief Failed readings of the registry since the last good one.
+  unsigned list_failures() const { return list_.failures; }
+
+ private:
+  /// One of the two readings.
+  struct reading {
+    std::string name;
+    asio::steady_timer timer;
+    unsigned failures = 0;
+    bool is_waiting = false;  ///< A call is on its way.
+  };
+
+  void List();
+  void ReadTable();
+  void WatchTable(uint64_t revision);
+  void TakeTable(const std::optional<table_reading>& read, const failure& why);
+  void Succeed(reading& what);
+  void Fail(reading& what, const failure& why,
+            void (registry_follower::*next)());
+  void After(reading& what, duration wait, std::function<void()> next);
+
+  registry& source_;
+  follower_times times_;
+  follower_handlers handlers_;
+  uint64_t seed_;
+  reading list_;
+  reading table_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/upstream_directory.cc
@@ -0,0 +1,136 @@
+// Life of upstreams between readings of the registry.
+#include "direct/upstream_directory.h"
+
+#include <set>
+
+namespace radishyard {
+namespace {
+
+using change = directory_change::kind;
+
+/// The registry counts an upstream as lost after some seconds of silence;
+/// a list older than this may miss upstreams for the outage alone.
+constexpr duration kOutage = 3s;
+/// Entries that an outage removed are back within 2 s of its end.
+constexpr duration kReturnGrace = 2500ms;
+/// Flows live no longer than this after their upstream is gone.
+constexpr duration kGoneMemory = 60s;
+
+upstream_phase PhaseOf(const upstream_entry& entry) {
+  return entry.leaving ? upstream_phase::kLeaving : upstream_phase::kReady;
+}
+
+void Refresh(known_upstream& known, const upstream_entry& entry,
+             time_point now) {
+  known.entry = entry;
+  known.phase = PhaseOf(entry);
+  known.cold_until = now + entry.cold_for;
+  known.missing_since = {};
+}
+
+/// \returns what the entry changes, or nothing.
+std::optional<change> Take(upstream_directory& directory,
+                           const upstream_entry& entry, time_point now) {
+  const auto [at, is_new] = directory.upstreams.try_emplace(entry.id);
+  known_upstream& known = at->second;
+  const upstream_phase before = known.phase;
+  const bool restarted = !is_new && (known.entry.born_ms != entry.born_ms ||
+                                     before == upstream_phase::kGone);
+  if (restarted) known.load = {};
+  known.mark = FlowMark(entry.id);
+  Refresh(known, entry, now);
+  if (is_new) return change::kJoined;
+  if (restarted) return change::kRestarted;
+  const bool leaves = known.phase == upstream_phase::kLeaving &&
+                      before != upstream_phase::kLeaving;
+  return leaves ? std::optional(change::kLeaving) : std::nullopt;
+}
+
+/// Takes note that the list lacks the upstream.
+std::optional<change> Miss(const upstream_directory& directory,
+                           known_upstream& known, time_point now) {
+  if (known.phase == upstream_phase::kGone) return std::nullopt;
+  const bool is_excused = directory.regained_at != time_point{} &&
+                          now - directory.regained_at < kReturnGrace;
+  if (is_excused) {
+    if (known.missing_since != time_point{}) return std::nullopt;
+    known.missing_since = now;
+    return change::kMissing;
+  }
+  known.phase = upstream_phase::kGone;
+  known.gone_since = now;
+  return change::kGone;
+}
+
+bool StartedBefore(const known_upstream& a, const known_upstream& b) {
+  return std::pair(a.entry.born_ms, a.entry.id) <
+         std::pair(b.entry.born_ms, b.entry.id);
+}
+
+/// Gives each mark to the upstream that started first.
+void IndexMarks(upstream_directory& directory) {
+  directory.by_mark.clear();
+  for (auto& [id, known] : directory.upstreams) {
+    known.owns_mark = true;
+    known_upstream*& owner = directory.by_mark[known.mark];
+    if (owner == nullptr) {
+      owner = &known;
+      continue;
+    }
+    known_upstream* const later = StartedBefore(known, *owner) ? owner : &known;
+    owner = later == owner ? &known : owner;
+    later->owns_mark = false;
+  }
+}
+
+void IndexReady(upstream_directory& directory) {
+  directory.ready.clear();
+  for (auto& [id, known] : directory.upstreams) {
+    if (known.phase == upstream_phase::kReady && known.owns_mark)
+      directory.ready[known.entry.service].push_back(&known);
+  }
+}
+
+void Forget(upstream_directory& directory, time_point now) {
+  std::erase_if(directory.upstreams, [now](const auto& item) {
+    const known_upstream& known = item.second;
+    return known.phase == upstream_phase::kGone &&
+           now - known.gone_since > kGoneMemory;
+  });
+}
+
+}  // namespace
+
+std::vector<directory_change> Update(upstream_directory& directory,
+                                     const upstream_list& list,
+                                     time_point read_at, time_point now) {
+  std::vector<directory_change> changes;
+  if (list.revision < directory.revision) return changes;
+  if (directory.is_filled && read_at - directory.read_at > kOutage)
+    directory.regained_at = now;
+  std::set<upstream_id> listed;
+  for (const upstream_entry& entry : list.upstreams) {
+    listed.insert(entry.id);
+    if (const auto what = Take(directory, entry, now))
+      changes.push_back({*what, entry.id});
+  }
+  for (auto& [id, known] : directory.upstreams) {
+    if (listed.contains(id)) continue;
+    if (const auto what = Miss(directory, known, now))
+      changes.push_back({*what, id});
+  }
+  directory.revision = list.revision;
+  directory.read_at = std::max(directory.read_at, read_at);
+  directory.is_filled = true;
+  Forget(directory, now);
+  IndexMarks(directory);
+  IndexReady(directory);
+  return changes;
+}
+
+known_upstream* FindByMark(const upstream_directory& directory, uint32_t mark) {
+  const auto found = directory.by_mark.find(mark);
+  return found == directory.by_mark.end() ? nullptr : found->second;
+}
+
+}  // namespace radishyard
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -1,6 +1,8 @@
 // The HTTP client over Boost.Beast; the only source that includes it here.
 #include "store/http_client.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -20,6 +22,25 @@
 
 using stream_ptr = std::unique_ptr<beast::tcp_stream>;
 
+/// Silence after which a connection is probed, and between probes, in seconds.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
+/// Has the kernel probe a silent connection: a call that waits long would
+/// otherwise not notice that the path is gone.
+void KeepAlive(beast::tcp_stream& stream) {
+  using idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  error_code ignored;  // Without probes the timeout of the call remains.
+  auto& socket = stream.socket();
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(idle(kProbeSeconds), ignored);
+  socket.set_option(interval(kProbeSeconds), ignored);
+  socket.set_option(count(kProbes), ignored);
+}
+
 /// True while the server has neither closed an idle connection nor sent
 /// anything over it unasked.
 bool IsReusable(beast::tcp_stream& stream) {
@@ -71,6 +92,7 @@
     stream_->async_connect(server,
                            [self = shared_from_this()](error_code error) {
                              if (error) return self->Fail(error);
+                             KeepAlive(*self->stream_);
                              self->StartOnKept();
                            });
   }
