--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -39,9 +39,9 @@
 }
 
 std::string_view NameOf(directory_change::kind what) {
-  constexpr std::array<std::string_view, 5> kNames{
-      "upstream_joined", "upstream_restarted", "upstream_leaving",
-      "upstream_gone", "upstream_missing"};
+  constexpr std::array<std::string_view, 6> kNames{
+      "upstream_joined",  "upstream_restarted", "upstream_returned",
+      "upstream_leaving", "upstream_gone",      "upstream_missing"};
   return kNames.at(static_cast<size_t>(what));
 }
 
@@ -198,8 +198,9 @@
   }
 
   void LogOpening(const direct_packet& packet, const verdict& decided) const {
-    if (!packet.opens) return;
-    Log(severity::kInfo, "opening",
+    const bool is_refused = decided.what == verdict_kind::kRefuse;
+    if (!packet.opens && !is_refused) return;
+    Log(severity::kInfo, packet.opens ? "opening" : "flow_reset",
         {{"flow", ToString(packet.flow)},
          {"copy", uint64_t{packet.copy}},
          {"decision", radishyard::NameOf(decided.reason)},
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -73,9 +73,9 @@
   ByUpstream(page, state, "radishyard_upstream_answer_seconds",
              "Smoothed time to the first acknowledged answer.",
              [](const known_upstream& u) { return u.load.answer_s; });
-  ByUpstream(page, state, "radishyard_upstream_silent_packets",
-             "Packets in a row that went unanswered.",
-             [](const known_upstream& u) { return u.load.failures; });
+  ByUpstream(page, state, "radishyard_upstream_unanswered",
+             "Openings and repeated data since the last sign of life.",
+             [](const known_upstream& u) { return u.load.unanswered; });
   return page.Text();
 }
 
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -1,9 +1,21 @@
 // Counting flows and timing answers from the callers' side alone.
 #include "direct/flow_tracker.h"
 
+#include <algorithm>
+
 namespace radishyard {
 namespace {
 
+/// Weight of a new sample of the time to confirm.
+constexpr double kConfirmWeight = 0.05;
+/// An opening that takes this many times as long as usual is overdue.
+constexpr double kOverdueFactor = 4;
+constexpr duration kShortestBound = 25ms;
+constexpr duration kLongestBound = 150ms;  ///< Below a caller's 200 ms.
+/// Callers repeat data after 200 ms. What comes sooner was delayed on the way
+/// here, such as by a pause of this process.
+constexpr duration kShortestRepetition = 150ms;
+
 using flow_iterator = absl::flat_hash_map<flow_key, tracked_flow>::iterator;
 
 void EndWaiting(tracked_flow& flow, upstream_directory& directory) {
@@ -36,10 +48,12 @@
                known_upstream& upstream, time_point now) {
   const uint32_t end = packet.sequence + packet.length;
   if (!IsAfter(end, flow.next_sequence)) {
-    LearnSilence(upstream.load, now);
+    if (now - flow.sent_at >= kShortestRepetition)
+      LearnRepetition(upstream.load, flow.sent_at);
     return;
   }
   flow.next_sequence = end;
+  flow.sent_at = now;
   if (flow.is_waiting) return;
   flow.is_waiting = true;
   flow.requested_at = now;
@@ -58,6 +72,11 @@
   EndWaiting(flow, directory);
 }
 
+void LearnConfirmed(flow_tracker& tracker, duration took) {
+  const double took_s = std::chrono::duration<double>(took).count();
+  tracker.confirm_s += kConfirmWeight * (took_s - tracker.confirm_s);
+}
+
 /// First packet of a flow that was not known here, or only by its opening.
 void Adopt(tracked_flow& flow, const direct_packet& packet,
            known_upstream& upstream) {
@@ -76,14 +95,12 @@
       !tracker.flows.contains(packet.flow))
     return;
   tracked_flow& flow = tracker.flows[packet.flow];
-  if (flow.mark != 0) {
-    if (known_upstream* const silent = FindByMark(directory, flow.mark))
-      LearnSilence(silent->load, now);
-    Leave(flow, directory);
-  }
+  if (flow.mark != 0) Leave(flow, directory);
   flow.is_open = false;
+  flow.sent_at = now;
   flow.seen_at = now;
   Join(flow, upstream);
+  LearnTried(upstream.load, now);
 }
 
 void TrackPacket(flow_tracker& tracker, upstream_directory& directory,
@@ -92,7 +109,8 @@
   const bool ends = packet.finishes || packet.resets;
   auto at = tracker.flows.find(packet.flow);
   if (at == tracker.flows.end()) {
-    if (ends || tracker.flows.size() >= tracker.limit) return;
+    const bool is_worth = packet.length > 0 && !ends;
+    if (!is_worth || tracker.flows.size() >= tracker.limit) return;
     at = tracker.flows.try_emplace(packet.flow).first;
   }
   tracked_flow& flow = at->second;
@@ -101,12 +119,28 @@
     Join(flow, upstream);
   }
   flow.seen_at = now;
-  if (!flow.is_open) Adopt(flow, packet, upstream);
+  if (!flow.is_open) {
+    if (flow.sent_at != time_point{})
+      LearnConfirmed(tracker, now - flow.sent_at);
+    Adopt(flow, packet, upstream);
+  }
   TrackAcknowledgement(flow, directory, packet, upstream, now);
   if (packet.length > 0) TrackData(flow, packet, upstream, now);
   if (ends) Forget(tracker, directory, at);
 }
 
+duration ConfirmBound(const flow_tracker& tracker) {
+  const auto bound = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(tracker.confirm_s * kOverdueFactor));
+  return std::clamp(bound, kShortestBound, kLongestBound);
+}
+
+void ForgetFlow(flow_tracker& tracker, upstream_directory& directory,
+                const flow_key& flow) {
+  const auto at = tracker.flows.find(flow);
+  if (at != tracker.flows.end()) Forget(tracker, directory, at);
+}
+
 size_t ForgetIdle(flow_tracker& tracker, upstream_directory& directory,
                   duration idle_timeout, time_point now) {
   size_t forgotten = 0;
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -16,6 +16,10 @@
 /// \brief Most flows remembered by one balancer.
 inline constexpr size_t kTrackedFlows = 65'536;
 
+/// \brief Time from an opening to the caller's next packet, in seconds, before
+/// any was seen.
+inline constexpr double kFirstConfirmS = 0.01;
+
 /// \brief What is remembered of a flow.
 struct tracked_flow {
   uint32_t mark = 0;           ///< Upstream that the flow is on.
@@ -24,6 +28,7 @@
   bool is_open = false;        ///< A packet after the opening was seen.
   bool is_waiting = false;     ///< A request has no acknowledged answer yet.
   time_point requested_at{};   ///< Valid while waiting.
+  time_point sent_at{};        ///< When the last new data or opening went on.
   time_point seen_at{};
 };
 
@@ -34,19 +39,28 @@
 struct flow_tracker {
   absl::flat_hash_map<flow_key, tracked_flow> flows;
   size_t limit = kTrackedFlows;
+  /// Smoothed time from an opening to the caller's next packet.
+  double confirm_s = kFirstConfirmS;
 };
 
-/// \brief Notes that the flow of an opening was placed on `upstream`. An
-/// earlier place counts as silent and is avoided from now on.
+/// \brief An opening is overdue after this time.
+duration ConfirmBound(const flow_tracker& tracker);
+
+/// \brief Notes that the flow of an opening was placed on `upstream`.
 void TrackOpening(flow_tracker& tracker, upstream_directory& directory,
                   const direct_packet& packet, known_upstream& upstream,
                   time_point now);
 
-/// \brief Learns from a packet of an open flow that goes to `upstream`.
+/// \brief Learns from a packet of an open flow that goes to `upstream`. Only
+/// data makes an unknown flow known: an ended one still acknowledges.
 void TrackPacket(flow_tracker& tracker, upstream_directory& directory,
                  const direct_packet& packet, known_upstream& upstream,
                  time_point now);
 
+/// \brief Forgets a flow, if it is known.
+void ForgetFlow(flow_tracker& tracker, upstream_directory& directory,
+                const flow_key& flow);
+
 /// \brief Forgets flows idle for longer than `idle_timeout`.
 /// \returns how many.
 size_t ForgetIdle(flow_tracker& tracker, upstream_directory& directory,
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr std::array<std::string_view, kVerdictReasons> kReasonNames{
-    "placed",          "marked",      "no_table",
-    "unknown_address", "no_upstream", "unknown_mark"};
+    "placed",      "marked",       "no_table",       "unknown_address",
+    "no_upstream", "unknown_mark", "silent_upstream"};
 
 verdict Forward(const known_upstream& upstream, verdict_reason reason) {
   return {verdict_kind::kForward, reason, upstream.entry.id,
@@ -53,7 +53,8 @@
       .service = ServiceOf(*row, packet.flow),
       .domain = state.domain,
       .avoided = EarlierMark(state.tracker, packet.flow),
-      .flow_hash = StableHash(packet.flow)};
+      .flow_hash = StableHash(packet.flow),
+      .confirm_bound = ConfirmBound(state.tracker)};
   known_upstream* const upstream =
       ChooseUpstream(state.directory, request, now);
   if (upstream == nullptr) return Refuse(verdict_reason::kNoUpstream);
@@ -61,6 +62,15 @@
   return Forward(*upstream, verdict_reason::kPlaced);
 }
 
+/// True where the caller gains by opening another flow: its upstream is silent,
+/// and its request may be repeated.
+bool IsLost(const forwarder& state, const direct_packet& packet,
+            const known_upstream& upstream, time_point now) {
+  if (packet.length == 0 || !IsSilent(upstream.load, now)) return false;
+  const published_address* const row = Find(state.table, packet.flow.service);
+  return row != nullptr && row->requests != request_class::kNonIdempotent;
+}
+
 }  // namespace
 
 std::string_view NameOf(verdict_reason reason) {
@@ -72,6 +82,10 @@
   known_upstream* const upstream = FindByMark(state.directory, packet.mark);
   if (upstream == nullptr) return Drop(verdict_reason::kUnknownMark);
   TrackPacket(state.tracker, state.directory, packet, *upstream, now);
+  if (IsLost(state, packet, *upstream, now)) {
+    ForgetFlow(state.tracker, state.directory, packet.flow);
+    return Refuse(verdict_reason::kSilentUpstream);
+  }
   return Forward(*upstream, verdict_reason::kMarked);
 }
 
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -18,7 +18,7 @@
 /// \brief What to do with a packet.
 enum class verdict_kind : uint8_t {
   kForward,
-  kRefuse,  ///< Tell the caller that the flow does not open; nothing has run.
+  kRefuse,  ///< Reset: the flow does not open, or its upstream is lost.
   kDrop,    ///< Say nothing; the caller sends again.
 };
 
@@ -30,10 +30,11 @@
   kUnknownAddress,  ///< The table publishes no such address.
   kNoUpstream,      ///< The service has no ready upstream.
   kUnknownMark,     ///< The mark names no upstream known here.
+  kSilentUpstream,  ///< The flow's upstream no longer answers.
 };
 
 /// \brief Number of values of verdict_reason.
-inline constexpr size_t kVerdictReasons = 6;
+inline constexpr size_t kVerdictReasons = 7;
 
 /// \brief The reason as logs and metrics spell it.
 std::string_view NameOf(verdict_reason reason);
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -19,7 +19,8 @@
 preference PreferenceOf(const known_upstream& u,
                         const placement_request& request, time_point now) {
   if (u.mark == request.avoided) return preference::kAvoided;
-  if (IsDoubted(u.load, now)) return preference::kDoubted;
+  if (IsDoubted(u.load, request.confirm_bound, now))
+    return preference::kDoubted;
   return u.entry.domain == request.domain ? preference::kLocal
                                           : preference::kRemote;
 }
--- a/src/direct/upstream_directory.cc
+++ b/src/direct/upstream_directory.cc
@@ -34,13 +34,13 @@
   const auto [at, is_new] = directory.upstreams.try_emplace(entry.id);
   known_upstream& known = at->second;
   const upstream_phase before = known.phase;
-  const bool restarted = !is_new && (known.entry.born_ms != entry.born_ms ||
-                                     before == upstream_phase::kGone);
+  const bool restarted = !is_new && known.entry.born_ms != entry.born_ms;
   if (restarted) known.load = {};
   known.mark = FlowMark(entry.id);
   Refresh(known, entry, now);
   if (is_new) return change::kJoined;
   if (restarted) return change::kRestarted;
+  if (before == upstream_phase::kGone) return change::kReturned;
   const bool leaves = known.phase == upstream_phase::kLeaving &&
                       before != upstream_phase::kLeaving;
   return leaves ? std::optional(change::kLeaving) : std::nullopt;
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -37,7 +37,14 @@
 
 /// \brief What an update changed, for log and tests.
 struct directory_change {
-  enum class kind : uint8_t { kJoined, kRestarted, kLeaving, kGone, kMissing };
+  enum class kind : uint8_t {
+    kJoined,
+    kRestarted,  ///< Under its old id; it holds none of its flows.
+    kReturned,   ///< Listed again, the same incarnation.
+    kLeaving,
+    kGone,
+    kMissing,  ///< Unlisted, but perhaps for an outage only.
+  };
   kind what = kind::kJoined;
   upstream_id upstream = 0;
   auto operator<=>(const directory_change&) const = default;
--- a/src/direct/upstream_load.cc
+++ b/src/direct/upstream_load.cc
@@ -1,4 +1,4 @@
-// Smoothing of answer times and doubt about silent upstreams.
+// Smoothing of answer times, and signs of life.
 #include "direct/upstream_load.h"
 
 #include <algorithm>
@@ -8,12 +8,13 @@
 
 /// Weight of a new sample once there are enough of them.
 constexpr double kSampleWeight = 0.08;
-/// Silent packets in a row before an upstream is in doubt: one may be a lost
-/// datagram.
-constexpr uint32_t kSilentPackets = 2;
-constexpr duration kFirstDoubt = 1s;
-constexpr duration kLongestDoubt = 8s;
-constexpr uint32_t kMostDoublings = 3;
+/// Wait for the next opening after a first unanswered one; doubles with each.
+constexpr duration kFirstRetry = 250ms;
+constexpr uint32_t kMostDoublings = 4;
+/// Repetitions without an answer that a lost datagram or two does not explain.
+constexpr uint32_t kSilentRepetitions = 2;
+/// Longer than the pause before a caller's first repetition.
+constexpr duration kSilence = 350ms;
 
 }  // namespace
 
@@ -25,22 +26,29 @@
 }
 
 void LearnAlive(upstream_load& load) {
-  load.failures = 0;
-  load.doubted_until = {};
+  load.unanswered = 0;
+  load.repetitions = 0;
 }
 
-void LearnSilence(upstream_load& load, time_point now) {
-  ++load.failures;
-  if (load.failures < kSilentPackets) return;
-  const uint32_t doublings =
-      std::min(load.failures - kSilentPackets, kMostDoublings);
-  const duration doubt =
-      std::min(kLongestDoubt, kFirstDoubt * (int64_t{1} << doublings));
-  load.doubted_until = std::max(load.doubted_until, now + doubt);
+void LearnTried(upstream_load& load, time_point now) {
+  if (load.unanswered++ == 0) load.silent_since = now;
+  load.tried_at = now;
 }
 
-bool IsDoubted(const upstream_load& load, time_point now) {
-  return load.doubted_until > now;
+void LearnRepetition(upstream_load& load, time_point sent_at) {
+  if (load.unanswered++ == 0) load.silent_since = sent_at;
+  ++load.repetitions;
+}
+
+bool IsDoubted(const upstream_load& load, duration bound, time_point now) {
+  if (load.unanswered == 0 || now - load.silent_since <= bound) return false;
+  const uint32_t doublings = std::min(load.unanswered - 1, kMostDoublings);
+  return now - load.tried_at < kFirstRetry * (int64_t{1} << doublings);
+}
+
+bool IsSilent(const upstream_load& load, time_point now) {
+  return load.repetitions >= kSilentRepetitions &&
+         now - load.silent_since >= kSilence;
 }
 
 }  // namespace radishyard
--- a/src/direct/upstream_load.h
+++ b/src/direct/upstream_load.h
@@ -9,13 +9,18 @@
 namespace radishyard {
 
 /// \brief Load and health of one upstream as seen here. Losing it does no harm.
+///
+/// Openings and repeated data call for a prompt answer, even of a slow
+/// upstream; until a sign of life comes they count as unanswered.
 struct upstream_load {
-  uint32_t flows = 0;     ///< Open flows that this balancer placed or saw.
-  uint32_t waiting = 0;   ///< Requests whose answer has not been acknowledged.
-  double answer_s = 0;    ///< Smoothed time to the first acknowledged answer.
-  uint32_t answers = 0;   ///< Samples in `answer_s`.
-  uint32_t failures = 0;  ///< Packets in a row that went unanswered.
-  time_point doubted_until{};  ///< Gets new flows only if no other can.
+  uint32_t flows = 0;    ///< Open flows that this balancer placed or saw.
+  uint32_t waiting = 0;  ///< Requests whose answer has not been acknowledged.
+  double answer_s = 0;   ///< Smoothed time to the first acknowledged answer.
+  uint32_t answers = 0;  ///< Samples in `answer_s`.
+  uint32_t unanswered = 0;    ///< Openings and repetitions without an answer.
+  uint32_t repetitions = 0;   ///< Repeated data among them.
+  time_point silent_since{};  ///< First of them; valid if there are any.
+  time_point tried_at{};      ///< Last opening placed.
   auto operator<=>(const upstream_load&) const = default;
 };
 
@@ -25,11 +30,19 @@
 /// \brief The upstream has answered: it is alive and reached.
 void LearnAlive(upstream_load& load);
 
-/// \brief A caller had to repeat a packet that had gone to the upstream. Two in
-/// a row put it in doubt, for longer with each further one.
-void LearnSilence(upstream_load& load, time_point now);
+/// \brief An opening goes to the upstream.
+void LearnTried(upstream_load& load, time_point now);
 
-/// \brief True while new flows should avoid the upstream.
-bool IsDoubted(const upstream_load& load, time_point now);
+/// \brief A caller repeats data that went to the upstream at `sent_at`.
+void LearnRepetition(upstream_load& load, time_point sent_at);
+
+/// \brief True while new flows should avoid the upstream: an opening has had no
+/// answer for longer than `bound`, and it is too early to try another.
+bool IsDoubted(const upstream_load& load, duration bound, time_point now);
+
+/// \brief True where the upstream has left repeated data of its callers without
+/// an answer, so that its open flows are lost. Slow upstreams acknowledge
+/// repeated data and are never silent.
+bool IsSilent(const upstream_load& load, time_point now);
 
 }  // namespace radishyard
