--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -26,6 +26,14 @@
 constexpr int kReadingsPerBound = 2;
 /// Ends this long before the grace period does.
 constexpr duration kStopMargin = 700ms;
+/// Routers need about a second to take a balancer out of their rotation.
+constexpr duration kShortestStop = 1300ms;
+/// Without a packet for so long, a balancer that is stopping is out of use.
+constexpr duration kQuiet = 500ms;
+constexpr duration kStopCheckInterval = 100ms;
+/// Packets kept until table and upstreams are known, so that callers need not
+/// send them again: a fraction of a second at a high rate.
+constexpr size_t kHeldPackets = 1024;
 constexpr duration kUpkeepInterval = 1s;
 
 udp::endpoint ToUdp(const endpoint& e) {
@@ -79,12 +87,8 @@
     if (is_leaving_) return;
     is_leaving_ = true;
     Log(severity::kInfo, "stopping", {{"name", config_.name}});
-    stop_.expires_after(config_.stop_grace - kStopMargin);
-    stop_.async_wait([this](error_code error) {
-      if (error) return;
-      Log(severity::kInfo, "stopped", {{"name", config_.name}});
-      io_.stop();
-    });
+    const time_point now = clock::now();
+    CheckStop(now + kShortestStop, now + config_.stop_grace - kStopMargin);
   }
 
   void Reconfigure(const direct_settings& config) {
@@ -129,8 +133,9 @@
     for (const directory_change& change :
          TakeUpstreams(state_, list, at, clock::now()))
       Log(severity::kInfo, NameOf(change.what),
-          {{"upstream", change.upstream}, {"revision", list.revision}});
-    LogReady(was_ready);
+          {{"upstream", HexText(change.upstream)},
+           {"revision", list.revision}});
+    BecomeReady(was_ready);
   }
 
   void TakeNewTable(routing_table table) {
@@ -141,14 +146,16 @@
     if (taken) ++counters_.tables;
     Log(severity::kInfo, taken ? "table_taken" : "table_older",
         {{"version", version}, {"addresses", addresses}});
-    LogReady(was_ready);
+    BecomeReady(was_ready);
   }
 
-  void LogReady(bool was_ready) const {
-    if (!was_ready && IsReady(state_))
-      Log(severity::kInfo, "ready",
-          {{"version", state_.table.version},
-           {"upstreams", uint64_t{state_.directory.upstreams.size()}}});
+  void BecomeReady(bool was_ready) {
+    if (was_ready || !IsReady(state_)) return;
+    Log(severity::kInfo, "ready",
+        {{"version", state_.table.version},
+         {"upstreams", uint64_t{state_.directory.upstreams.size()}},
+         {"held_packets", uint64_t{held_.size()}}});
+    HandleHeld();
   }
 
   void TakeState(const std::string& name, const std::string& reason) {
@@ -158,6 +165,22 @@
         {{"reading", name}, {"reason", reason}});
   }
 
+  /// Ends once no packet comes any more, between `earliest` and `latest`.
+  void CheckStop(time_point earliest, time_point latest) {
+    const time_point now = clock::now();
+    const bool is_quiet = now - received_at_ >= kQuiet;
+    if (now >= latest || (now >= earliest && is_quiet)) {
+      Log(severity::kInfo, "stopped",
+          {{"name", config_.name}, {"quiet", is_quiet ? "yes" : "no"}});
+      io_.stop();
+      return;
+    }
+    stop_.expires_after(kStopCheckInterval);
+    stop_.async_wait([this, earliest, latest](error_code error) {
+      if (!error) CheckStop(earliest, latest);
+    });
+  }
+
   void Receive() {
     socket_.async_wait(udp::socket::wait_read, [this](error_code error) {
       if (error) return;
@@ -176,10 +199,25 @@
         asio::buffer(buffer_.data() + room, buffer_.size() - room), from, 0,
         error);
     if (error) return error != asio::error::would_block;
-    Handle(mutable_bytes(buffer_.data(), room + size));
+    received_at_ = clock::now();
+    const mutable_bytes datagram(buffer_.data(), room + size);
+    IsReady(state_) ? Handle(datagram) : Hold(datagram);
     return true;
   }
 
+  void Hold(mutable_bytes datagram) {
+    if (held_.size() < kHeldPackets)
+      held_.emplace_back(datagram.begin(), datagram.end());
+    else
+      ++counters_.verdicts[static_cast<size_t>(verdict_reason::kNoTable)];
+  }
+
+  /// Handles what came before the first table and list of upstreams.
+  void HandleHeld() {
+    for (std::vector<uint8_t>& datagram : std::exchange(held_, {}))
+      Handle(datagram);
+  }
+
   void Handle(mutable_bytes datagram) {
     failure why;
     const auto packet =
@@ -204,7 +242,7 @@
         {{"flow", ToString(packet.flow)},
          {"copy", uint64_t{packet.copy}},
          {"decision", radishyard::NameOf(decided.reason)},
-         {"upstream", decided.upstream},
+         {"upstream", HexText(decided.upstream)},
          {"mark", uint64_t{decided.mark}},
          {"version", state_.table.version},
          {"revision", state_.directory.revision}});
@@ -244,6 +282,8 @@
   direct_counters counters_;
   bool is_leaving_ = false;
   std::array<uint8_t, kDatagramBytes> buffer_{};
+  std::vector<std::vector<uint8_t>> held_;  ///< Until ready, with headroom.
+  time_point received_at_{};                ///< Last packet.
   udp::socket socket_;
   asio::steady_timer upkeep_;
   asio::steady_timer stop_;
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -18,13 +18,6 @@
   page.Sample({}, value);
 }
 
-std::string IdText(upstream_id id) {
-  std::string text(16, '0');
-  for (size_t i = text.size(); i-- > 0; id >>= 4)
-    text[i] = "0123456789abcdef"[id & 15];
-  return text;
-}
-
 /// One gauge with a sample for each upstream.
 template <typename Value>
 void ByUpstream(metrics_text& page, const forwarder& state,
@@ -32,7 +25,7 @@
   page.Begin(metric_kind::kGauge, name, help);
   for (const auto& [id, known] : state.directory.upstreams) {
     if (known.phase == upstream_phase::kGone) continue;
-    page.Sample({{"upstream", IdText(id)}, {"service", known.entry.service}},
+    page.Sample({{"upstream", HexText(id)}, {"service", known.entry.service}},
                 value(known));
   }
 }
--- a/src/direct/flow_mark.cc
+++ b/src/direct/flow_mark.cc
@@ -3,6 +3,9 @@
 
 #include <xxhash.h>
 
+#include <array>
+#include <charconv>
+
 namespace radishyard {
 namespace {
 
@@ -17,4 +20,12 @@
   return mark == 0 ? 1 : mark;
 }
 
+std::string HexText(upstream_id id) {
+  std::array<char, 2 * sizeof id> digits;
+  constexpr int kHexadecimal = 16;
+  const auto [end, error] = std::to_chars(
+      digits.data(), digits.data() + digits.size(), id, kHexadecimal);
+  return std::string(digits.data(), end);
+}
+
 }  // namespace radishyard
--- a/src/direct/flow_mark.h
+++ b/src/direct/flow_mark.h
@@ -2,6 +2,7 @@
 // that name the flow's upstream, so that a balancer needs no state of the flow.
 #pragma once
 #include <cstdint>
+#include <string>
 
 namespace radishyard {
 
@@ -15,4 +16,7 @@
 /// itself refuses packets of flows that it does not hold.
 uint32_t FlowMark(upstream_id id);
 
+/// \brief The id as the registry, logs and metrics spell it: hexadecimal.
+std::string HexText(upstream_id id);
+
 }  // namespace radishyard
