--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -72,18 +72,20 @@
   EndWaiting(flow, directory);
 }
 
-void LearnConfirmed(flow_tracker& tracker, duration took) {
-  const double took_s = std::chrono::duration<double>(took).count();
+/// The first packet after an opening: the upstream has accepted the flow.
+void Confirm(flow_tracker& tracker, const tracked_flow& flow,
+             known_upstream& upstream, time_point now) {
+  const double took_s =
+      std::chrono::duration<double>(now - flow.sent_at).count();
   tracker.confirm_s += kConfirmWeight * (took_s - tracker.confirm_s);
+  LearnAlive(upstream.load);
 }
 
-/// First packet of a flow that was not known here, or only by its opening.
-void Adopt(tracked_flow& flow, const direct_packet& packet,
-           known_upstream& upstream) {
+/// Takes the state of a flow that was not known here, or only by its opening.
+void Adopt(tracked_flow& flow, const direct_packet& packet) {
   flow.is_open = true;
   flow.next_sequence = packet.sequence;
   flow.acknowledged = packet.acknowledged;
-  LearnAlive(upstream.load);
 }
 
 }  // namespace
@@ -120,9 +122,9 @@
   }
   flow.seen_at = now;
   if (!flow.is_open) {
-    if (flow.sent_at != time_point{})
-      LearnConfirmed(tracker, now - flow.sent_at);
-    Adopt(flow, packet, upstream);
+    const bool was_opened_here = flow.sent_at != time_point{};
+    if (was_opened_here) Confirm(tracker, flow, upstream, now);
+    Adopt(flow, packet);
   }
   TrackAcknowledgement(flow, directory, packet, upstream, now);
   if (packet.length > 0) TrackData(flow, packet, upstream, now);
--- /dev/null
+++ b/test/direct_forwarder_test.cc
@@ -0,0 +1,209 @@
+// Decisions on packets: placement of openings, marks, refusals.
+#include <set>
+
+#include "radishyard/direct.h"
+#include "support/direct_world.h"
+
+namespace radishyard {
+namespace {
+
+using namespace testing_direct;  // NOLINT(google-build-using-namespace)
+
+/// Opens a flow and sends its first request. \returns where it was placed.
+verdict OpenAndAsk(direct_world& world, uint32_t caller, time_point at,
+                   const endpoint& to = kFeedAddress) {
+  const verdict placed = world.Open(caller, at, 0, to);
+  world.Send(caller, placed.mark, 100, 50, 1, at + 9ms, to);
+  return placed;
+}
+
+TEST(DirectForwarder, AnyBalancerForwardsByTheMark) {
+  direct_world first({Entry(1), Entry(2), Entry(3)});
+  direct_world second({Entry(1), Entry(2), Entry(3)});
+  const verdict placed = first.Open(1, AtMs(0));
+  const verdict next = second.Send(1, placed.mark, 10, 5, 1, AtMs(10));
+  EXPECT_EQ(next.what, verdict_kind::kForward);
+  EXPECT_EQ(next.upstream, placed.upstream);
+  EXPECT_EQ(next.to, placed.to);
+}
+
+TEST(DirectForwarder, SaysNothingBeforeItKnowsTableAndUpstreams) {
+  forwarder state;
+  direct_packet opening = direct_world::Packet(1, kFeedAddress);
+  opening.opens = true;
+  EXPECT_EQ(Decide(state, opening, AtMs(0)).what, verdict_kind::kDrop);
+  TakeTable(state, Table());
+  EXPECT_EQ(Decide(state, opening, AtMs(0)).what, verdict_kind::kDrop);
+  TakeUpstreams(state, {1, {Entry(1)}}, AtMs(0), AtMs(0));
+  EXPECT_EQ(Decide(state, opening, AtMs(0)).what, verdict_kind::kForward);
+}
+
+TEST(DirectForwarder, RefusesAtOnceWhatItCannotServe) {
+  direct_world world({});
+  EXPECT_EQ(world.Open(1, AtMs(0)),
+            (verdict{.what = verdict_kind::kRefuse,
+                     .reason = verdict_reason::kNoUpstream}));
+  EXPECT_EQ(world.Open(1, AtMs(0), 0, {kFeedAddress.address, 1}),
+            (verdict{.what = verdict_kind::kRefuse,
+                     .reason = verdict_reason::kUnknownAddress}));
+}
+
+// A reset would break the flow if its upstream lives but was not read yet.
+TEST(DirectForwarder, DropsAPacketWithAnUnknownMark) {
+  direct_world world({Entry(1)});
+  EXPECT_EQ(world.Send(1, FlowMark(9), 10, 5, 1, AtMs(0)).what,
+            verdict_kind::kDrop);
+}
+
+TEST(DirectForwarder, TableNeverGoesBack) {
+  direct_world world({Entry(1)});
+  EXPECT_TRUE(TakeTable(world.state, Table(5)));
+  EXPECT_FALSE(TakeTable(world.state, Table(5)));
+  EXPECT_FALSE(TakeTable(world.state, Table(4)));
+  EXPECT_EQ(world.state.table.version, 5U);
+}
+
+TEST(DirectForwarder, OpenFlowOutlivesTheRemovalOfItsAddress) {
+  direct_world world({Entry(1)});
+  const verdict placed = OpenAndAsk(world, 1, AtMs(0));
+  routing_table empty{.version = 2};
+  TakeTable(world.state, empty);
+  EXPECT_EQ(world.Send(1, placed.mark, 150, 5, 1, AtMs(50)).what,
+            verdict_kind::kForward);
+  EXPECT_EQ(world.Open(2, AtMs(50)).what, verdict_kind::kRefuse);
+}
+
+TEST(DirectForwarder, SplitsNewFlowsByWeight) {
+  direct_world world({Entry(1), Entry(2, kHome, "drawing-archive")});
+  routing_table table = Table(2);
+  table.addresses[0].shares = {{kService, 90}, {"drawing-archive", 10}};
+  TakeTable(world.state, table);
+  constexpr uint32_t kFlows = 4000;
+  uint32_t to_archive = 0;
+  for (uint32_t caller = 0; caller < kFlows; ++caller)
+    to_archive += world.Open(caller, AtMs(0)).upstream == 2 ? 1 : 0;
+  EXPECT_NEAR(to_archive, kFlows / 10, kFlows / 50);
+}
+
+TEST(DirectForwarder, SpreadsFlowsEvenlyOverTheOwnDomain) {
+  direct_world world({Entry(1), Entry(2), Entry(3), Entry(4, kAway)});
+  for (uint32_t caller = 0; caller < 30; ++caller)
+    OpenAndAsk(world, caller, AtMs(caller * 10));
+  for (upstream_id id : {1, 2, 3}) EXPECT_EQ(world.Known(id).load.flows, 10U);
+  EXPECT_EQ(world.Known(4).load.flows, 0U);
+}
+
+TEST(DirectForwarder, OtherDomainsServeWhereTheOwnHasNone) {
+  upstream_entry leaving = Entry(1);
+  leaving.leaving = true;
+  direct_world world({leaving, Entry(4, kAway)});
+  EXPECT_EQ(world.Open(1, AtMs(0)).upstream, 4U);
+}
+
+// Upstreams differ in speed and flows last: the fast one gets more of them.
+TEST(DirectForwarder, FasterUpstreamGetsMoreFlows) {
+  direct_world world({Entry(1), Entry(2)});
+  for (uint32_t caller = 0; caller < 60; ++caller) {
+    const time_point at = AtMs(caller * 1000);
+    const verdict placed = OpenAndAsk(world, caller, at);
+    const duration work = placed.upstream == 1 ? 10ms : 30ms;
+    world.Send(caller, placed.mark, 150, 0, 500, at + 9ms + work);
+  }
+  EXPECT_NEAR(world.Known(1).load.flows, 45, 3);
+}
+
+TEST(DirectForwarder, CopyOfAnUnansweredOpeningGoesElsewhere) {
+  direct_world world({Entry(1), Entry(2), Entry(4, kAway)});
+  const verdict first = world.Open(1, AtMs(0));
+  const verdict second = world.Open(1, AtMs(200), 1);
+  const verdict third = world.Open(1, AtMs(600), 2);
+  EXPECT_NE(first.upstream, second.upstream);
+  EXPECT_NE(second.upstream, third.upstream);
+}
+
+TEST(DirectForwarder, DuplicateAndLateCopiesStayWhereTheFlowIs) {
+  direct_world world({Entry(1), Entry(2)});
+  const verdict placed = world.Open(1, AtMs(0));
+  EXPECT_EQ(world.Open(1, AtMs(1)).upstream, placed.upstream);
+  world.Send(1, placed.mark, 100, 50, 1, AtMs(9));
+  EXPECT_EQ(world.Open(1, AtMs(200), 1).upstream, placed.upstream);
+  EXPECT_EQ(world.Known(placed.upstream).load.flows, 1U);
+}
+
+// A crashed upstream refuses openings itself: the caller opens another flow at
+// once, and this balancer sees nothing but an opening without a sequel.
+TEST(DirectForwarder, RefusedOpeningsKeepNewFlowsAway) {
+  direct_world world({Entry(1), Entry(4, kAway)});
+  EXPECT_EQ(world.Open(1, AtMs(0)).upstream, 1U);
+  EXPECT_EQ(world.Open(2, AtMs(60)).upstream, 4U);
+  // It is tried again, now and then.
+  EXPECT_EQ(world.Open(3, AtMs(300)).upstream, 1U);
+  EXPECT_EQ(world.Open(4, AtMs(600)).upstream, 4U);
+  EXPECT_EQ(world.Open(5, AtMs(810)).upstream, 1U);
+  world.Send(5, FlowMark(1), 100, 50, 1, AtMs(819));
+  EXPECT_EQ(world.Open(6, AtMs(820)).upstream, 1U);
+}
+
+/// Flows on one upstream that falls silent at 1 s: their data goes unanswered.
+struct silent_world : direct_world {
+  explicit silent_world(const endpoint& to) : direct_world({Entry(1)}) {
+    for (uint32_t caller : {1, 2}) {
+      OpenAndAsk(*this, caller, AtMs(0), to);
+      Send(caller, FlowMark(1), 150, 50, 500, AtMs(1000), to);
+    }
+  }
+};
+
+TEST(DirectForwarder, ResetsIdempotentFlowsOfASilentUpstream) {
+  silent_world world(kFeedAddress);
+  EXPECT_EQ(world.Send(1, FlowMark(1), 150, 50, 500, AtMs(1200)).what,
+            verdict_kind::kForward);
+  EXPECT_EQ(world.Send(2, FlowMark(1), 150, 50, 500, AtMs(1300)).what,
+            verdict_kind::kForward);
+  EXPECT_EQ(world.Send(1, FlowMark(1), 150, 50, 500, AtMs(1600)),
+            (verdict{.what = verdict_kind::kRefuse,
+                     .reason = verdict_reason::kSilentUpstream}));
+  // Also a flow whose request is new: it has time left to go elsewhere.
+  EXPECT_EQ(world.Send(3, FlowMark(1), 100, 50, 1, AtMs(1601)).what,
+            verdict_kind::kRefuse);
+}
+
+TEST(DirectForwarder, NeverResetsNonIdempotentFlows) {
+  silent_world world(kOrderAddress);
+  for (int64_t ms : {1200, 1600, 2400, 4000})
+    for (uint32_t caller : {1, 2})
+      EXPECT_EQ(
+          world.Send(caller, FlowMark(1), 150, 50, 500, AtMs(ms), kOrderAddress)
+              .what,
+          verdict_kind::kForward);
+}
+
+TEST(DirectForwarder, OneSignOfLifeEndsTheSilence) {
+  silent_world world(kFeedAddress);
+  world.Send(1, FlowMark(1), 150, 50, 500, AtMs(1200));
+  world.Send(2, FlowMark(1), 150, 50, 500, AtMs(1300));
+  world.Send(2, FlowMark(1), 200, 0, 900, AtMs(1350));
+  EXPECT_EQ(world.Send(1, FlowMark(1), 150, 50, 500, AtMs(1600)).what,
+            verdict_kind::kForward);
+}
+
+// After a pause of this process, data and its repetitions arrive together.
+TEST(DirectForwarder, BurstOfRepetitionsAfterAPauseIsNoSilence) {
+  silent_world world(kFeedAddress);
+  world.Send(1, FlowMark(1), 200, 50, 500, AtMs(5000));
+  for (int copy = 0; copy < 4; ++copy)
+    EXPECT_EQ(world.Send(1, FlowMark(1), 200, 50, 500, AtMs(5001)).what,
+              verdict_kind::kForward);
+}
+
+// Slow upstreams answer late, but acknowledge: nothing is repeated.
+TEST(DirectForwarder, SlowUpstreamKeepsItsFlows) {
+  silent_world world(kFeedAddress);
+  for (uint32_t caller : {1, 2})
+    EXPECT_EQ(world.Send(caller, FlowMark(1), 200, 0, 900, AtMs(3000)).what,
+              verdict_kind::kForward);
+  EXPECT_GT(world.Known(1).load.answer_s, 1.0);
+}
+
+}  // namespace
+}  // namespace radishyard
