Count short answers and overdue requests as failures of their upstream

Answers cannot be read, but the callers' acknowledgements tell their size: 152 to 157 B for errors, 780 to 1,200 B for the rest. Time to answer counts no less than half the mean in placement. A balancer of many sees too few answers of one upstream in the 6 s that such trouble lasts; sharing within the domain is next.

--- a/include/radishyard/direct.h
+++ b/include/radishyard/direct.h
@@ -5,6 +5,7 @@
 // and a flow_tracker; direct_balancer runs it on sockets.
 // docs/design/platform.md explains when this form of forwarding applies.
 #pragma once
+#include "direct/answer_sizes.h"
 #include "direct/direct_balancer.h"
 #include "direct/direct_counters.h"
 #include "direct/direct_packet.h"
--- /dev/null
+++ b/src/direct/answer_sizes.cc
@@ -0,0 +1,29 @@
+// Comparison of an answer's size with the usual one.
+#include "direct/answer_sizes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishyard {
+namespace {
+
+constexpr double kSampleWeight = 0.05;
+/// Answers seen before any is called small.
+constexpr uint32_t kFirstSamples = 10;
+/// Part of the usual size below which an answer is small.
+constexpr double kSmallPart = 0.25;
+
+}  // namespace
+
+bool LearnSize(answer_sizes& sizes, const endpoint& address, uint32_t bytes) {
+  answer_size& usual = sizes[address];
+  const double log_bytes = std::log(std::max(1U, bytes));
+  const bool is_small = usual.samples >= kFirstSamples &&
+                        log_bytes < usual.log_bytes + std::log(kSmallPart);
+  ++usual.samples;
+  const double weight = std::max(kSampleWeight, 1.0 / usual.samples);
+  usual.log_bytes += weight * (log_bytes - usual.log_bytes);
+  return is_small;
+}
+
+}  // namespace radishyard
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -34,7 +34,7 @@
 /// Packets kept until table and upstreams are known, so that callers need not
 /// send them again: a fraction of a second at a high rate.
 constexpr size_t kHeldPackets = 1024;
-constexpr duration kUpkeepInterval = 1s;
+constexpr duration kUpkeepInterval = 200ms;
 
 udp::endpoint ToUdp(const endpoint& e) {
   return {asio::ip::address_v4(e.address), e.port};
@@ -267,8 +267,10 @@
   }
 
   void Upkeep() {
+    const time_point now = clock::now();
+    FindOverdue(state_.tracker, state_.directory, now);
     ForgetIdle(state_.tracker, state_.directory, state_.table.idle_timeout,
-               clock::now());
+               now);
     upkeep_.expires_after(kUpkeepInterval);
     upkeep_.async_wait([this](error_code error) {
       if (!error) Upkeep();
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -16,6 +16,11 @@
 /// here, such as by a pause of this process.
 constexpr duration kShortestRepetition = 150ms;
 
+/// A request that waits for this many usual times to answer has failed, unless
+/// the time is short.
+constexpr double kOverdueAnswers = 8;
+constexpr double kShortestOverdueS = 0.3;
+
 using flow_iterator = absl::flat_hash_map<flow_key, tracked_flow>::iterator;
 
 void EndWaiting(tracked_flow& flow, upstream_directory& directory) {
@@ -56,19 +61,27 @@
   flow.sent_at = now;
   if (flow.is_waiting) return;
   flow.is_waiting = true;
+  flow.is_overdue = false;
   flow.requested_at = now;
   ++upstream.load.waiting;
 }
 
 /// The caller's acknowledgement: where it moves, the upstream has answered.
-void TrackAcknowledgement(tracked_flow& flow, upstream_directory& directory,
+void TrackAcknowledgement(flow_tracker& tracker, tracked_flow& flow,
+                          upstream_directory& directory,
                           const direct_packet& packet, known_upstream& upstream,
                           time_point now) {
   if (!IsAfter(packet.acknowledged, flow.acknowledged)) return;
+  const uint32_t bytes = packet.acknowledged - flow.acknowledged;
   flow.acknowledged = packet.acknowledged;
   LearnAlive(upstream.load);
   if (!flow.is_waiting) return;
   LearnAnswer(upstream.load, now - flow.requested_at);
+  const bool is_small = LearnSize(tracker.sizes, packet.flow.service, bytes);
+  if (is_small)
+    LearnFailure(upstream.load, now);
+  else if (!flow.is_overdue)
+    LearnSuccess(upstream.load);
   EndWaiting(flow, directory);
 }
 
@@ -126,7 +139,7 @@
     if (was_opened_here) Confirm(tracker, flow, upstream, now);
     Adopt(flow, packet);
   }
-  TrackAcknowledgement(flow, directory, packet, upstream, now);
+  TrackAcknowledgement(tracker, flow, directory, packet, upstream, now);
   if (packet.length > 0) TrackData(flow, packet, upstream, now);
   if (ends) Forget(tracker, directory, at);
 }
@@ -157,6 +170,21 @@
   return forgotten;
 }
 
+void FindOverdue(flow_tracker& tracker, upstream_directory& directory,
+                 time_point now) {
+  for (auto& [key, flow] : tracker.flows) {
+    if (!flow.is_waiting || flow.is_overdue) continue;
+    known_upstream* const u = FindByMark(directory, flow.mark);
+    if (u == nullptr) continue;
+    const double bound_s =
+        std::max(kShortestOverdueS, kOverdueAnswers * u->load.answer_s);
+    const std::chrono::duration<double> waited = now - flow.requested_at;
+    if (waited.count() < bound_s) continue;
+    flow.is_overdue = true;
+    LearnFailure(u->load, now);
+  }
+}
+
 void RecountFlows(const flow_tracker& tracker, upstream_directory& directory) {
   for (auto& [id, known] : directory.upstreams) {
     known.load.flows = 0;
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "direct/answer_sizes.h"
 #include "direct/direct_packet.h"
 #include "direct/upstream_directory.h"
 
@@ -27,6 +28,7 @@
   uint32_t acknowledged = 0;   ///< Highest acknowledgement of the caller.
   bool is_open = false;        ///< A packet after the opening was seen.
   bool is_waiting = false;     ///< A request has no acknowledged answer yet.
+  bool is_overdue = false;     ///< That request has counted as failed.
   time_point requested_at{};   ///< Valid while waiting.
   time_point sent_at{};        ///< When the last new data or opening went on.
   time_point seen_at{};
@@ -41,6 +43,7 @@
   size_t limit = kTrackedFlows;
   /// Smoothed time from an opening to the caller's next packet.
   double confirm_s = kFirstConfirmS;
+  answer_sizes sizes;
 };
 
 /// \brief An opening is overdue after this time.
@@ -66,6 +69,11 @@
 size_t ForgetIdle(flow_tracker& tracker, upstream_directory& directory,
                   duration idle_timeout, time_point now);
 
+/// \brief Counts requests as failed that wait far longer than usual at their
+/// upstream. To be called a few times a second.
+void FindOverdue(flow_tracker& tracker, upstream_directory& directory,
+                 time_point now);
+
 /// \brief Counts the flows of each upstream anew, after the directory changed.
 void RecountFlows(const flow_tracker& tracker, upstream_directory& directory);
 
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -8,6 +8,9 @@
 
 /// Time to answer of an upstream where none was seen yet, in seconds.
 constexpr double kUnknownAnswerS = 0.02;
+/// Upstreams differ in speed by a factor of a few. One that seems faster than
+/// this part of the mean probably fails its requests.
+constexpr double kFastest = 0.5;
 /// An upstream that has just started works slower by this factor.
 constexpr double kColdFactor = 1.6;
 
@@ -19,7 +22,7 @@
 preference PreferenceOf(const known_upstream& u,
                         const placement_request& request, time_point now) {
   if (u.mark == request.avoided) return preference::kAvoided;
-  if (IsDoubted(u.load, request.confirm_bound, now))
+  if (IsFailing(u.load, now) || IsDoubted(u.load, request.confirm_bound, now))
     return preference::kDoubted;
   return u.entry.domain == request.domain ? preference::kLocal
                                           : preference::kRemote;
@@ -39,7 +42,9 @@
 
 /// Grows with the time that one more flow would wait for its answers.
 double CostOf(const known_upstream& u, double typical, time_point now) {
-  const double answer = u.load.answers == 0 ? typical : u.load.answer_s;
+  const double answer = u.load.answers == 0
+                            ? typical
+                            : std::max(u.load.answer_s, typical * kFastest);
   const double cold = u.cold_until > now ? kColdFactor : 1.0;
   const double slots = std::max(1U, u.entry.slots);
   return (u.load.flows + 1) * answer * cold / slots;
--- a/src/direct/upstream_load.cc
+++ b/src/direct/upstream_load.cc
@@ -8,6 +8,12 @@
 
 /// Weight of a new sample once there are enough of them.
 constexpr double kSampleWeight = 0.08;
+/// Weight of one request in the failure rate.
+constexpr double kFailureWeight = 0.2;
+/// Above this rate new flows avoid the upstream: two failures in a row.
+constexpr double kFailingRate = 0.3;
+/// Without further failures, the upstream gets new flows again after this.
+constexpr duration kFailureMemory = 3s;
 /// Wait for the next opening after a first unanswered one; doubles with each.
 constexpr duration kFirstRetry = 250ms;
 constexpr uint32_t kMostDoublings = 4;
@@ -25,6 +31,20 @@
   load.answer_s += weight * (took_s - load.answer_s);
 }
 
+void LearnSuccess(upstream_load& load) {
+  load.failure_rate *= 1 - kFailureWeight;
+}
+
+void LearnFailure(upstream_load& load, time_point now) {
+  load.failure_rate += kFailureWeight * (1 - load.failure_rate);
+  load.failed_at = now;
+}
+
+bool IsFailing(const upstream_load& load, time_point now) {
+  return load.failure_rate > kFailingRate &&
+         now - load.failed_at < kFailureMemory;
+}
+
 void LearnAlive(upstream_load& load) {
   load.unanswered = 0;
   load.repetitions = 0;
--- a/src/direct/upstream_load.h
+++ b/src/direct/upstream_load.h
@@ -21,12 +21,25 @@
   uint32_t repetitions = 0;   ///< Repeated data among them.
   time_point silent_since{};  ///< First of them; valid if there are any.
   time_point tried_at{};      ///< Last opening placed.
+  double failure_rate = 0;    ///< Smoothed share of requests that failed.
+  time_point failed_at{};  ///< Last failed request; valid if the rate is > 0.
   auto operator<=>(const upstream_load&) const = default;
 };
 
 /// \brief Takes the time from a request to the acknowledgement of its answer.
 void LearnAnswer(upstream_load& load, duration took);
 
+/// \brief A request has succeeded, as far as that can be seen from here.
+void LearnSuccess(upstream_load& load);
+
+/// \brief A request has failed: its answer was far smaller than usual, or did
+/// not come in time.
+void LearnFailure(upstream_load& load, time_point now);
+
+/// \brief True while new flows should avoid the upstream because too many of
+/// its requests fail.
+bool IsFailing(const upstream_load& load, time_point now);
+
 /// \brief The upstream has answered: it is alive and reached.
 void LearnAlive(upstream_load& load);
 
--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -205,5 +205,52 @@
   EXPECT_GT(world.Known(1).load.answer_s, 1.0);
 }
 
+/// Serves one request of a caller on an open flow: `bytes` of answer after
+/// `work`. \returns the next sequence number.
+uint32_t Serve(direct_world& world, uint32_t caller, uint32_t mark,
+               uint32_t sequence, uint32_t bytes, duration work,
+               time_point at) {
+  world.Send(caller, mark, sequence, 50, sequence * 100, at);
+  world.Send(caller, mark, sequence + 50, 0, sequence * 100 + bytes, at + work);
+  return sequence + 50;
+}
+
+// An upstream that fails its requests answers fast: it must not attract flows.
+TEST(DirectForwarder, ShortErrorAnswersKeepNewFlowsAway) {
+  direct_world world({Entry(1), Entry(2)});
+  for (uint32_t caller : {1, 2}) {
+    const verdict placed = OpenAndAsk(world, caller, AtMs(0));
+    uint32_t sequence = 100;
+    for (int64_t i = 0; i < 10; ++i)
+      sequence = Serve(world, caller, placed.mark, sequence, 1000, 20ms,
+                       AtMs(100 + i * 100));
+    for (int64_t i = 0; i < 2 && placed.upstream == 1; ++i)
+      sequence = Serve(world, caller, placed.mark, sequence, 150, 2ms,
+                       AtMs(2000 + i * 100));
+  }
+  for (uint32_t caller = 3; caller < 13; ++caller) {
+    const time_point at = AtMs(2200 + caller * 10);
+    EXPECT_EQ(OpenAndAsk(world, caller, at).upstream, 2U);
+  }
+  // It is tried again some seconds after the last failure.
+  EXPECT_EQ(world.Open(13, AtMs(5200)).upstream, 1U);
+}
+
+// Requests that hang, or whose flow the upstream has reset, never end here.
+TEST(DirectForwarder, OverdueRequestsKeepNewFlowsAway) {
+  direct_world world({Entry(1), Entry(2)});
+  for (uint32_t caller : {1, 2, 3, 4}) {
+    const verdict placed = OpenAndAsk(world, caller, AtMs(0));
+    if (placed.upstream == 2)
+      world.Send(caller, placed.mark, 150, 0, 1000, AtMs(30));
+  }
+  FindOverdue(world.state.tracker, world.state.directory, AtMs(400));
+  FindOverdue(world.state.tracker, world.state.directory, AtMs(600));
+  EXPECT_TRUE(IsFailing(world.Known(1).load, AtMs(600)));
+  EXPECT_FALSE(IsFailing(world.Known(2).load, AtMs(600)));
+  for (uint32_t caller = 5; caller < 10; ++caller)
+    EXPECT_EQ(OpenAndAsk(world, caller, AtMs(600 + caller * 20)).upstream, 2U);
+}
+
 }  // namespace
 }  // namespace radishyard
