Log every decision within a budget, never waiting; explain a flow from logs

Beliefs about upstreams, repeated data, drops, resets and lost or regained dependencies have a line each. radishyardctl explain walks from a flow's id to its cause.

--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -31,6 +31,7 @@
     "  settle EDIT_ID SERVICE       tell whether an edit was accepted\n"
     "  status                       show what is in force on which balancer\n"
     "  flows                        sum up flows over all balancers\n"
+    "  explain FLOW -f LOG          tell from logs what became of a flow\n"
     "\n";
 
 enum option_id : int { kFile = 1, kPlatform, kOutput, kAfter };
@@ -121,7 +122,7 @@
       poptOption{"platform", 'p', POPT_ARG_STRING, &raw.text, kPlatform,
                  "address of the platform's store", "ADDRESS:PORT"},
       poptOption{"file", 'f', POPT_ARG_STRING, &raw.text, kFile,
-                 "a file with a service, or a folder of them", "FILE"},
+                 "a file with a service, a folder of them, or a log", "FILE"},
       poptOption{"base", 'b', POPT_ARG_STRING, &raw.base, 0,
                  "the file or folder that the edit was made from", "FILE"},
       poptOption{"merge", 'm', POPT_ARG_NONE, &raw.merge, 0,
--- a/src/ctl/run_command.cc
+++ b/src/ctl/run_command.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 
+#include "ctl/explain.h"
 #include "ctl/table_commands.h"
 
 namespace radishyard {
@@ -61,6 +62,10 @@
   return Flows(c.store, c.fetch);
 }
 
+command_result RunExplain(const command_line& line, const command_context&) {
+  return Explain(line.arguments[0], line.files);
+}
+
 constexpr std::array kCommands{
     command_entry{"validate", 1, kAnyNumber, false, false, RunValidate},
     command_entry{"diff", 0, 0, true, true, RunDiff},
@@ -74,7 +79,8 @@
     command_entry{"delete", 1, 1, false, true, RunDelete},
     command_entry{"settle", 2, 2, false, true, RunSettle},
     command_entry{"status", 0, 0, false, true, RunStatus},
-    command_entry{"flows", 0, 0, false, true, RunFlows}};
+    command_entry{"flows", 0, 0, false, true, RunFlows},
+    command_entry{"explain", 1, 1, true, false, RunExplain}};
 
 command_result Usage(const std::string& text) {
   return {exit_code::kUsage,
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -227,25 +227,49 @@
       return;
     }
     if (packet->opens && packet->copy > 0) ++counters_.opening_copies;
-    const verdict decided = Decide(state_, *packet, clock::now());
+    const time_point now = clock::now();
+    const verdict decided = Decide(state_, *packet, now);
     ++counters_.verdicts[static_cast<size_t>(decided.reason)];
-    LogOpening(*packet, decided);
+    LogDecision(*packet, decided, now);
     if (decided.what == verdict_kind::kForward)
       Forward(datagram, *packet, decided);
     if (decided.what == verdict_kind::kRefuse) SendRefusal(*packet);
   }
 
-  void LogOpening(const direct_packet& packet, const verdict& decided) const {
-    const bool is_refused = decided.what == verdict_kind::kRefuse;
-    if (!packet.opens && !is_refused) return;
-    Log(severity::kInfo, packet.opens ? "opening" : "flow_reset",
-        {{"flow", ToString(packet.flow)},
-         {"copy", uint64_t{packet.copy}},
-         {"decision", radishyard::NameOf(decided.reason)},
-         {"upstream", HexText(decided.upstream)},
-         {"mark", uint64_t{decided.mark}},
-         {"version", state_.table.version},
-         {"revision", state_.directory.revision}});
+  /// One line for each decision but the ordinary one, to send on by the mark.
+  void LogDecision(const direct_packet& packet, const verdict& decided,
+                   time_point now) const {
+    if (packet.opens) {
+      Log(severity::kInfo, "opening",
+          {{"flow", ToString(packet.flow)},
+           {"copy", uint64_t{packet.copy}},
+           {"decision", radishyard::NameOf(decided.reason)},
+           {"upstream", HexText(decided.upstream)},
+           {"mark", uint64_t{decided.mark}},
+           {"table", state_.table.version},
+           {"revision", state_.directory.revision},
+           {"age_ms", AgeMs(now)}});
+    } else if (decided.what != verdict_kind::kForward) {
+      Log(severity::kWarn,
+          decided.what == verdict_kind::kRefuse ? "flow_reset"
+                                                : "packet_dropped",
+          {{"flow", ToString(packet.flow)},
+           {"decision", radishyard::NameOf(decided.reason)},
+           {"mark", uint64_t{packet.mark}},
+           {"revision", state_.directory.revision},
+           {"age_ms", AgeMs(now)}});
+    } else if (decided.repeats) {
+      Log(severity::kWarn, "data_repeated",
+          {{"flow", ToString(packet.flow)},
+           {"upstream", HexText(decided.upstream)},
+           {"unanswered_ms",
+            static_cast<uint64_t>(ToMs(now - *decided.repeats))}});
+    }
+  }
+
+  /// Age of what is known of the upstreams.
+  uint64_t AgeMs(time_point now) const {
+    return static_cast<uint64_t>(ToMs(now - state_.directory.read_at));
   }
 
   void Forward(mutable_bytes datagram, const direct_packet& packet,
@@ -266,9 +290,26 @@
     if (error) ++counters_.send_failures;
   }
 
+  void LogBeliefs(time_point now) {
+    for (const belief_change& change : ReviewBeliefs(state_, now)) {
+      const upstream_load& load =
+          state_.directory.upstreams.at(change.upstream).load;
+      Log(severity::kInfo, "upstream_believed",
+          {{"upstream", HexText(change.upstream)},
+           {"before", radishyard::NameOf(change.before)},
+           {"after", radishyard::NameOf(change.after)},
+           {"unanswered", uint64_t{load.unanswered}},
+           {"repetitions", uint64_t{load.repetitions}},
+           {"failure_percent", static_cast<uint64_t>(100 * load.failure_rate)},
+           {"flows", uint64_t{load.flows}},
+           {"answer_ms", static_cast<uint64_t>(1000 * load.answer_s)}});
+    }
+  }
+
   void Upkeep() {
     const time_point now = clock::now();
     FindOverdue(state_.tracker, state_.directory, now);
+    LogBeliefs(now);
     ForgetIdle(state_.tracker, state_.directory, state_.table.idle_timeout,
                now);
     upkeep_.expires_after(kUpkeepInterval);
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -49,21 +49,24 @@
 }
 
 /// The caller's data: a new request, or a repetition of what went unanswered.
-void TrackData(tracked_flow& flow, const direct_packet& packet,
-               known_upstream& upstream, time_point now) {
+/// \returns for a repetition, when the data was first sent on.
+std::optional<time_point> TrackData(tracked_flow& flow,
+                                    const direct_packet& packet,
+                                    known_upstream& upstream, time_point now) {
   const uint32_t end = packet.sequence + packet.length;
   if (!IsAfter(end, flow.next_sequence)) {
-    if (now - flow.sent_at >= kShortestRepetition)
-      LearnRepetition(upstream.load, flow.sent_at);
-    return;
+    if (now - flow.sent_at < kShortestRepetition) return std::nullopt;
+    LearnRepetition(upstream.load, flow.sent_at);
+    return flow.sent_at;
   }
   flow.next_sequence = end;
   flow.sent_at = now;
-  if (flow.is_waiting) return;
+  if (flow.is_waiting) return std::nullopt;
   flow.is_waiting = true;
   flow.is_overdue = false;
   flow.requested_at = now;
   ++upstream.load.waiting;
+  return std::nullopt;
 }
 
 /// The caller's acknowledgement: where it moves, the upstream has answered.
@@ -118,14 +121,16 @@
   LearnTried(upstream.load, now);
 }
 
-void TrackPacket(flow_tracker& tracker, upstream_directory& directory,
-                 const direct_packet& packet, known_upstream& upstream,
-                 time_point now) {
+std::optional<time_point> TrackPacket(flow_tracker& tracker,
+                                      upstream_directory& directory,
+                                      const direct_packet& packet,
+                                      known_upstream& upstream,
+                                      time_point now) {
   const bool ends = packet.finishes || packet.resets;
   auto at = tracker.flows.find(packet.flow);
   if (at == tracker.flows.end()) {
     const bool is_worth = packet.length > 0 && !ends;
-    if (!is_worth || tracker.flows.size() >= tracker.limit) return;
+    if (!is_worth || tracker.flows.size() >= tracker.limit) return std::nullopt;
     at = tracker.flows.try_emplace(packet.flow).first;
   }
   tracked_flow& flow = at->second;
@@ -140,8 +145,10 @@
     Adopt(flow, packet);
   }
   TrackAcknowledgement(tracker, flow, directory, packet, upstream, now);
-  if (packet.length > 0) TrackData(flow, packet, upstream, now);
+  std::optional<time_point> repeats;
+  if (packet.length > 0) repeats = TrackData(flow, packet, upstream, now);
   if (ends) Forget(tracker, directory, at);
+  return repeats;
 }
 
 duration ConfirmBound(const flow_tracker& tracker) {
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "base/time.h"
@@ -56,9 +57,11 @@
 
 /// \brief Learns from a packet of an open flow that goes to `upstream`. Only
 /// data makes an unknown flow known: an ended one still acknowledges.
-void TrackPacket(flow_tracker& tracker, upstream_directory& directory,
-                 const direct_packet& packet, known_upstream& upstream,
-                 time_point now);
+/// \returns for data that the caller repeats, when it was first sent on.
+std::optional<time_point> TrackPacket(flow_tracker& tracker,
+                                      upstream_directory& directory,
+                                      const direct_packet& packet,
+                                      known_upstream& upstream, time_point now);
 
 /// \brief Forgets a flow, if it is known.
 void ForgetFlow(flow_tracker& tracker, upstream_directory& directory,
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -81,12 +81,15 @@
   if (packet.opens) return Place(state, packet, now);
   known_upstream* const upstream = FindByMark(state.directory, packet.mark);
   if (upstream == nullptr) return Drop(verdict_reason::kUnknownMark);
-  TrackPacket(state.tracker, state.directory, packet, *upstream, now);
+  const auto repeats =
+      TrackPacket(state.tracker, state.directory, packet, *upstream, now);
   if (IsLost(state, packet, *upstream, now)) {
     ForgetFlow(state.tracker, state.directory, packet.flow);
     return Refuse(verdict_reason::kSilentUpstream);
   }
-  return Forward(*upstream, verdict_reason::kMarked);
+  verdict decided = Forward(*upstream, verdict_reason::kMarked);
+  decided.repeats = repeats;
+  return decided;
 }
 
 bool TakeTable(forwarder& state, routing_table table) {
@@ -105,6 +108,17 @@
   return changes;
 }
 
+std::vector<belief_change> ReviewBeliefs(forwarder& state, time_point now) {
+  std::vector<belief_change> changes;
+  const duration bound = ConfirmBound(state.tracker);
+  for (auto& [id, known] : state.directory.upstreams) {
+    const upstream_belief after = BeliefOf(known.load, bound, now);
+    if (after != known.believed) changes.push_back({id, known.believed, after});
+    known.believed = after;
+  }
+  return changes;
+}
+
 bool IsReady(const forwarder& state) {
   return state.table.version != 0 && state.directory.is_filled;
 }
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,9 @@
   upstream_id upstream = 0;
   endpoint to;
   uint32_t mark = 0;  ///< What the packet has to carry.
+  /// When this balancer first sent on data that the caller repeats now; nothing
+  /// for new data.
+  std::optional<time_point> repeats;
   auto operator<=>(const verdict&) const = default;
 };
 
@@ -70,6 +74,17 @@
                                             const upstream_list& list,
                                             time_point read_at, time_point now);
 
+/// \brief A belief that has changed.
+struct belief_change {
+  upstream_id upstream = 0;
+  upstream_belief before = upstream_belief::kGood;
+  upstream_belief after = upstream_belief::kGood;
+  auto operator<=>(const belief_change&) const = default;
+};
+
+/// \brief Compares the beliefs with those of the last call.
+std::vector<belief_change> ReviewBeliefs(forwarder& state, time_point now);
+
 /// \brief True once packets can be placed: table and upstreams are known.
 bool IsReady(const forwarder& state);
 
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -33,6 +33,7 @@
   time_point gone_since{};     ///< Valid while kGone.
   time_point missing_since{};  ///< Unlisted, but perhaps for an outage only.
   upstream_load load;
+  upstream_belief believed = upstream_belief::kGood;  ///< As last logged.
 };
 
 /// \brief What an update changed, for log and tests.
--- a/src/direct/upstream_load.cc
+++ b/src/direct/upstream_load.cc
@@ -2,6 +2,7 @@
 #include "direct/upstream_load.h"
 
 #include <algorithm>
+#include <array>
 
 namespace radishyard {
 namespace {
@@ -24,6 +25,20 @@
 
 }  // namespace
 
+std::string_view NameOf(upstream_belief belief) {
+  constexpr std::array<std::string_view, 4> kNames{"good", "doubted", "failing",
+                                                   "silent"};
+  return kNames.at(static_cast<size_t>(belief));
+}
+
+upstream_belief BeliefOf(const upstream_load& load, duration bound,
+                         time_point now) {
+  if (IsSilent(load, now)) return upstream_belief::kSilent;
+  if (IsFailing(load, now)) return upstream_belief::kFailing;
+  if (IsDoubted(load, bound, now)) return upstream_belief::kDoubted;
+  return upstream_belief::kGood;
+}
+
 void LearnAnswer(upstream_load& load, duration took) {
   const double took_s = std::chrono::duration<double>(took).count();
   ++load.answers;
--- a/src/direct/upstream_load.h
+++ b/src/direct/upstream_load.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <compare>
 #include <cstdint>
+#include <string_view>
 
 #include "base/time.h"
 
@@ -26,6 +27,16 @@
   auto operator<=>(const upstream_load&) const = default;
 };
 
+/// \brief What a balancer believes of an upstream, worst last.
+enum class upstream_belief : uint8_t { kGood, kDoubted, kFailing, kSilent };
+
+/// \brief The belief as logs spell it.
+std::string_view NameOf(upstream_belief belief);
+
+/// \brief What the load tells; \param bound as for IsDoubted().
+upstream_belief BeliefOf(const upstream_load& load, duration bound,
+                         time_point now);
+
 /// \brief Takes the time from a request to the acknowledgement of its answer.
 void LearnAnswer(upstream_load& load, duration took);
 
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -1,14 +1,17 @@
-// The only file that includes log4cxx.
+// The log over log4cxx, within a budget of lines.
 #include "observe/log.h"
 
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 #include <array>
+#include <mutex>
+
+#include "observe/log_budget.h"
+#include "observe/stdout_appender.h"
 
 namespace radishyard {
 namespace {
@@ -36,6 +39,17 @@
   return logger;
 }
 
+/// The budget of this process; its threads share it.
+struct shared_budget {
+  std::mutex mutex;
+  log_budget budget;
+};
+
+shared_budget& Budget() {
+  static shared_budget budget;
+  return budget;
+}
+
 void AppendValue(std::string& line, std::string_view value) {
   if (!value.empty() &&
       value.find_first_of(" \"=\n\\") == std::string_view::npos) {
@@ -73,8 +87,8 @@
   const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
   log4cxx::AppenderPtr appender;
   if (file == "-") {
-    appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+    appender = std::make_shared<internal::stdout_appender>();
+    appender->setLayout(layout);
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
   }
@@ -88,7 +102,16 @@
          std::initializer_list<log_field> fields) {
   const log4cxx::LoggerPtr& logger = OpenedLogger();
   if (!logger || !logger->isEnabledFor(ToLevel(level))) return;
-  logger->forcedLog(ToLevel(level), FormatLine(event, fields));
+  shared_budget& shared = Budget();
+  const std::lock_guard lock(shared.mutex);
+  const time_point now = std::chrono::steady_clock::now();
+  for (const suppressed_lines& left_out : Renew(shared.budget, now))
+    logger->forcedLog(
+        ToLevel(severity::kWarn),
+        FormatLine("log_lines_suppressed",
+                   {{"of", left_out.event}, {"lines", left_out.lines}}));
+  if (Admit(shared.budget, event))
+    logger->forcedLog(ToLevel(level), FormatLine(event, fields));
 }
 
 }  // namespace radishyard
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -20,12 +20,15 @@
   std::string value;
 };
 
-/// \brief Opens the log. \param file path, or "-" for the standard error
-/// stream.
+/// \brief Opens the log. \param file path, or "-" for standard output, where a
+/// line that its reader has no room for is dropped and counted.
 void OpenLog(std::string_view program, severity least, const std::string& file);
 
 /// \brief Writes one line: time=... level=... event=NAME key=value ...
 ///
+/// Of one event, kLinesPerSecond lines are written in a second; the rest is
+/// counted and told by one line, "log_lines_suppressed".
+///
 /// \code
 /// Log(severity::kInfo, "table_adopted", {{"service", name}, {"version",
 /// version}}); \endcode
--- /dev/null
+++ b/src/observe/stdout_appender.h
@@ -0,0 +1,33 @@
+// The log4cxx appender for standard output. It never waits: a line that the
+// reader of the output has no room for is dropped and counted.
+#pragma once
+#include <log4cxx/appenderskeleton.h>
+
+#include <cstdint>
+
+namespace radishyard::internal {
+
+// The macros of log4cxx name its namespaces without qualification.
+namespace helpers = log4cxx::helpers;
+namespace spi = log4cxx::spi;
+using log4cxx::AppenderSkeleton;
+
+/// \brief Writes whole lines, or nothing of them.
+class stdout_appender : public log4cxx::AppenderSkeleton {
+ public:
+  DECLARE_LOG4CXX_OBJECT(stdout_appender)
+  BEGIN_LOG4CXX_CAST_MAP()
+  LOG4CXX_CAST_ENTRY(stdout_appender)
+  LOG4CXX_CAST_ENTRY_CHAIN(AppenderSkeleton)
+  END_LOG4CXX_CAST_MAP()
+
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override;
+  void close() override {}
+  bool requiresLayout() const override { return true; }
+
+ private:
+  uint64_t dropped_ = 0;  ///< Lines since the last one written.
+};
+
+}  // namespace radishyard::internal
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -19,7 +19,7 @@
 /// \brief Where and what to log.
 struct log_settings {
   log_level level = log_level::kInfo;
-  std::string file = "-";  ///< "-" is the standard error stream.
+  std::string file = "-";  ///< "-" is standard output.
   auto operator<=>(const log_settings&) const = default;
 };
 
--- /dev/null
+++ b/test/explain_test.cc
@@ -0,0 +1,96 @@
+// The walk from a flow's id to its cause.
+#include "ctl/explain.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace radishyard {
+namespace {
+
+using testing::HasSubstr;
+
+constexpr const char* kFlow = "tcp 10.1.0.7:4000 > 198.51.100.1:7000";
+
+std::string Line(const std::string& second, const std::string& rest) {
+  return "time=2026-01-02T03:04:" + second + ".000Z level=INFO program=x " +
+         rest + "\n";
+}
+
+std::string OfFlow(const std::string& event, const std::string& rest) {
+  return "event=" + event + " flow=\"" + kFlow + "\" " + rest;
+}
+
+flow_explanation ExplainText(const std::string& text,
+                             const std::string& flow = kFlow) {
+  std::istringstream in(text);
+  return ExplainFlow(flow, ReadLogLines(in, "rennes-1.log"));
+}
+
+TEST(LogLines, ReadsPairsQuotesAndPrefixes) {
+  const auto line = ParseLogLine(
+      "  12.5 rennes-1 time=T level=WARN program=p event=e a=1 b=\"x "
+      "\\\"y\\\"\"",
+      "all.log");
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->source, "all.log:rennes-1");
+  EXPECT_EQ(line->event, "e");
+  EXPECT_EQ(Field(*line, "b"), "x \"y\"");
+  EXPECT_EQ(Field(*line, "none"), "");
+  EXPECT_FALSE(ParseLogLine("some other program's line", "f"));
+  EXPECT_FALSE(ParseLogLine("time=T without an event", "f"));
+}
+
+TEST(Explain, OpeningThatWasNeverAnswered) {
+  const auto result = ExplainText(
+      Line("01", OfFlow("opening", "copy=0 decision=placed upstream=a1")) +
+      Line("02", OfFlow("opening", "copy=1 decision=placed upstream=b2")) +
+      Line("03", "event=upstream_believed upstream=a1 after=doubted") +
+      Line("04", "event=upstream_believed upstream=c3 after=doubted"));
+  EXPECT_THAT(result.cause, HasSubstr("2 copies"));
+  EXPECT_THAT(result.upstreams, testing::ElementsAre("a1", "b2"));
+  EXPECT_EQ(result.lines.size(), 3U);
+}
+
+TEST(Explain, FlowThatFellSilentWithItsUpstream) {
+  const auto result = ExplainText(
+      Line("05", "event=upstream_gone upstream=a1 revision=9") +
+      Line("01", OfFlow("opening", "copy=0 decision=placed upstream=a1")) +
+      Line("04", OfFlow("data_repeated", "upstream=a1 unanswered_ms=600")));
+  EXPECT_THAT(result.cause, HasSubstr("upstream a1"));
+  EXPECT_THAT(result.cause, HasSubstr("600 ms"));
+  ASSERT_EQ(result.lines.size(), 3U);
+  EXPECT_EQ(result.lines[2].event, "upstream_gone");
+}
+
+TEST(Explain, Refusal) {
+  const auto result = ExplainText(Line(
+      "01", OfFlow("opening",
+                   "decision=no_upstream upstream=0 revision=7 age_ms=900")));
+  EXPECT_THAT(result.cause, HasSubstr("no ready upstream at revision 7"));
+  EXPECT_THAT(result.cause, HasSubstr("has not run"));
+  EXPECT_TRUE(result.upstreams.empty());
+}
+
+TEST(Explain, CallerAloneFindsTheFlow) {
+  const auto result =
+      ExplainText(Line("01", OfFlow("flow_reset", "decision=silent_upstream")),
+                  "10.1.0.7:4000");
+  EXPECT_THAT(result.cause, HasSubstr("no longer answered"));
+  EXPECT_THAT(ExplainText("", "10.1.0.7:4000").cause, HasSubstr("no balancer"));
+}
+
+TEST(Explain, CommandReadsFilesAndReportsThoseItCannot) {
+  const std::string file = testing::TempDir() + "/explain.log";
+  std::ofstream(file) << Line(
+      "01", OfFlow("opening", "copy=0 decision=placed upstream=a1"));
+  const command_result result = Explain("10.1.0.7:4000", {file});
+  EXPECT_THAT(result.text, HasSubstr("cause: placed on upstream a1"));
+  EXPECT_THAT(result.text, HasSubstr("explain.log opening"));
+  EXPECT_NE(Explain(kFlow, {file + ".none"}).code, exit_code::kDone);
+}
+
+}  // namespace
+}  // namespace radishyard
