Only an acknowledgement alone tells of an answer

A request carried the acknowledgement of an answer from before; its own had gone through another balancer while the rotation changed. Ruled out: a late answer of the upstream, late copies of the opening.

--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -69,7 +69,22 @@
   return std::nullopt;
 }
 
+/// Takes the answer of the flow's request, as far as it can be seen.
+void TakeAnswer(flow_tracker& tracker, tracked_flow& flow,
+                upstream_directory& directory, known_upstream& upstream,
+                const direct_packet& packet, uint32_t bytes, time_point now) {
+  LearnAnswer(upstream.load, now - flow.requested_at);
+  const bool is_small = LearnSize(tracker.sizes, packet.flow.service, bytes);
+  if (is_small)
+    LearnFailure(upstream.load, now);
+  else if (!flow.is_overdue)
+    LearnSuccess(upstream.load);
+  EndWaiting(flow, directory);
+}
+
 /// The caller's acknowledgement: where it moves, the upstream has answered.
+/// Only one that comes alone is prompt; a new request or an end may carry that
+/// of an answer from long ago, whose own acknowledgement went another way.
 void TrackAcknowledgement(flow_tracker& tracker, tracked_flow& flow,
                           upstream_directory& directory,
                           const direct_packet& packet, known_upstream& upstream,
@@ -77,15 +92,11 @@
   if (!IsAfter(packet.acknowledged, flow.acknowledged)) return;
   const uint32_t bytes = packet.acknowledged - flow.acknowledged;
   flow.acknowledged = packet.acknowledged;
+  const bool is_prompt = packet.length == 0 && !packet.finishes;
+  if (!is_prompt) return EndWaiting(flow, directory);
   LearnAlive(upstream.load);
-  if (!flow.is_waiting) return;
-  LearnAnswer(upstream.load, now - flow.requested_at);
-  const bool is_small = LearnSize(tracker.sizes, packet.flow.service, bytes);
-  if (is_small)
-    LearnFailure(upstream.load, now);
-  else if (!flow.is_overdue)
-    LearnSuccess(upstream.load);
-  EndWaiting(flow, directory);
+  if (flow.is_waiting)
+    TakeAnswer(tracker, flow, directory, upstream, packet, bytes, now);
 }
 
 /// The first packet after an opening: the upstream has accepted the flow.
@@ -114,6 +125,7 @@
     return;
   tracked_flow& flow = tracker.flows[packet.flow];
   if (flow.mark != 0) Leave(flow, directory);
+  flow.was_opened_here = true;
   flow.is_open = false;
   flow.sent_at = now;
   flow.seen_at = now;
@@ -140,8 +152,7 @@
   }
   flow.seen_at = now;
   if (!flow.is_open) {
-    const bool was_opened_here = flow.sent_at != time_point{};
-    if (was_opened_here) Confirm(tracker, flow, upstream, now);
+    if (flow.was_opened_here) Confirm(tracker, flow, upstream, now);
     Adopt(flow, packet);
   }
   TrackAcknowledgement(tracker, flow, directory, packet, upstream, now);
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -24,14 +24,15 @@
 
 /// \brief What is remembered of a flow.
 struct tracked_flow {
-  uint32_t mark = 0;           ///< Upstream that the flow is on.
-  uint32_t next_sequence = 0;  ///< After the last byte that the caller sent.
-  uint32_t acknowledged = 0;   ///< Highest acknowledgement of the caller.
-  bool is_open = false;        ///< A packet after the opening was seen.
-  bool is_waiting = false;     ///< A request has no acknowledged answer yet.
-  bool is_overdue = false;     ///< That request has counted as failed.
-  time_point requested_at{};   ///< Valid while waiting.
-  time_point sent_at{};        ///< When the last new data or opening went on.
+  uint32_t mark = 0;             ///< Upstream that the flow is on.
+  uint32_t next_sequence = 0;    ///< After the last byte that the caller sent.
+  uint32_t acknowledged = 0;     ///< Highest acknowledgement of the caller.
+  bool was_opened_here = false;  ///< Its opening was placed by this balancer.
+  bool is_open = false;          ///< A packet after the opening was seen.
+  bool is_waiting = false;       ///< A request has no acknowledged answer yet.
+  bool is_overdue = false;       ///< That request has counted as failed.
+  time_point requested_at{};     ///< Valid while waiting.
+  time_point sent_at{};          ///< When the last new data or opening went on.
   time_point seen_at{};
 };
 
--- a/src/direct/upstream_directory.cc
+++ b/src/direct/upstream_directory.cc
@@ -25,7 +25,7 @@
   known.entry = entry;
   known.phase = PhaseOf(entry);
   known.cold_until = now + entry.cold_for;
-  known.missing_since = {};
+  known.is_missing = false;
 }
 
 /// \returns what the entry changes, or nothing.
@@ -50,11 +50,11 @@
 std::optional<change> Miss(const upstream_directory& directory,
                            known_upstream& known, time_point now) {
   if (known.phase == upstream_phase::kGone) return std::nullopt;
-  const bool is_excused = directory.regained_at != time_point{} &&
-                          now - directory.regained_at < kReturnGrace;
+  const bool is_excused =
+      directory.regained_at && now - *directory.regained_at < kReturnGrace;
   if (is_excused) {
-    if (known.missing_since != time_point{}) return std::nullopt;
-    known.missing_since = now;
+    if (known.is_missing) return std::nullopt;
+    known.is_missing = true;
     return change::kMissing;
   }
   known.phase = upstream_phase::kGone;
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -30,8 +30,8 @@
   /// new flows; the other gets none.
   bool owns_mark = true;
   time_point cold_until{};
-  time_point gone_since{};     ///< Valid while kGone.
-  time_point missing_since{};  ///< Unlisted, but perhaps for an outage only.
+  time_point gone_since{};  ///< Valid while kGone.
+  bool is_missing = false;  ///< Unlisted, but perhaps for an outage only.
   upstream_load load;
   upstream_belief believed = upstream_belief::kGood;  ///< As last logged.
 };
@@ -56,8 +56,8 @@
 struct upstream_directory {
   uint64_t revision = 0;  ///< Of the last list taken.
   bool is_filled = false;
-  time_point read_at{};      ///< When the last list was current.
-  time_point regained_at{};  ///< End of the last outage of the registry.
+  time_point read_at{};                   ///< When the last list was current.
+  std::optional<time_point> regained_at;  ///< End of the last outage.
   std::map<upstream_id, known_upstream> upstreams;
   absl::flat_hash_map<uint32_t, known_upstream*> by_mark;
   std::map<std::string, std::vector<known_upstream*>> ready;
--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -149,6 +149,7 @@
   explicit silent_world(const endpoint& to) : direct_world({Entry(1)}) {
     for (uint32_t caller : {1, 2}) {
       OpenAndAsk(*this, caller, AtMs(0), to);
+      Send(caller, FlowMark(1), 150, 0, 500, AtMs(30), to);
       Send(caller, FlowMark(1), 150, 50, 500, AtMs(1000), to);
     }
   }
--- a/test/direct_tracker_test.cc
+++ b/test/direct_tracker_test.cc
@@ -35,6 +35,20 @@
   EXPECT_NEAR(world.Known(1).load.answer_s, 0.040, 1e-6);
 }
 
+// Found by an incident: the acknowledgement of an old answer came with the next
+// request, for its own had gone through another balancer, and an upstream that
+// had been silent for two seconds passed for alive.
+TEST(DirectTracker, AcknowledgementWithANewRequestIsNoSignOfLife) {
+  direct_world world({Entry(1)});
+  const verdict placed = world.Open(1, AtMs(0));
+  world.Send(1, placed.mark, 100, 50, 1, AtMs(9));
+  world.Open(2, AtMs(1000));
+  world.Send(1, placed.mark, 150, 50, 900, AtMs(2000));
+  EXPECT_EQ(world.Known(1).load.answers, 0U);
+  EXPECT_EQ(world.Known(1).load.unanswered, 1U);
+  EXPECT_EQ(world.Known(1).load.waiting, 1U);
+}
+
 TEST(DirectTracker, SequenceNumbersWrap) {
   direct_world world({Entry(1)});
   const verdict placed = world.Open(1, AtMs(0));
