Balancers of a domain share views and observations; two of them read the platform

Reports over UDP once a second carry digest and age of the list, the table's version and what was learned; a newer view is fetched over TCP from the balancer that has it. Whoever hears nothing fresh reads the store itself; a start without the store takes a peer's view. Ruled out: staleOk readings, seconds old beyond any bound of DRAIN; watches of the registry, which return at each heartbeat.

--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -7,6 +7,7 @@
 #include "admin/admin_server.h"
 #include "direct/direct_counters.h"
 #include "direct/forwarder.h"
+#include "direct/peer_exchange.h"
 #include "direct/registry_follower.h"
 #include "observe/log.h"
 
@@ -35,6 +36,10 @@
 /// send them again: a fraction of a second at a high rate.
 constexpr size_t kHeldPackets = 1024;
 constexpr duration kUpkeepInterval = 200ms;
+/// A balancer that is told by others reads itself once its list is older than
+/// this many intervals, or the table has not been confirmed for so long.
+constexpr double kStaleIntervals = 1.5;
+constexpr duration kTableUnconfirmed = 2s;
 
 udp::endpoint ToUdp(const endpoint& e) {
   return {asio::ip::address_v4(e.address), e.port};
@@ -65,7 +70,10 @@
         socket_(io, ToUdp(config.traffic)),
         upkeep_(io),
         stop_(io),
-        follower_(io, source, TimesFor(config), Handlers(),
+        peers_(io, {config.peer, config.domain, config.size}, config.peers,
+               state_, PeerHandlers()),
+        times_(TimesFor(config)),
+        follower_(io, source, times_, Handlers(),
                   std::hash<std::string>()(config.name)) {
     state_.domain = config.domain;
     socket_.non_blocking(true);
@@ -79,6 +87,7 @@
     Log(severity::kInfo, "started",
         {{"name", config_.name}, {"domain", config_.domain}});
     follower_.Start();
+    peers_.Start();
     Receive();
     Upkeep();
   }
@@ -93,7 +102,7 @@
 
   void Reconfigure(const direct_settings& config) {
     config_.stop_grace = config.stop_grace;
-    config_.peers = config.peers;
+    peers_.SetSeeds(config.peers);
   }
 
  private:
@@ -104,7 +113,48 @@
             .on_state =
                 [this](const std::string& name, const std::string& reason) {
                   TakeState(name, reason);
-                }};
+                },
+            .needs_list = [this] { return NeedsList(clock::now()); },
+            .needs_table = [this] { return NeedsTable(clock::now()); }};
+  }
+
+  exchange_handlers PeerHandlers() {
+    return {.on_snapshot =
+                [this](const endpoint& peer, const snapshot_effect& effect) {
+                  TakePeerView(peer, effect);
+                },
+            .follows_table = [this] { return follower_.follows_table(); }};
+  }
+
+  bool NeedsList(time_point now) const {
+    if (!state_.directory.is_filled || peers_.IsReader(now)) return true;
+    const auto stale = std::chrono::duration_cast<duration>(
+        times_.list_interval * kStaleIntervals);
+    return now - state_.directory.read_at > stale;
+  }
+
+  bool NeedsTable(time_point now) const {
+    return peers_.IsReader(now) ||
+           now - peers_.table_confirmed_at() > kTableUnconfirmed;
+  }
+
+  void TakePeerView(const endpoint& peer, const snapshot_effect& effect) {
+    Log(severity::kInfo, "peer_view",
+        {{"peer", ToString(peer)},
+         {"table", state_.table.version},
+         {"revision", state_.directory.revision},
+         {"age_ms", AgeMs(clock::now())},
+         {"table_taken", effect.table_taken ? "yes" : "no"},
+         {"list_taken", effect.list_taken ? "yes" : "no"}});
+    LogChanges(effect.changes, state_.directory.revision);
+    BecomeReady();
+  }
+
+  void LogChanges(const std::vector<directory_change>& changes,
+                  uint64_t revision) const {
+    for (const directory_change& change : changes)
+      Log(severity::kInfo, NameOf(change.what),
+          {{"upstream", HexText(change.upstream)}, {"revision", revision}});
   }
 
   void OpenPages() {
@@ -129,31 +179,31 @@
 
   void TakeList(const upstream_list& list, time_point at) {
     ++counters_.lists;
-    const bool was_ready = IsReady(state_);
-    for (const directory_change& change :
-         TakeUpstreams(state_, list, at, clock::now()))
-      Log(severity::kInfo, NameOf(change.what),
-          {{"upstream", HexText(change.upstream)},
-           {"revision", list.revision}});
-    BecomeReady(was_ready);
+    const uint64_t before = state_.digest;
+    LogChanges(TakeUpstreams(state_, list, at, clock::now()), list.revision);
+    BecomeReady();
+    if (peers_.IsReader(clock::now()) || state_.digest != before)
+      peers_.ReportNow();
   }
 
   void TakeNewTable(routing_table table) {
-    const bool was_ready = IsReady(state_);
     const uint64_t version = table.version;
     const uint64_t addresses = table.addresses.size();
     const bool taken = TakeTable(state_, std::move(table));
     if (taken) ++counters_.tables;
     Log(severity::kInfo, taken ? "table_taken" : "table_older",
         {{"version", version}, {"addresses", addresses}});
-    BecomeReady(was_ready);
+    BecomeReady();
+    if (taken) peers_.ReportNow();
   }
 
-  void BecomeReady(bool was_ready) {
-    if (was_ready || !IsReady(state_)) return;
+  void BecomeReady() {
+    if (was_ready_ || !IsReady(state_)) return;
+    was_ready_ = true;
     Log(severity::kInfo, "ready",
         {{"version", state_.table.version},
          {"upstreams", uint64_t{state_.directory.upstreams.size()}},
+         {"age_ms", AgeMs(clock::now())},
          {"held_packets", uint64_t{held_.size()}}});
     HandleHeld();
   }
@@ -323,6 +373,7 @@
   const packet_codec& codec_;
   forwarder state_;
   direct_counters counters_;
+  bool was_ready_ = false;
   bool is_leaving_ = false;
   std::array<uint8_t, kDatagramBytes> buffer_{};
   std::vector<std::vector<uint8_t>> held_;  ///< Until ready, with headroom.
@@ -332,6 +383,8 @@
   asio::steady_timer stop_;
   std::optional<admin_server> ready_page_;
   std::optional<admin_server> metrics_page_;
+  peer_exchange peers_;
+  follower_times times_;
   registry_follower follower_;
 };
 
--- a/src/direct/direct_settings.cc
+++ b/src/direct/direct_settings.cc
@@ -67,6 +67,18 @@
         std::chrono::duration<double, std::milli>(ms));
   }
 
+  /// Any positive share of a core, in thousandths.
+  void Size(const char* key, uint32_t& value) const {
+    const json& member = Member(document, key);
+    if (member.is_null()) return;
+    const double share = member.is_number() ? member.get<double>() : 0;
+    constexpr double kMostCores = 1024;
+    if (share <= 0 || share > kMostCores)
+      return found.Add(Pointer("", key), "is not between 0 and 1024");
+    constexpr double kThousandths = 1000;
+    value = std::max(1U, static_cast<uint32_t>(share * kThousandths));
+  }
+
   void Level(const char* key, log_level& value) const {
     const json& member = Member(document, key);
     if (member.is_null()) return;
@@ -88,6 +100,7 @@
   direct_settings s;
   reader.Name("name", s.name);
   reader.Name("domain", s.domain);
+  reader.Size("cores", s.size);
   reader.Address("traffic", s.traffic);
   reader.Address("ready", s.ready);
   reader.Address("metrics", s.metrics);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -18,6 +18,7 @@
 struct direct_settings {
   std::string name;
   std::string domain;  ///< Failure domain.
+  uint32_t size = 1;   ///< Relative capacity of the VM.
   endpoint traffic;    ///< Where callers' packets arrive (UDP). Callers take
                        ///< refusals at the same port of theirs.
   endpoint ready;      ///< Readiness page (HTTP).
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "direct/placement.h"
+#include "direct/view_sharing.h"
 
 namespace radishyard {
 namespace {
@@ -102,8 +103,11 @@
                                             const upstream_list& list,
                                             time_point read_at,
                                             time_point now) {
+  if (list.revision < state.directory.revision) return {};
   std::vector<directory_change> changes =
       Update(state.directory, list, read_at, now);
+  state.listed = list;
+  state.digest = ListDigest(list);
   if (!changes.empty()) RecountFlows(state.tracker, state.directory);
   return changes;
 }
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -59,6 +59,8 @@
   std::string domain;  ///< Failure domain of this balancer.
   routing_table table;
   upstream_directory directory;
+  upstream_list listed;  ///< The last list taken.
+  uint64_t digest = 0;   ///< Of `listed`.
   flow_tracker tracker;
 };
 
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -35,6 +35,8 @@
 
 void registry_follower::List() {
   if (list_.is_waiting) return;
+  if (handlers_.needs_list && !handlers_.needs_list())
+    return After(list_, times_.review, [this] { List(); });
   list_.is_waiting = true;
   const time_point asked_at = clock::now();
   source_.ListUpstreams(
@@ -60,12 +62,21 @@
       });
 }
 
+void registry_follower::NextTable(uint64_t revision) {
+  if (!handlers_.needs_table || handlers_.needs_table())
+    return WatchTable(revision);
+  After(table_, times_.review, [this, revision] { NextTable(revision); });
+}
+
 void registry_follower::WatchTable(uint64_t revision) {
+  is_watching_ = true;
   source_.WatchTable(
       revision, times_.watch_wait,
       [this, alive = std::weak_ptr(alive_)](
           const std::optional<table_reading>& read, const failure& why) {
-        if (!alive.expired()) TakeTable(read, why);
+        if (alive.expired()) return;
+        is_watching_ = false;
+        TakeTable(read, why);
       });
 }
 
@@ -74,7 +85,7 @@
   if (!read) return Fail(table_, why, &registry_follower::ReadTable);
   Succeed(table_);
   if (read->table) handlers_.on_table(*read->table);
-  WatchTable(read->revision);
+  NextTable(read->revision);
 }
 
 void registry_follower::Succeed(reading& what) {
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -16,6 +16,7 @@
 struct follower_times {
   duration list_interval = 1200ms;  ///< Between two readings of the registry.
   duration watch_wait = 10s;        ///< Longest wait for a change of the table.
+  duration review = 150ms;  ///< Between two looks whether a reading is needed.
   backoff_policy backoff{.first = 100ms, .longest = 800ms};
   auto operator<=>(const follower_times&) const = default;
 };
@@ -28,6 +29,10 @@
   /// A dependency ("upstreams", "table") was lost, with the reason, or
   /// regained, with an empty one.
   std::function<void(const std::string&, const std::string&)> on_state;
+  /// Whether this balancer has to read the upstreams or the table itself, or
+  /// learns them from others. Nothing set: it reads.
+  std::function<bool()> needs_list;
+  std::function<bool()> needs_table;
 };
 
 /// \brief Follows a registry until destroyed.
@@ -41,8 +46,8 @@
   void Start();
   /// \brief Lists at once, unless a call is on its way.
   void ListNow();
-  /// \brief Failed readings of the registry since the last good one.
-  unsigned list_failures() const { return list_.failures; }
+  /// \brief True while the table is watched and no call for it has failed.
+  bool follows_table() const { return is_watching_ && table_.failures == 0; }
 
  private:
   /// One of the two readings.
@@ -55,6 +60,7 @@
 
   void List();
   void ReadTable();
+  void NextTable(uint64_t revision);
   void WatchTable(uint64_t revision);
   void TakeTable(const std::optional<table_reading>& read, const failure& why);
   void Succeed(reading& what);
@@ -68,6 +74,7 @@
   uint64_t seed_;
   reading list_;
   reading table_;
+  bool is_watching_ = false;  ///< A watch of the table is on its way.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/direct/upstream_directory.cc
+++ b/src/direct/upstream_directory.cc
@@ -128,6 +128,12 @@
   return changes;
 }
 
+void ConfirmList(upstream_directory& directory, uint64_t revision,
+                 time_point read_at) {
+  directory.revision = std::max(directory.revision, revision);
+  directory.read_at = std::max(directory.read_at, read_at);
+}
+
 known_upstream* FindByMark(const upstream_directory& directory, uint32_t mark) {
   const auto found = directory.by_mark.find(mark);
   return found == directory.by_mark.end() ? nullptr : found->second;
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -77,6 +77,11 @@
                                      const upstream_list& list,
                                      time_point read_at, time_point now);
 
+/// \brief The last list was found to hold still at `revision`, read at
+/// `read_at`.
+void ConfirmList(upstream_directory& directory, uint64_t revision,
+                 time_point read_at);
+
 /// \brief The upstream that a flow's mark names, or null where it is unknown.
 known_upstream* FindByMark(const upstream_directory& directory, uint32_t mark);
 
--- a/src/direct/upstream_load.cc
+++ b/src/direct/upstream_load.cc
@@ -10,8 +10,8 @@
 /// Weight of a new sample once there are enough of them.
 constexpr double kSampleWeight = 0.08;
 /// Weight of one request in the failure rate.
-constexpr double kFailureWeight = 0.2;
-/// Above this rate new flows avoid the upstream: two failures in a row.
+constexpr double kFailureWeight = 0.12;
+/// Above this rate new flows avoid the upstream: three failures in a row.
 constexpr double kFailingRate = 0.3;
 /// Without further failures, the upstream gets new flows again after this.
 constexpr duration kFailureMemory = 3s;
@@ -42,6 +42,8 @@
 void LearnAnswer(upstream_load& load, duration took) {
   const double took_s = std::chrono::duration<double>(took).count();
   ++load.answers;
+  ++load.unreported.answers;
+  load.unreported.answer_s += took_s;
   const double weight = std::max(kSampleWeight, 1.0 / load.answers);
   load.answer_s += weight * (took_s - load.answer_s);
 }
@@ -53,6 +55,7 @@
 void LearnFailure(upstream_load& load, time_point now) {
   load.failure_rate += kFailureWeight * (1 - load.failure_rate);
   load.failed_at = now;
+  ++load.unreported.failures;
 }
 
 bool IsFailing(const upstream_load& load, time_point now) {
--- a/src/direct/upstream_load.h
+++ b/src/direct/upstream_load.h
@@ -24,6 +24,13 @@
   time_point tried_at{};      ///< Last opening placed.
   double failure_rate = 0;    ///< Smoothed share of requests that failed.
   time_point failed_at{};  ///< Last failed request; valid if the rate is > 0.
+  /// Requests that ended and that other balancers were not told of yet.
+  struct recent {
+    uint32_t answers = 0;
+    double answer_s = 0;  ///< Sum over the answers.
+    uint32_t failures = 0;
+    auto operator<=>(const recent&) const = default;
+  } unreported;
   auto operator<=>(const upstream_load&) const = default;
 };
 
--- /dev/null
+++ b/src/direct/view_sharing.cc
@@ -0,0 +1,182 @@
+// Conversion between views and messages, and merging.
+#include "direct/view_sharing.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace radishyard {
+namespace {
+
+/// Most samples of one report that count, so that one balancer's word does not
+/// outweigh what is seen here.
+constexpr uint32_t kMostSamples = 4;
+
+uint64_t Hash(const std::string& text, uint64_t seed) {
+  return XXH64(text.data(), text.size(), seed);
+}
+
+uint64_t EntryHash(const upstream_entry& e) {
+  const uint64_t words[] = {
+      e.id,    e.address.address,       e.address.port,
+      e.slots, e.leaving ? 1ULL : 0ULL, static_cast<uint64_t>(e.born_ms)};
+  return Hash(e.domain, Hash(e.service, XXH64(words, sizeof words, 0)));
+}
+
+uint32_t Milliseconds(duration d) {
+  return static_cast<uint32_t>(std::clamp<int64_t>(ToMs(d), 0, UINT32_MAX));
+}
+
+view_address ToMessage(const published_address& row) {
+  view_address m{.address = row.address,
+                 .requests = static_cast<uint8_t>(row.requests),
+                 .timeout_ms = Milliseconds(row.timeout),
+                 .objective_ms = Milliseconds(row.objective),
+                 .priority = row.priority};
+  for (const service_share& share : row.shares)
+    m.shares.push_back({share.service, share.weight});
+  return m;
+}
+
+published_address FromMessage(const view_address& m) {
+  const auto worst = static_cast<uint8_t>(request_class::kDownload);
+  published_address row{.address = m.address,
+                        .requests = m.requests <= worst
+                                        ? request_class(m.requests)
+                                        : request_class::kNonIdempotent,
+                        .timeout = milliseconds(m.timeout_ms),
+                        .objective = milliseconds(m.objective_ms),
+                        .priority = m.priority};
+  for (const view_share& share : m.shares)
+    row.shares.push_back({share.service, share.weight});
+  return row;
+}
+
+view_upstream ToMessage(const upstream_entry& e) {
+  return {.id = e.id,
+          .service = e.service,
+          .address = e.address,
+          .domain = e.domain,
+          .slots = e.slots,
+          .leaving = e.leaving,
+          .cold_ms = Milliseconds(e.cold_for),
+          .born_ms = static_cast<uint64_t>(e.born_ms)};
+}
+
+upstream_entry FromMessage(const view_upstream& m) {
+  return {.id = m.id,
+          .service = m.service,
+          .address = m.address,
+          .domain = m.domain,
+          .slots = m.slots,
+          .leaving = m.leaving,
+          .cold_for = milliseconds(m.cold_ms),
+          .born_ms = static_cast<int64_t>(m.born_ms)};
+}
+
+routing_table TableOf(const view_snapshot& snapshot) {
+  routing_table table{.version = snapshot.table_version,
+                      .idle_timeout = milliseconds(snapshot.idle_timeout_ms)};
+  for (const view_address& row : snapshot.addresses)
+    if (!row.shares.empty()) table.addresses.push_back(FromMessage(row));
+  std::sort(table.addresses.begin(), table.addresses.end(),
+            [](const auto& a, const auto& b) { return a.address < b.address; });
+  return table;
+}
+
+}  // namespace
+
+uint64_t ListDigest(const upstream_list& list) {
+  uint64_t digest = 0;
+  for (const upstream_entry& entry : list.upstreams) digest += EntryHash(entry);
+  return digest;
+}
+
+view_snapshot ToSnapshot(const forwarder& state, uint64_t table_version,
+                         time_point now) {
+  view_snapshot snapshot{
+      .table_version = state.table.version,
+      .idle_timeout_ms = Milliseconds(state.table.idle_timeout),
+      .revision = state.listed.revision,
+      .age_ms = Milliseconds(now - state.directory.read_at)};
+  if (table_version < state.table.version)
+    for (const published_address& row : state.table.addresses)
+      snapshot.addresses.push_back(ToMessage(row));
+  for (const upstream_entry& entry : state.listed.upstreams)
+    snapshot.upstreams.push_back(ToMessage(entry));
+  return snapshot;
+}
+
+snapshot_effect TakeSnapshot(forwarder& state, const view_snapshot& snapshot,
+                             time_point now) {
+  snapshot_effect effect;
+  if (snapshot.table_version > state.table.version &&
+      !snapshot.addresses.empty())
+    effect.table_taken = TakeTable(state, TableOf(snapshot));
+  const bool is_newer =
+      snapshot.revision != 0 && snapshot.revision > state.directory.revision;
+  if (!is_newer) return effect;
+  upstream_list list{.revision = snapshot.revision};
+  for (const view_upstream& m : snapshot.upstreams)
+    list.upstreams.push_back(FromMessage(m));
+  const time_point read_at = now - milliseconds(snapshot.age_ms);
+  effect.list_taken = true;
+  effect.changes = TakeUpstreams(state, list, read_at, now);
+  return effect;
+}
+
+report_effect TakeReport(forwarder& state, const view_report& report,
+                         time_point now) {
+  if (report.table_version > state.table.version) return report_effect::kFetch;
+  if (report.revision < state.directory.revision || report.revision == 0)
+    return report_effect::kNone;
+  if (report.digest != state.digest || !state.directory.is_filled)
+    return report.revision > state.directory.revision ? report_effect::kFetch
+                                                      : report_effect::kNone;
+  const time_point read_at = now - milliseconds(report.age_ms);
+  if (read_at <= state.directory.read_at) return report_effect::kNone;
+  // An outage ends by a list, which may miss upstreams that are back soon.
+  ConfirmList(state.directory, report.revision, read_at);
+  return report_effect::kConfirmed;
+}
+
+std::vector<upstream_events> TakeEvents(forwarder& state) {
+  std::vector<upstream_events> events;
+  for (auto& [id, known] : state.directory.upstreams) {
+    upstream_load::recent& recent = known.load.unreported;
+    if (recent.answers + recent.failures == 0) continue;
+    const double mean_s =
+        recent.answers == 0 ? 0 : recent.answer_s / recent.answers;
+    constexpr double kMicroseconds = 1e6;
+    events.push_back({id, recent.answers,
+                      static_cast<uint32_t>(mean_s * kMicroseconds),
+                      recent.failures});
+    recent = {};
+  }
+  std::stable_sort(events.begin(), events.end(),
+                   [](const upstream_events& a, const upstream_events& b) {
+                     return std::pair(a.failures, a.answers) >
+                            std::pair(b.failures, b.answers);
+                   });
+  if (events.size() > kReportedUpstreams) events.resize(kReportedUpstreams);
+  return events;
+}
+
+void LearnEvents(forwarder& state, const std::vector<upstream_events>& events,
+                 time_point now) {
+  for (const upstream_events& e : events) {
+    const auto found = state.directory.upstreams.find(e.upstream);
+    if (found == state.directory.upstreams.end()) continue;
+    upstream_load& load = found->second.load;
+    const upstream_load::recent own = load.unreported;
+    const uint32_t failures = std::min(e.failures, kMostSamples);
+    const uint32_t answers = std::min(e.answers, kMostSamples);
+    for (uint32_t i = 0; i < answers; ++i)
+      LearnAnswer(load, microseconds(e.answer_us));
+    for (uint32_t i = failures; i < answers; ++i) LearnSuccess(load);
+    for (uint32_t i = 0; i < failures; ++i) LearnFailure(load, now);
+    load.unreported = own;  // Each balancer reports what it saw itself.
+  }
+}
+
+}  // namespace radishyard
--- /dev/null
+++ b/src/direct/view_sharing.h
@@ -0,0 +1,54 @@
+// What balancers make of each other's views: snapshots, freshness, and pooled
+// observations of upstreams.
+#pragma once
+#include <cstdint>
+#include <vector>
+
+#include "base/time.h"
+#include "direct/forwarder.h"
+#include "direct/view_message.h"
+
+namespace radishyard {
+
+/// \brief Digest of what placement depends on in a list: the same on every
+/// balancer, whatever the order. Not of the time that upstreams stay cold.
+uint64_t ListDigest(const upstream_list& list);
+
+/// \brief The view of `state` for a balancer that has `table_version`.
+view_snapshot ToSnapshot(const forwarder& state, uint64_t table_version,
+                         time_point now);
+
+/// \brief What a snapshot changed.
+struct snapshot_effect {
+  bool table_taken = false;
+  bool list_taken = false;
+  std::vector<directory_change> changes;
+};
+
+/// \brief Takes whatever is newer in a snapshot.
+snapshot_effect TakeSnapshot(forwarder& state, const view_snapshot& snapshot,
+                             time_point now);
+
+/// \brief What a report calls for.
+enum class report_effect : uint8_t {
+  kNone,
+  kConfirmed,  ///< The list here is what the store held when the other read it.
+  kFetch,      ///< The other knows more: ask it for a snapshot.
+};
+
+/// \brief Compares a report with the view here and takes its freshness.
+report_effect TakeReport(forwarder& state, const view_report& report,
+                         time_point now);
+
+/// \brief Most upstreams of one report, so that it fits a datagram.
+inline constexpr size_t kReportedUpstreams = 32;
+
+/// \brief Takes what was learned since the last call out of the loads, the
+/// upstreams with failures first.
+std::vector<upstream_events> TakeEvents(forwarder& state);
+
+/// \brief Learns from another balancer's events as from own ones.
+void LearnEvents(forwarder& state, const std::vector<upstream_events>& events,
+                 time_point now);
+
+}  // namespace radishyard
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -104,6 +104,43 @@
   return std::tie(m.domain, m.service, m.flows);
 }
 
+template <is<view_member> T>
+auto Fields(T& m) {
+  return std::tie(m.peer, m.domain, m.size);
+}
+template <is<upstream_events> T>
+auto Fields(T& m) {
+  return std::tie(m.upstream, m.answers, m.answer_us, m.failures);
+}
+template <is<view_report> T>
+auto Fields(T& m) {
+  return std::tie(m.self, m.wants_reply, m.follows_table, m.table_version,
+                  m.revision, m.digest, m.age_ms, m.members, m.events);
+}
+template <is<view_request> T>
+auto Fields(T& m) {
+  return std::tie(m.table_version);
+}
+template <is<view_share> T>
+auto Fields(T& m) {
+  return std::tie(m.service, m.weight);
+}
+template <is<view_address> T>
+auto Fields(T& m) {
+  return std::tie(m.address, m.shares, m.requests, m.timeout_ms, m.objective_ms,
+                  m.priority);
+}
+template <is<view_upstream> T>
+auto Fields(T& m) {
+  return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.leaving,
+                  m.cold_ms, m.born_ms);
+}
+template <is<view_snapshot> T>
+auto Fields(T& m) {
+  return std::tie(m.table_version, m.idle_timeout_ms, m.addresses, m.revision,
+                  m.age_ms, m.upstreams);
+}
+
 void Write(packer& to, bool value) { to.pack(value); }
 
 template <std::unsigned_integral T>
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "direct/view_message.h"
 #include "roster/domain_summary.h"
 #include "roster/roster.h"
 #include "table/table_set.h"
@@ -133,6 +134,7 @@
 /// alternatives are only appended.
 using peer_message =
     std::variant<hello, heartbeat, heartbeat_ack, table_digest, table_records,
-                 roster_record, handover_chunk, handover_ack, flow_witness>;
+                 roster_record, handover_chunk, handover_ack, flow_witness,
+                 view_report, view_request, view_snapshot>;
 
 }  // namespace radishyard
--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -225,9 +225,9 @@
     for (int64_t i = 0; i < 10; ++i)
       sequence = Serve(world, caller, placed.mark, sequence, 1000, 20ms,
                        AtMs(100 + i * 100));
-    for (int64_t i = 0; i < 2 && placed.upstream == 1; ++i)
+    for (int64_t i = 0; i < 4 && placed.upstream == 1; ++i)
       sequence = Serve(world, caller, placed.mark, sequence, 150, 2ms,
-                       AtMs(2000 + i * 100));
+                       AtMs(2000 + i * 40));
   }
   for (uint32_t caller = 3; caller < 13; ++caller) {
     const time_point at = AtMs(2200 + caller * 10);
@@ -240,7 +240,7 @@
 // Requests that hang, or whose flow the upstream has reset, never end here.
 TEST(DirectForwarder, OverdueRequestsKeepNewFlowsAway) {
   direct_world world({Entry(1), Entry(2)});
-  for (uint32_t caller : {1, 2, 3, 4}) {
+  for (uint32_t caller = 1; caller <= 8; ++caller) {
     const verdict placed = OpenAndAsk(world, caller, AtMs(0));
     if (placed.upstream == 2)
       world.Send(caller, placed.mark, 150, 0, 1000, AtMs(30));
@@ -249,7 +249,7 @@
   FindOverdue(world.state.tracker, world.state.directory, AtMs(600));
   EXPECT_TRUE(IsFailing(world.Known(1).load, AtMs(600)));
   EXPECT_FALSE(IsFailing(world.Known(2).load, AtMs(600)));
-  for (uint32_t caller = 5; caller < 10; ++caller)
+  for (uint32_t caller = 9; caller < 14; ++caller)
     EXPECT_EQ(OpenAndAsk(world, caller, AtMs(600 + caller * 20)).upstream, 2U);
 }
 
--- /dev/null
+++ b/test/view_sharing_test.cc
@@ -0,0 +1,216 @@
+// What balancers make of each other's views.
+#include "direct/view_sharing.h"
+
+#include <random>
+
+#include "peer/peer_codec.h"
+#include "radishyard/direct.h"
+#include "support/direct_world.h"
+
+namespace radishyard {
+namespace {
+
+using namespace testing_direct;  // NOLINT(google-build-using-namespace)
+
+view_report ReportOf(const forwarder& state, time_point now) {
+  return {.table_version = state.table.version,
+          .revision = state.directory.revision,
+          .digest = state.digest,
+          .age_ms = static_cast<uint32_t>(ToMs(now - state.directory.read_at))};
+}
+
+TEST(ViewSharing, ABalancerStartsFromAnothersSnapshot) {
+  direct_world other({Entry(1), Entry(2, kAway)});
+  forwarder fresh;
+  fresh.domain = kHome;
+  const view_snapshot snapshot = ToSnapshot(other.state, 0, AtMs(5000));
+  const snapshot_effect effect = TakeSnapshot(fresh, snapshot, AtMs(9000));
+  EXPECT_TRUE(effect.table_taken && effect.list_taken);
+  EXPECT_TRUE(IsReady(fresh));
+  EXPECT_EQ(fresh.table, other.state.table);
+  EXPECT_EQ(fresh.digest, other.state.digest);
+  // What it knows is as old as it was at the other: 5 s.
+  EXPECT_EQ(AtMs(9000) - fresh.directory.read_at, 5s);
+}
+
+TEST(ViewSharing, SnapshotLeavesOutTheTableThatTheAskerHas) {
+  direct_world other({Entry(1)});
+  EXPECT_TRUE(ToSnapshot(other.state, 1, AtMs(0)).addresses.empty());
+  EXPECT_EQ(ToSnapshot(other.state, 0, AtMs(0)).addresses.size(), 2U);
+}
+
+TEST(ViewSharing, AnOlderSnapshotChangesNothing) {
+  direct_world old({Entry(1)});
+  direct_world world({Entry(1)});
+  world.List({Entry(1), Entry(2)}, AtMs(100));
+  TakeTable(world.state, Table(4));
+  const auto effect =
+      TakeSnapshot(world.state, ToSnapshot(old.state, 0, AtMs(200)), AtMs(200));
+  EXPECT_FALSE(effect.table_taken || effect.list_taken);
+  EXPECT_EQ(world.state.table.version, 4U);
+  EXPECT_EQ(world.state.directory.upstreams.size(), 2U);
+}
+
+TEST(ViewSharing, ReportOfTheSameListConfirmsIt) {
+  direct_world reader({Entry(1)});
+  direct_world world({Entry(1)});
+  reader.List({Entry(1)}, AtMs(1500));
+  EXPECT_EQ(
+      TakeReport(world.state, ReportOf(reader.state, AtMs(1600)), AtMs(1600)),
+      report_effect::kConfirmed);
+  EXPECT_EQ(world.state.directory.read_at, AtMs(1500));
+}
+
+TEST(ViewSharing, ReportOfANewerListOrTableCallsForASnapshot) {
+  direct_world reader({Entry(1)});
+  direct_world world({Entry(1)});
+  reader.List({Entry(1), Entry(2)}, AtMs(1500));
+  const view_report list = ReportOf(reader.state, AtMs(1600));
+  EXPECT_EQ(TakeReport(world.state, list, AtMs(1600)), report_effect::kFetch);
+  TakeTable(world.state, Table(2));
+  TakeTable(reader.state, Table(3));
+  const view_report table = ReportOf(reader.state, AtMs(1600));
+  EXPECT_EQ(TakeReport(world.state, table, AtMs(1600)), report_effect::kFetch);
+}
+
+// A balancer that is cut off from the platform must not pass for a fresh one.
+TEST(ViewSharing, ReportOfAnOldViewConfirmsNothing) {
+  direct_world behind({Entry(1)});
+  direct_world world({Entry(1)});
+  world.List({Entry(1), Entry(2)}, AtMs(1500));
+  EXPECT_EQ(
+      TakeReport(world.state, ReportOf(behind.state, AtMs(9000)), AtMs(9000)),
+      report_effect::kNone);
+  EXPECT_EQ(world.state.directory.read_at, AtMs(1500));
+}
+
+TEST(ViewSharing, DigestHoldsWhatPlacementDependsOn) {
+  const upstream_list list{1, {Entry(1), Entry(2)}};
+  upstream_list other{9, {Entry(2), Entry(1)}};
+  EXPECT_EQ(ListDigest(list), ListDigest(other));
+  other.upstreams[0].cold_for = 500ms;
+  EXPECT_EQ(ListDigest(list), ListDigest(other));
+  other.upstreams[0].leaving = true;
+  EXPECT_NE(ListDigest(list), ListDigest(other));
+}
+
+// Of 26 balancers each sees few answers of one upstream: together they see that
+// it fails before it is well again.
+TEST(ViewSharing, FailuresSeenElsewhereKeepNewFlowsAway) {
+  direct_world world({Entry(1), Entry(2)});
+  LearnEvents(world.state, {{1, 2, 20'000, 2}, {99, 1, 1, 1}}, AtMs(1000));
+  LearnEvents(world.state, {{1, 2, 20'000, 2}}, AtMs(1100));
+  EXPECT_TRUE(IsFailing(world.Known(1).load, AtMs(1200)));
+  for (uint32_t caller = 0; caller < 6; ++caller)
+    EXPECT_EQ(world.Open(caller, AtMs(1200)).upstream, 2U);
+}
+
+TEST(ViewSharing, ABalancerReportsOnlyWhatItSawItself) {
+  direct_world world({Entry(1)});
+  LearnEvents(world.state, {{1, 2, 20'000, 1}}, AtMs(1000));
+  EXPECT_TRUE(TakeEvents(world.state).empty());
+  const verdict placed = world.Open(1, AtMs(2000));
+  world.Send(1, placed.mark, 100, 50, 1, AtMs(2009));
+  world.Send(1, placed.mark, 150, 0, 900, AtMs(2039));
+  const std::vector<upstream_events> expected{{1, 1, 30'000, 0}};
+  EXPECT_EQ(TakeEvents(world.state), expected);
+  EXPECT_TRUE(TakeEvents(world.state).empty());
+}
+
+TEST(ViewSharing, MessagesSurviveTheCodecAndItsFuzzing) {
+  direct_world world({Entry(1), Entry(2, kAway)});
+  view_report report = ReportOf(world.state, AtMs(10));
+  report.self = {{0x7F000001, 80}, kHome, 55};
+  report.members = {report.self};
+  report.events = {{1, 2, 3, 4}};
+  std::mt19937 random(3);
+  for (const peer_message& message :
+       {peer_message(ToSnapshot(world.state, 0, AtMs(10))),
+        peer_message(report), peer_message(view_request{7})}) {
+    failure why;
+    const std::string frame = *EncodeFrame(message, why);
+    EXPECT_EQ(DecodePayload(NextFrame(frame).payload, why), message);
+    constexpr int kRounds = 3000;
+    for (int i = 0; i < kRounds; ++i) {
+      std::string bytes = frame.substr(kLengthBytes);
+      for (uint32_t n = 1 + random() % 4; n-- > 0;)
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      if (i % 4 == 0) bytes.resize(random() % bytes.size());
+      const auto decoded = DecodePayload(bytes, why);
+      const auto* snapshot =
+          decoded ? std::get_if<view_snapshot>(&*decoded) : nullptr;
+      forwarder fresh;
+      if (snapshot != nullptr) TakeSnapshot(fresh, *snapshot, AtMs(10));
+    }
+  }
+}
+
+constexpr uint32_t kHost = 0x0A010000;
+
+view_member Member(uint32_t n, const std::string& domain = kHome,
+                   uint32_t size = 55) {
+  return {{kHost + n, 7000}, domain, size};
+}
+
+/// One view of the same domain per member, all heard at `now`.
+std::vector<peer_members> Domain(uint32_t count, time_point now) {
+  std::vector<peer_members> all(count);
+  for (uint32_t i = 0; i < count; ++i) {
+    all[i].self = Member(i);
+    for (uint32_t j = 0; j < count; ++j) Hear(all[i], Member(j), now);
+  }
+  return all;
+}
+
+size_t CountReaders(const std::vector<peer_members>& all, time_point now) {
+  return static_cast<size_t>(
+      std::count_if(all.begin(), all.end(),
+                    [now](const peer_members& m) { return IsReader(m, now); }));
+}
+
+TEST(PeerMembers, TwoReadADomainWhateverItsSize) {
+  for (uint32_t count : {1U, 2U, 3U, 26U})
+    EXPECT_EQ(CountReaders(Domain(count, AtMs(0)), AtMs(1000)),
+              std::min<size_t>(count, kReadersPerDomain));
+}
+
+TEST(PeerMembers, LargerBalancersRead) {
+  peer_members members{.self = Member(1, kHome, 500)};
+  for (uint32_t n = 2; n < 30; ++n) Hear(members, Member(n), AtMs(0));
+  EXPECT_TRUE(IsReader(members, AtMs(100)));
+  Hear(members, Member(30, kHome, 900), AtMs(0));
+  Hear(members, Member(31, kHome, 900), AtMs(0));
+  EXPECT_FALSE(IsReader(members, AtMs(100)));
+}
+
+// Whoever hears nobody reads for itself.
+TEST(PeerMembers, SilentMembersReadNoMore) {
+  std::vector<peer_members> all = Domain(5, AtMs(0));
+  EXPECT_EQ(CountReaders(all, AtMs(2500)), kReadersPerDomain);
+  EXPECT_EQ(CountReaders(all, AtMs(2501)), all.size());
+}
+
+TEST(PeerMembers, OtherDomainsDoNotCount) {
+  peer_members members{.self = Member(1)};
+  for (uint32_t n = 2; n < 9; ++n)
+    Hear(members, Member(n, kAway, 900), AtMs(0));
+  EXPECT_TRUE(IsReader(members, AtMs(0)));
+  EXPECT_EQ(LiveMembers(members, kAway, AtMs(20'000)).size(), 7U);
+  EXPECT_TRUE(ReportTargets(members, 16, 1, AtMs(0)).empty());
+  ForgetSilent(members, AtMs(31'000));
+  EXPECT_TRUE(members.known.empty());
+}
+
+TEST(PeerMembers, ReportsReachTheReadersAndByAndByEverybody) {
+  const std::vector<peer_members> all = Domain(40, AtMs(0));
+  std::set<endpoint> reached;
+  for (uint64_t round = 0; round < 20; ++round) {
+    const auto targets = ReportTargets(all[0], 16, round, AtMs(0));
+    EXPECT_EQ(targets.size(), 16U);
+    reached.insert(targets.begin(), targets.end());
+  }
+  EXPECT_EQ(reached.size(), 39U);
+}
+
+}  // namespace
+}  // namespace radishyard
