--- /dev/null
+++ b/test/direct_balancer_test.cc
@@ -0,0 +1,278 @@
+// A whole balancer on loopback: packets in, packets out, pages, stops, and a
+// start without the platform.
+#include "direct/direct_balancer.h"
+
+#include <gtest/gtest.h>
+
+#include "base/asio.h"
+#include "support/direct_world.h"
+#include "support/http_client.h"
+
+namespace radishyard {
+namespace {
+
+using namespace testing_direct;  // NOLINT(google-build-using-namespace)
+using udp = asio::ip::udp;
+
+constexpr uint32_t kLoopback = 0x7F000001;
+constexpr uint32_t kCallerAddress = 0x7F000002;
+
+/// A wire format of the test's own: the struct's bytes.
+class struct_codec : public packet_codec {
+ public:
+  struct wire {
+    uint32_t caller, service_address, mark, copy;
+    uint16_t service_port;
+    uint8_t opens, refused;
+  };
+  size_t HeadroomBytes() const override { return 8; }
+  std::optional<direct_packet> Read(std::span<const uint8_t> bytes,
+                                    failure& why) const override {
+    if (bytes.size() != sizeof(wire)) {
+      why = {failure_kind::kInvalid, "wrong size"};
+      return std::nullopt;
+    }
+    wire w{};
+    std::memcpy(&w, bytes.data(), sizeof w);
+    direct_packet p;
+    p.flow = {{kCallerAddress, static_cast<uint16_t>(w.caller)},
+              {w.service_address, w.service_port},
+              protocol::kTcp};
+    p.mark = w.mark;
+    p.opens = w.opens != 0;
+    p.copy = w.copy;
+    return p;
+  }
+  void Address(mutable_bytes datagram, upstream_id to) const override {
+    std::memcpy(datagram.data(), &to, sizeof to);
+  }
+  void Mark(mutable_bytes datagram, uint32_t mark) const override {
+    std::memcpy(datagram.data() + 8 + offsetof(wire, mark), &mark, sizeof mark);
+  }
+  std::vector<uint8_t> Refusal(const direct_packet&) const override {
+    std::vector<uint8_t> bytes(sizeof(wire));
+    bytes[offsetof(wire, refused)] = 1;
+    return bytes;
+  }
+};
+
+/// A registry whose answers the test sets.
+class fake_registry : public registry {
+ public:
+  explicit fake_registry(asio::io_context& io) : io_(io) {}
+
+  void ListUpstreams(store_handler<upstream_list> handler) override {
+    ++lists;
+    asio::post(io_, [this, handler = std::move(handler)] {
+      if (is_away) return handler(std::nullopt, Away());
+      handler(list, {});
+    });
+  }
+  void ReadTable(store_handler<table_reading> handler) override {
+    asio::post(io_, [this, handler = std::move(handler)] {
+      if (is_away) return handler(std::nullopt, Away());
+      handler(table_reading{Table(), 1}, {});
+    });
+  }
+  void WatchTable(uint64_t revision, duration wait,
+                  store_handler<table_reading> handler) override {
+    const auto timer = std::make_shared<asio::steady_timer>(io_, wait);
+    timer->async_wait(
+        [timer, revision, handler = std::move(handler)](error_code error) {
+          if (!error) handler(table_reading{std::nullopt, revision}, {});
+        });
+  }
+
+  upstream_list list;
+  bool is_away = false;
+  int lists = 0;
+
+ private:
+  static failure Away() { return {failure_kind::kUnavailable, "away"}; }
+  asio::io_context& io_;
+};
+
+uint16_t FreePort() {
+  asio::io_context io;
+  const asio::ip::tcp::acceptor acceptor(io,
+                                         {asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+class DirectBalancer : public testing::Test {
+ protected:
+  DirectBalancer() {
+    upstream_.non_blocking(true);
+    caller_.non_blocking(true);
+    source_.list = {1, {Upstream()}};
+  }
+
+  upstream_entry Upstream() const {
+    upstream_entry entry = Entry(7);
+    entry.address = {kLoopback, upstream_.local_endpoint().port()};
+    return entry;
+  }
+
+  static direct_settings Settings(uint16_t traffic_port) {
+    direct_settings s;
+    s.name = "b";
+    s.domain = kHome;
+    s.traffic = {kLoopback, traffic_port};
+    s.ready = {kLoopback, FreePort()};
+    s.metrics = {kLoopback, FreePort()};
+    s.peer = {kLoopback, FreePort()};
+    s.stop_grace = 2500ms;
+    return s;
+  }
+
+  void RunFor(duration time) { io_.run_for(time); }
+
+  void SendOpening(const endpoint& to, uint32_t service_port = 7000) {
+    struct_codec::wire w{};
+    w.caller = 4000;
+    w.service_address = kFeedAddress.address;
+    w.service_port = static_cast<uint16_t>(service_port);
+    w.opens = 1;
+    caller_.send_to(asio::buffer(&w, sizeof w),
+                    {asio::ip::address_v4(to.address), to.port});
+  }
+
+  static size_t Received(udp::socket& socket, std::vector<uint8_t>& bytes) {
+    bytes.resize(200);
+    error_code error;
+    const size_t n = socket.receive(asio::buffer(bytes), 0, error);
+    bytes.resize(error ? 0 : n);
+    return bytes.size();
+  }
+
+  asio::io_context io_;
+  struct_codec codec_;
+  fake_registry source_{io_};
+  udp::socket upstream_{io_, {asio::ip::address_v4::loopback(), 0}};
+  udp::socket caller_{io_, {asio::ip::address_v4::loopback(), 0}};
+  std::vector<uint8_t> bytes_;
+};
+
+TEST_F(DirectBalancer, PlacesOpeningsAndCarriesTheMark) {
+  const direct_settings config = Settings(FreePort());
+  direct_balancer balancer(io_, config, codec_, source_);
+  balancer.Start();
+  RunFor(50ms);
+  SendOpening(config.traffic);
+  RunFor(50ms);
+  ASSERT_EQ(Received(upstream_, bytes_), 8 + sizeof(struct_codec::wire));
+  uint64_t id = 0;
+  std::memcpy(&id, bytes_.data(), sizeof id);
+  EXPECT_EQ(id, 7U);
+  struct_codec::wire w{};
+  std::memcpy(&w, bytes_.data() + 8, sizeof w);
+  EXPECT_EQ(w.mark, FlowMark(7));
+}
+
+// Callers take refusals at the balancer's own port number.
+TEST_F(DirectBalancer, RefusesAtTheCallersAddress) {
+  const uint16_t port = FreePort();
+  udp::socket refused(io_);
+  refused.open(udp::v4());
+  refused.bind({asio::ip::address_v4(kCallerAddress), port});
+  refused.non_blocking(true);
+  const direct_settings config = Settings(port);
+  direct_balancer balancer(io_, config, codec_, source_);
+  balancer.Start();
+  RunFor(50ms);
+  SendOpening(config.traffic, 9);
+  RunFor(50ms);
+  EXPECT_EQ(Received(upstream_, bytes_), 0U);
+  ASSERT_EQ(Received(refused, bytes_), sizeof(struct_codec::wire));
+  EXPECT_EQ(bytes_[offsetof(struct_codec::wire, refused)], 1);
+}
+
+TEST_F(DirectBalancer, HoldsPacketsUntilItKnowsWhereTheyGo) {
+  source_.is_away = true;
+  const direct_settings config = Settings(FreePort());
+  direct_balancer balancer(io_, config, codec_, source_);
+  balancer.Start();
+  RunFor(20ms);
+  SendOpening(config.traffic);
+  RunFor(20ms);
+  EXPECT_EQ(Received(upstream_, bytes_), 0U);
+  source_.is_away = false;
+  RunFor(500ms);
+  EXPECT_GT(Received(upstream_, bytes_), 0U);
+}
+
+TEST_F(DirectBalancer, StopsOnceNoPacketComesAnyMore) {
+  direct_balancer balancer(io_, Settings(FreePort()), codec_, source_);
+  balancer.Start();
+  RunFor(50ms);
+  const auto begin = std::chrono::steady_clock::now();
+  balancer.Stop();
+  RunFor(10s);
+  const duration took = std::chrono::steady_clock::now() - begin;
+  EXPECT_TRUE(io_.stopped());
+  EXPECT_GT(took, 1200ms);
+  EXPECT_LT(took, 2500ms);
+}
+
+TEST_F(DirectBalancer, ServesOnWhilePacketsComeUntilTheGracePeriodEnds) {
+  const direct_settings config = Settings(FreePort());
+  direct_balancer balancer(io_, config, codec_, source_);
+  balancer.Start();
+  RunFor(50ms);
+  balancer.Stop();
+  for (int i = 0; i < 8; ++i) {
+    SendOpening(config.traffic);
+    RunFor(200ms);
+    EXPECT_FALSE(io_.stopped());
+    EXPECT_GT(Received(upstream_, bytes_), 0U);
+  }
+  RunFor(2s);
+  EXPECT_TRUE(io_.stopped());
+}
+
+// The platform is away, but another balancer of any domain is there.
+TEST_F(DirectBalancer, StartsFromAnotherBalancersView) {
+  direct_settings first = Settings(FreePort());
+  first.name = "a";
+  direct_balancer other(io_, first, codec_, source_);
+  other.Start();
+  RunFor(100ms);
+  fake_registry away(io_);
+  away.is_away = true;
+  direct_settings second = Settings(FreePort());
+  second.peers = {first.peer};
+  direct_balancer balancer(io_, second, codec_, away);
+  balancer.Start();
+  RunFor(700ms);
+  SendOpening(second.traffic);
+  RunFor(50ms);
+  EXPECT_GT(Received(upstream_, bytes_), 0U);
+}
+
+TEST_F(DirectBalancer, OnlyTwoOfADomainReadThePlatform) {
+  std::vector<std::unique_ptr<direct_balancer>> balancers;
+  std::vector<std::unique_ptr<fake_registry>> sources;
+  endpoint seed;
+  for (int i = 0; i < 6; ++i) {
+    direct_settings config = Settings(FreePort());
+    config.name = std::to_string(i);
+    config.drain_bound = 400ms;  // Reads each 200 ms.
+    if (i == 0) seed = config.peer;
+    config.peers = {seed};
+    sources.push_back(std::make_unique<fake_registry>(io_));
+    sources.back()->list = source_.list;
+    balancers.push_back(
+        std::make_unique<direct_balancer>(io_, config, codec_, *sources[i]));
+    balancers.back()->Start();
+  }
+  RunFor(2500ms);
+  for (const auto& source : sources) source->lists = 0;
+  RunFor(2s);
+  const auto readers =
+      std::count_if(sources.begin(), sources.end(),
+                    [](const auto& source) { return source->lists > 4; });
+  EXPECT_EQ(readers, 2);
+}
+
+}  // namespace
+}  // namespace radishyard
--- /dev/null
+++ b/test/direct_settings_test.cc
@@ -0,0 +1,78 @@
+// Settings of a balancer with direct server return.
+#include "direct/direct_settings.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace radishyard {
+namespace {
+
+using nlohmann::json;
+
+json Good() {
+  return {{"name", "rennes-1"},
+          {"domain", "rennes"},
+          {"cores", 0.055},
+          {"traffic", "127.0.0.1:7000"},
+          {"ready", "127.0.0.1:7001"},
+          {"metrics", "127.0.0.1:7002"},
+          {"peer", "127.0.0.1:7003"},
+          {"peers", json::array({"127.0.0.1:7103"})},
+          {"platform", "127.0.0.1:9000"},
+          {"drain_bound_ms", 3000},
+          {"edit_bound_ms", 2500.5},
+          {"stop_grace_ms", 6000}};
+}
+
+TEST(DirectSettings, ReadsEveryField) {
+  findings found;
+  const auto s = ParseDirectSettings(Good().dump(), found);
+  ASSERT_TRUE(s) << found.Text();
+  EXPECT_EQ(s->name, "rennes-1");
+  EXPECT_EQ(s->size, 55U);
+  EXPECT_EQ(ToString(s->traffic), "127.0.0.1:7000");
+  ASSERT_EQ(s->peers.size(), 1U);
+  EXPECT_EQ(s->drain_bound, 3s);
+  EXPECT_EQ(s->edit_bound, 2500500us);
+  EXPECT_EQ(s->level, log_level::kInfo);
+}
+
+TEST(DirectSettings, ReportsEveryFaultTogether) {
+  json wrong = Good();
+  wrong.erase("name");
+  wrong["domain"] = 7;
+  wrong["traffic"] = "nowhere";
+  wrong["peers"] = json::array({"127.0.0.1:7103", 5});
+  wrong["drain_bound_ms"] = -1;
+  wrong["log_level"] = "loud";
+  wrong["cores"] = 0;
+  findings found;
+  EXPECT_FALSE(ParseDirectSettings(wrong.dump(), found));
+  EXPECT_EQ(found.size(), 7U) << found.Text();
+}
+
+TEST(DirectSettings, UnknownFieldsAreLeftAlone) {
+  json more = Good();
+  more["future"] = "x";
+  findings found;
+  EXPECT_TRUE(ParseDirectSettings(more.dump(), found));
+}
+
+TEST(DirectSettings, FuzzedTextIsReadOrReported) {
+  const std::string good = Good().dump();
+  std::mt19937 random(4);
+  constexpr int kRounds = 3000;
+  for (int i = 0; i < kRounds; ++i) {
+    std::string text = good;
+    for (uint32_t n = 1 + random() % 5; n-- > 0;)
+      text[random() % text.size()] = static_cast<char>(random());
+    findings found;
+    const auto s = ParseDirectSettings(text, found);
+    EXPECT_EQ(s.has_value(), found.empty());
+  }
+}
+
+}  // namespace
+}  // namespace radishyard
