--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -40,6 +40,7 @@
 /// this many intervals, or the table has not been confirmed for so long.
 constexpr double kStaleIntervals = 1.5;
 constexpr duration kTableUnconfirmed = 2s;
+constexpr duration kShortestSuspension = 300ms;
 
 udp::endpoint ToUdp(const endpoint& e) {
   return {asio::ip::address_v4(e.address), e.port};
@@ -51,6 +52,14 @@
   return times;
 }
 
+/// Time that this VM has been suspended since it started.
+duration SuspendedTime() {
+  timespec whole{};
+  clock_gettime(CLOCK_BOOTTIME, &whole);
+  return seconds(whole.tv_sec) + std::chrono::nanoseconds(whole.tv_nsec) -
+         clock::now().time_since_epoch();
+}
+
 std::string_view NameOf(directory_change::kind what) {
   constexpr std::array<std::string_view, 6> kNames{
       "upstream_joined",  "upstream_restarted", "upstream_returned",
@@ -356,7 +365,21 @@
     }
   }
 
+  /// The steady clock stands still while the VM is suspended: what is known
+  /// has grown older by that time.
+  void NoticeSuspension() {
+    const duration suspended = SuspendedTime();
+    const duration gap = suspended - suspended_;
+    suspended_ = suspended;
+    if (gap < kShortestSuspension) return;
+    Log(severity::kWarn, "suspended",
+        {{"ms", static_cast<uint64_t>(ToMs(gap))}});
+    state_.directory.read_at -= gap;
+    follower_.ListNow();
+  }
+
   void Upkeep() {
+    NoticeSuspension();
     const time_point now = clock::now();
     FindOverdue(state_.tracker, state_.directory, now);
     LogBeliefs(now);
@@ -373,6 +396,7 @@
   const packet_codec& codec_;
   forwarder state_;
   direct_counters counters_;
+  duration suspended_ = SuspendedTime();  ///< As of the last upkeep.
   bool was_ready_ = false;
   bool is_leaving_ = false;
   std::array<uint8_t, kDatagramBytes> buffer_{};
