--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -2,8 +2,12 @@
 #include "ctl/explain.h"
 
 #include <algorithm>
+#include <chrono>
+#include <ctime>
 #include <fstream>
+#include <iomanip>
 #include <set>
+#include <sstream>
 
 namespace radishyard {
 namespace {
@@ -24,6 +28,28 @@
   return events;
 }
 
+/// Lines of balancers and upstreams count this long before and after the flow.
+constexpr auto kWindow = std::chrono::seconds(10);
+
+/// The instant of a line such as "2026-01-02T03:04:05.678Z".
+std::optional<std::chrono::system_clock::time_point> TimeOf(
+    const log_line& line) {
+  std::tm parts{};
+  std::istringstream in(line.time);
+  in >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
+  if (in.fail()) return std::nullopt;
+  return std::chrono::system_clock::from_time_t(timegm(&parts));
+}
+
+/// Whether `line` lies within kWindow of the flow's own lines.
+bool IsNear(const log_line& line, const std::vector<const log_line*>& own) {
+  const auto at = TimeOf(line);
+  if (own.empty() || !at) return false;
+  const auto first = TimeOf(*own.front());
+  const auto last = TimeOf(*own.back());
+  return first && last && *at >= *first - kWindow && *at <= *last + kWindow;
+}
+
 bool IsOfFlow(const log_line& line, const std::string& flow) {
   const std::string& id = Field(line, "flow");
   if (id == flow) return true;
@@ -132,11 +158,10 @@
   result.cause = CauseOf(Summarize(own));
   result.upstreams = UpstreamsOf(own);
   for (const log_line& line : lines) {
-    const bool is_of_balancer =
-        sources.contains(line.source) && BalancerEvents().contains(line.event);
-    const bool is_of_upstream =
-        sources.contains(line.source) && IsOfUpstream(line, result.upstreams);
-    if (IsOfFlow(line, flow) || is_of_balancer || is_of_upstream)
+    const bool is_around = sources.contains(line.source) && IsNear(line, own);
+    const bool is_of_others = BalancerEvents().contains(line.event) ||
+                              IsOfUpstream(line, result.upstreams);
+    if (IsOfFlow(line, flow) || (is_around && is_of_others))
       result.lines.push_back(line);
   }
   return result;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -27,7 +27,6 @@
 constexpr int64_t kMaxSize = 1000;
 constexpr int64_t kMaxThreads = 64;
 constexpr int64_t kMaxLimitMs = 60'000;
-constexpr int64_t kMaxWatchers = 16;
 constexpr int64_t kMaxHeldFlows = 20'000'000;
 constexpr int64_t kMaxSampleOneIn = 1'000'000'000;
 constexpr size_t kMaxListed = 256;
@@ -55,10 +54,8 @@
 json LimitsSchema() {
   const json milliseconds_schema = IntegerSchema(1, kMaxLimitMs);
   return ObjectSchema({{"heartbeat_ms", milliseconds_schema},
-                       {"failure_timeout_ms", milliseconds_schema},
                        {"lease_ms", milliseconds_schema},
                        {"takeover_ms", milliseconds_schema},
-                       {"watchers_per_domain", IntegerSchema(1, kMaxWatchers)},
                        {"held_flows", IntegerSchema(1, kMaxHeldFlows)}},
                       json::array());
 }
@@ -142,10 +139,8 @@
 limit_settings ReadLimits(const json& part) {
   limit_settings limits;
   ReadMs(part, "heartbeat_ms", limits.heartbeat);
-  ReadMs(part, "failure_timeout_ms", limits.failure_timeout);
   ReadMs(part, "lease_ms", limits.lease);
   ReadMs(part, "takeover_ms", limits.takeover);
-  Read(part, "watchers_per_domain", limits.watchers_per_domain);
   Read(part, "held_flows", limits.held_flows);
   return limits;
 }
@@ -174,8 +169,6 @@
 }
 
 void CheckTimes(const limit_settings& limits, findings& found) {
-  if (limits.heartbeat >= limits.failure_timeout)
-    found.Add("/limits/heartbeat_ms", "is not below failure_timeout_ms");
   if (limits.heartbeat >= limits.lease)
     found.Add("/limits/heartbeat_ms", "is not below lease_ms");
   if (!IsSafe({.lease = limits.lease, .take = limits.takeover})) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -30,16 +30,14 @@
   auto operator<=>(const trace_settings&) const = default;
 };
 
-/// \brief Time bounds and counts. Invariants: heartbeat < failure_timeout;
+/// \brief Time bounds and counts. Invariant:
 /// heartbeat < lease < takeover, so that a lease has ended on its holder's
 /// clock before a successor acts.
 struct limit_settings {
-  duration heartbeat = 250ms;         ///< Between heartbeats to each peer.
-  duration failure_timeout = 1000ms;  ///< A peer silent for so long is down.
-  duration lease = 1500ms;     ///< Validity of an owner's last confirmation.
-  duration takeover = 2500ms;  ///< Wait of a new owner before unsafe work.
-  uint32_t watchers_per_domain = 2;  ///< Balancers that watch the platform.
-  uint32_t held_flows = 500'000;     ///< Most flows held by this process.
+  duration heartbeat = 250ms;     ///< Between heartbeats to each peer.
+  duration lease = 1500ms;        ///< Validity of an owner's last confirmation.
+  duration takeover = 2500ms;     ///< Wait of a new owner before unsafe work.
+  uint32_t held_flows = 500'000;  ///< Most flows held by this process.
   auto operator<=>(const limit_settings&) const = default;
 };
 
--- a/test/explain_test.cc
+++ b/test/explain_test.cc
@@ -65,6 +65,16 @@
   EXPECT_EQ(result.lines[2].event, "upstream_gone");
 }
 
+TEST(Explain, KeepsLinesNearTheFlowOnly) {
+  const auto result = ExplainText(
+      Line("01", "event=started name=rennes-1") +
+      Line("15", OfFlow("opening", "copy=0 decision=placed upstream=a1")) +
+      Line("20", "event=platform_lost reading=table") +
+      Line("40", "event=stopping name=rennes-1"));
+  ASSERT_EQ(result.lines.size(), 2U);
+  EXPECT_EQ(result.lines[1].event, "platform_lost");
+}
+
 TEST(Explain, Refusal) {
   const auto result = ExplainText(Line(
       "01", OfFlow("opening",
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -35,8 +35,8 @@
     "peers":["127.0.0.1:9101"],"domains":["rennes","quimper"],
     "log":{"level":"debug","file":"/tmp/log"},
     "trace":{"sample_one_in":100,"file":"/tmp/trace"},
-    "limits":{"heartbeat_ms":10,"failure_timeout_ms":20,"lease_ms":30,
-    "takeover_ms":600,"watchers_per_domain":3,"held_flows":7}})"));
+    "limits":{"heartbeat_ms":10,"lease_ms":30,
+    "takeover_ms":600,"held_flows":7}})"));
   findings found;
   const auto s = ParseSettings(file.dump(), found);
   ASSERT_TRUE(s) << found.Text();
@@ -46,7 +46,7 @@
   EXPECT_EQ(s->domains, (std::vector<std::string>{"rennes", "quimper"}));
   EXPECT_EQ(s->log, (log_settings{log_level::kDebug, "/tmp/log"}));
   EXPECT_EQ(s->trace, (trace_settings{100, "/tmp/trace"}));
-  EXPECT_EQ(s->limits, (limit_settings{10ms, 20ms, 30ms, 600ms, 3, 7}));
+  EXPECT_EQ(s->limits, (limit_settings{10ms, 30ms, 600ms, 7}));
 }
 
 TEST(Settings, AllFaultsAreReportedTogether) {
