--- /dev/null
+++ b/bench/direct_bench.cc
@@ -0,0 +1,138 @@
+// Cost of direct server return by number of upstreams and flows: a packet of an
+// open flow, an opening, a reading of the registry, the messages of peers.
+#include <benchmark/benchmark.h>
+
+#include "peer/peer_codec.h"
+#include "radishyard/direct.h"
+
+namespace radishyard {
+namespace {
+
+constexpr uint32_t kPublished = 0xC6336401;
+constexpr uint32_t kServices = 30;
+
+upstream_list ListOf(uint32_t count) {
+  upstream_list list{.revision = 1};
+  for (uint32_t i = 0; i < count; ++i)
+    list.upstreams.push_back(
+        {.id = 0x1000193ULL * (i + 1),
+         .service = "service-" + std::to_string(i % kServices),
+         .address = {0x0A000000 + i, 8000},
+         .domain = "domain-" + std::to_string(i % 13),
+         .slots = 2,
+         .born_ms = 1'700'000'000'000 + i});
+  return list;
+}
+
+routing_table TableOf(uint32_t rows) {
+  routing_table table{.version = 1};
+  for (uint32_t i = 0; i < rows; ++i)
+    table.addresses.push_back(
+        {.address = {kPublished + i, 443},
+         .shares = {{"service-" + std::to_string(i % kServices), 1}},
+         .requests = request_class::kIdempotent});
+  return table;
+}
+
+direct_packet PacketOf(uint32_t caller) {
+  direct_packet p;
+  p.flow = {{0x64400000 + caller, 4000},
+            {kPublished + caller % kServices, 443},
+            protocol::kTcp};
+  return p;
+}
+
+/// A forwarder of `upstreams` that remembers `flows`.
+std::unique_ptr<forwarder> Forwarder(uint32_t upstreams, uint32_t flows) {
+  auto state = std::make_unique<forwarder>();
+  state->domain = "domain-0";
+  TakeTable(*state, TableOf(kServices));
+  TakeUpstreams(*state, ListOf(upstreams), AtMs(0), AtMs(0));
+  for (uint32_t caller = 0; caller < flows; ++caller) {
+    direct_packet p = PacketOf(caller);
+    p.opens = true;
+    p.mark = Decide(*state, p, AtMs(1)).mark;
+    p.opens = false;
+    p.length = 100;
+    Decide(*state, p, AtMs(2));
+  }
+  return state;
+}
+
+void MarkedPacket(benchmark::State& bench) {
+  const auto flows = static_cast<uint32_t>(bench.range(1));
+  const auto state = Forwarder(static_cast<uint32_t>(bench.range(0)), flows);
+  std::vector<direct_packet> packets;
+  for (uint32_t caller = 0; caller < flows; ++caller) {
+    packets.push_back(PacketOf(caller));
+    packets.back().mark = state->tracker.flows.at(packets.back().flow).mark;
+    packets.back().length = 100;
+  }
+  uint32_t i = 0;
+  for (auto _ : bench) {
+    direct_packet& p = packets[i++ % flows];
+    p.sequence += 100;
+    benchmark::DoNotOptimize(Decide(*state, p, AtMs(10)));
+  }
+}
+BENCHMARK(MarkedPacket)
+    ->Args({150, 1000})
+    ->Args({150, 20'000})
+    ->Args({5500, 20'000});
+
+void Opening(benchmark::State& bench) {
+  const auto state = Forwarder(static_cast<uint32_t>(bench.range(0)), 0);
+  uint32_t caller = 0;
+  for (auto _ : bench) {
+    direct_packet p = PacketOf(++caller);
+    p.opens = true;
+    benchmark::DoNotOptimize(Decide(*state, p, AtMs(10)));
+    ForgetFlow(state->tracker, state->directory, p.flow);
+  }
+}
+BENCHMARK(Opening)->Arg(18)->Arg(150)->Arg(5500);
+
+void ReadRegistry(benchmark::State& bench) {
+  const auto state = Forwarder(static_cast<uint32_t>(bench.range(0)), 0);
+  upstream_list list = ListOf(static_cast<uint32_t>(bench.range(0)));
+  for (auto _ : bench) {
+    ++list.revision;
+    benchmark::DoNotOptimize(TakeUpstreams(*state, list, AtMs(10), AtMs(10)));
+  }
+}
+BENCHMARK(ReadRegistry)->Arg(18)->Arg(150)->Arg(5500);
+
+void Snapshot(benchmark::State& bench) {
+  const auto state = Forwarder(static_cast<uint32_t>(bench.range(0)), 0);
+  size_t bytes = 0;
+  for (auto _ : bench) {
+    failure why;
+    const auto frame = EncodeFrame(ToSnapshot(*state, 1, AtMs(10)), why);
+    bytes = frame ? frame->size() : 0;
+  }
+  bench.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(Snapshot)->Arg(18)->Arg(150)->Arg(5500);
+
+void Report(benchmark::State& bench) {
+  view_report report;
+  report.self = {{0x0A000001, 7720}, "domain-0", 55};
+  report.revision = 1'000'000;
+  report.digest = UINT64_MAX;
+  for (uint32_t i = 0; i < static_cast<uint32_t>(bench.range(0)); ++i)
+    report.events.push_back({0x1000193ULL * (i + 1), 3, 20'000, 0});
+  size_t bytes = 0;
+  for (auto _ : bench) {
+    failure why;
+    const auto frame = EncodeFrame(report, why);
+    bytes = frame ? frame->size() : 0;
+    benchmark::DoNotOptimize(DecodePayload(NextFrame(*frame).payload, why));
+  }
+  bench.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(Report)->Arg(0)->Arg(kReportedUpstreams);
+
+}  // namespace
+}  // namespace radishyard
+
+BENCHMARK_MAIN();
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -69,6 +69,7 @@
   const log_line* reset = nullptr;     ///< Open flow reset.
   const log_line* dropped = nullptr;   ///< Last packet dropped.
   const log_line* repeated = nullptr;  ///< Last data repeated.
+  const log_line* first_opening = nullptr;
   const log_line* last_opening = nullptr;
   size_t openings = 0;
 };
@@ -80,7 +81,7 @@
     if (line->event == "packet_dropped") s.dropped = line;
     if (line->event == "data_repeated") s.repeated = line;
     if (line->event != "opening") continue;
-    ++s.openings;
+    if (s.openings++ == 0) s.first_opening = line;
     s.last_opening = line;
     if (Field(*line, "decision") != "placed") s.refusal = line;
   }
@@ -112,9 +113,11 @@
            " named no upstream known at revision " +
            Field(*s.dropped, "revision");
   if (s.openings > 1)
-    return "not opened: " + std::to_string(s.openings) +
-           " copies of its opening went to upstreams that did not answer; the "
-           "request has not run";
+    return "opened late or not at all: upstream " +
+           Field(*s.first_opening, "upstream") +
+           " left its opening without an answer; " +
+           std::to_string(s.openings) + " copies were sent, the last to " +
+           Field(*s.last_opening, "upstream");
   if (s.last_opening != nullptr)
     return "placed on upstream " + Field(*s.last_opening, "upstream") +
            "; nothing else was logged, so its packets went on without trouble";
--- a/test/explain_test.cc
+++ b/test/explain_test.cc
@@ -49,7 +49,8 @@
       Line("02", OfFlow("opening", "copy=1 decision=placed upstream=b2")) +
       Line("03", "event=upstream_believed upstream=a1 after=doubted") +
       Line("04", "event=upstream_believed upstream=c3 after=doubted"));
-  EXPECT_THAT(result.cause, HasSubstr("2 copies"));
+  EXPECT_THAT(result.cause, HasSubstr("upstream a1 left its opening"));
+  EXPECT_THAT(result.cause, HasSubstr("2 copies were sent, the last to b2"));
   EXPECT_THAT(result.upstreams, testing::ElementsAre("a1", "b2"));
   EXPECT_EQ(result.lines.size(), 3U);
 }
--- a/test/support/direct_world.h
+++ b/test/support/direct_world.h
@@ -30,10 +30,12 @@
   routing_table table{.version = version};
   table.addresses.push_back({.address = kFeedAddress,
                              .shares = {{kService, 1}},
-                             .requests = request_class::kIdempotent});
+                             .requests = request_class::kIdempotent,
+                             .timeout = 1500ms});
   table.addresses.push_back({.address = kOrderAddress,
                              .shares = {{kService, 1}},
-                             .requests = request_class::kNonIdempotent});
+                             .requests = request_class::kNonIdempotent,
+                             .timeout = 1500ms});
   return table;
 }
 
