--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -349,19 +349,6 @@
     if (error) ++counters_.send_failures;
   }
 
-  void ResetLost(time_point now) {
-    for (const direct_packet& packet : GiveUpRequests(state_, now)) {
-      Log(severity::kWarn, "flow_reset",
-          {{"flow", ToString(packet.flow)},
-           {"decision", "overdue_request"},
-           {"mark", uint64_t{packet.mark}},
-           {"revision", state_.directory.revision},
-           {"age_ms", AgeMs(now)}});
-      ++counters_.given_up;
-      SendRefusal(packet);
-    }
-  }
-
   void LogBeliefs(time_point now) {
     for (const belief_change& change : ReviewBeliefs(state_, now)) {
       const upstream_load& load =
@@ -395,7 +382,6 @@
     NoticeSuspension();
     const time_point now = clock::now();
     FindOverdue(state_.tracker, state_.directory, now);
-    ResetLost(now);
     LogBeliefs(now);
     ForgetIdle(state_.tracker, state_.directory, state_.table.idle_timeout,
                now);
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -46,8 +46,6 @@
           "Datagrams that the kernel did not take.", counters.send_failures);
   Counter(page, "radishyard_opening_copies_total",
           "Openings that a caller repeated.", counters.opening_copies);
-  Counter(page, "radishyard_requests_given_up_total",
-          "Flows reset for an overdue request.", counters.given_up);
   Counter(page, "radishyard_registry_reads_total", "Readings of the registry.",
           counters.lists);
   Counter(page, "radishyard_registry_failures_total",
--- a/src/direct/direct_counters.h
+++ b/src/direct/direct_counters.h
@@ -14,7 +14,6 @@
   uint64_t malformed = 0;       ///< Datagrams that are no packet.
   uint64_t send_failures = 0;   ///< Datagrams that the kernel did not take.
   uint64_t opening_copies = 0;  ///< Openings that a caller repeated.
-  uint64_t given_up = 0;        ///< Flows reset for an overdue request.
   uint64_t lists = 0;           ///< Readings of the registry.
   uint64_t list_failures = 0;
   uint64_t tables = 0;  ///< Versions of the table taken.
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -63,18 +63,13 @@
   return Forward(*upstream, verdict_reason::kPlaced);
 }
 
-/// True where a caller may repeat a request that may have run.
-bool MayRepeat(const published_address& row) {
-  return row.requests != request_class::kNonIdempotent;
-}
-
 /// True where the caller gains by opening another flow: its upstream is silent,
 /// and its request may be repeated.
 bool IsLost(const forwarder& state, const direct_packet& packet,
             const known_upstream& upstream, time_point now) {
   if (packet.length == 0 || !IsSilent(upstream.load, now)) return false;
   const published_address* const row = Find(state.table, packet.flow.service);
-  return row != nullptr && MayRepeat(*row);
+  return row != nullptr && row->requests != request_class::kNonIdempotent;
 }
 
 }  // namespace
@@ -117,23 +112,6 @@
   return changes;
 }
 
-std::vector<direct_packet> GiveUpRequests(forwarder& state, time_point now) {
-  std::vector<direct_packet> lost;
-  for (const auto& [key, flow] : state.tracker.flows) {
-    if (!flow.is_waiting || !flow.is_overdue) continue;
-    const known_upstream* const u = FindByMark(state.directory, flow.mark);
-    const published_address* const row = Find(state.table, key.service);
-    if (u == nullptr || row == nullptr || !MayRepeat(*row)) continue;
-    if (!IsFailing(u->load, now) && !IsSilent(u->load, now)) continue;
-    if (now - flow.requested_at < row->timeout / 2) continue;
-    lost.push_back(
-        {.flow = key, .mark = flow.mark, .acknowledged = flow.acknowledged});
-  }
-  for (const direct_packet& packet : lost)
-    ForgetFlow(state.tracker, state.directory, packet.flow);
-  return lost;
-}
-
 std::vector<belief_change> ReviewBeliefs(forwarder& state, time_point now) {
   std::vector<belief_change> changes;
   const duration bound = ConfirmBound(state.tracker);
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -7,7 +7,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "base/time.h"
 #include "direct/direct_packet.h"
@@ -77,12 +76,6 @@
                                             const upstream_list& list,
                                             time_point read_at, time_point now);
 
-/// \brief Gives up requests that their upstream will not answer: idempotent,
-/// waiting for half of their timeout, at an upstream whose other requests fail
-/// too. The caller has time left to go elsewhere.
-/// \returns a packet of each such flow, to be refused; the flows are forgotten.
-std::vector<direct_packet> GiveUpRequests(forwarder& state, time_point now);
-
 /// \brief A belief that has changed.
 struct belief_change {
   upstream_id upstream = 0;
--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -242,45 +242,17 @@
   EXPECT_EQ(world.Open(13, AtMs(5200)).upstream, 1U);
 }
 
-/// Eight flows on one upstream, each with a request from 1 s on.
-struct hanging_world : direct_world {
-  explicit hanging_world(const endpoint& to) : direct_world({Entry(1)}) {
-    for (uint32_t caller = 1; caller <= 8; ++caller) {
-      OpenAndAsk(*this, caller, AtMs(0), to);
-      Send(caller, FlowMark(1), 150, 0, 1000, AtMs(30), to);
-      Send(caller, FlowMark(1), 150, 50, 1000, AtMs(1000), to);
-    }
-  }
-  std::vector<direct_packet> GiveUp(int64_t ms) {
-    FindOverdue(state.tracker, state.directory, AtMs(ms));
-    return GiveUpRequests(state, AtMs(ms));
+// The routers may have moved the flow: its answer then goes through another
+// balancer, so a request that waits here for long is no reason for a reset.
+TEST(DirectForwarder, NeverResetsAFlowForARequestThatWaits) {
+  direct_world world({Entry(1)});
+  for (uint32_t caller = 1; caller <= 8; ++caller)
+    OpenAndAsk(world, caller, AtMs(0));
+  for (int64_t ms : {400, 800, 1600}) {
+    FindOverdue(world.state.tracker, world.state.directory, AtMs(ms));
+    EXPECT_EQ(world.Send(1, FlowMark(1), 150, 50, 1000 + ms, AtMs(ms)).what,
+              verdict_kind::kForward);
   }
-};
-
-// An upstream that takes requests and never answers, though it acknowledges.
-TEST(DirectForwarder, GivesUpHangingRequestsWhileTheyCanGoElsewhere) {
-  hanging_world world(kFeedAddress);
-  EXPECT_TRUE(world.GiveUp(1400).empty());
-  EXPECT_TRUE(world.GiveUp(1740).empty());
-  const auto lost = world.GiveUp(1760);
-  ASSERT_EQ(lost.size(), 8U);
-  EXPECT_EQ(lost[0].acknowledged, 1000U);
-  EXPECT_TRUE(world.state.tracker.flows.empty());
-  EXPECT_EQ(world.Known(1).load.flows, 0U);
-}
-
-TEST(DirectForwarder, NeverGivesUpNonIdempotentRequests) {
-  hanging_world world(kOrderAddress);
-  for (int64_t ms : {1400, 1760, 2400, 5000})
-    EXPECT_TRUE(world.GiveUp(ms).empty());
-}
-
-// One long request at an upstream that answers the others is no failure.
-TEST(DirectForwarder, KeepsOneLongRequestOfAHealthyUpstream) {
-  hanging_world world(kFeedAddress);
-  for (uint32_t caller = 2; caller <= 8; ++caller)
-    world.Send(caller, FlowMark(1), 200, 0, 2000, AtMs(1030));
-  for (int64_t ms : {1400, 1760, 2400}) EXPECT_TRUE(world.GiveUp(ms).empty());
 }
 
 // Requests that hang, or whose flow the upstream has reset, never end here.
--- a/test/support/direct_world.h
+++ b/test/support/direct_world.h
@@ -30,12 +30,10 @@
   routing_table table{.version = version};
   table.addresses.push_back({.address = kFeedAddress,
                              .shares = {{kService, 1}},
-                             .requests = request_class::kIdempotent,
-                             .timeout = 1500ms});
+                             .requests = request_class::kIdempotent});
   table.addresses.push_back({.address = kOrderAddress,
                              .shares = {{kService, 1}},
-                             .requests = request_class::kNonIdempotent,
-                             .timeout = 1500ms});
+                             .requests = request_class::kNonIdempotent});
   return table;
 }
 
