--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -248,10 +248,14 @@
   direct_world world({Entry(1)});
   for (uint32_t caller = 1; caller <= 8; ++caller)
     OpenAndAsk(world, caller, AtMs(0));
+  uint32_t sequence = 150;
   for (int64_t ms : {400, 800, 1600}) {
     FindOverdue(world.state.tracker, world.state.directory, AtMs(ms));
-    EXPECT_EQ(world.Send(1, FlowMark(1), 150, 50, 1000 + ms, AtMs(ms)).what,
-              verdict_kind::kForward);
+    const auto acknowledged = static_cast<uint32_t>(1000 + ms);
+    EXPECT_EQ(
+        world.Send(1, FlowMark(1), sequence, 50, acknowledged, AtMs(ms)).what,
+        verdict_kind::kForward);
+    sequence += 50;
   }
 }
 
