--- a/src/daemon/radishyardd_main.cc
+++ b/src/daemon/radishyardd_main.cc
@@ -1,12 +1,9 @@
 // radishyardd: the balancer's daemon. Usage: radishyardd --settings FILE
-#include <popt.h>
-
 #include <chrono>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "daemon/daemon.h"
+#include "daemon/daemon_options.h"
 #include "observe/log.h"
 
 namespace radishyard {
@@ -15,41 +12,14 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitFailed = 1;
 
-struct command_line {
-  std::string settings_file;
-  bool check_only = false;
-};
-
-std::optional<command_line> ParseCommandLine(int argc, const char** argv) {
-  char* file = nullptr;
-  int check_only = 0;
-  const poptOption options[] = {{"settings", 's', POPT_ARG_STRING, &file, 0,
-                                 "Settings of this balancer (JSON)", "FILE"},
-                                {"check", 'c', POPT_ARG_NONE, &check_only, 0,
-                                 "Check the settings and exit", nullptr},
-                                POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context = poptGetContext("radishyardd", argc, argv, options, 0);
-  const int rest = poptGetNextOpt(context);
-  if (rest < -1)
-    std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(rest)
-              << "\n";
-  poptFreeContext(context);
-  if (rest < -1 || file == nullptr) return std::nullopt;
-  command_line line{file, check_only != 0};
-  free(file);  // NOLINT: popt allocates with malloc.
-  return line;
-}
-
 std::optional<settings> ReadSettings(const std::string& file) {
-  std::ifstream in(file);
-  if (!in) {
+  const std::optional<std::string> text = ReadText(file);
+  if (!text) {
     std::cerr << file << ": cannot be read\n";
     return std::nullopt;
   }
-  std::ostringstream text;
-  text << in.rdbuf();
   findings found;
-  std::optional<settings> config = ParseSettings(text.str(), found);
+  std::optional<settings> config = ParseSettings(*text, found);
   if (!config) std::cerr << file << ":\n" << found.Text();
   return config;
 }
@@ -62,8 +32,8 @@
 }
 
 int Main(int argc, const char** argv) {
-  const auto line = ParseCommandLine(argc, argv);
-  if (!line) {
+  const auto line = ParseDaemonOptions("radishyardd", argc, argv);
+  if (!line || line->settings_file.empty()) {
     std::cerr << "usage: radishyardd --settings FILE [--check]\n";
     return kExitUsage;
   }
