--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -57,6 +57,12 @@
         std::chrono::duration<double>(now - state.directory.read_at).count());
   Gauge(page, "radishyard_flows", "Open flows seen here.",
         static_cast<double>(state.tracker.flows.size()));
+  page.Begin(metric_kind::kHistogram, "radishyard_confirm_seconds",
+             "From an opening to the caller's next packet.");
+  page.Histogram({}, state.tracker.confirm_times);
+  page.Begin(metric_kind::kHistogram, "radishyard_answer_seconds",
+             "From a request to the acknowledgement of its answer.");
+  page.Histogram({}, state.tracker.answer_times);
   ByUpstream(page, state, "radishyard_upstream_flows",
              "Open flows seen here, by upstream.",
              [](const known_upstream& u) { return u.load.flows; });
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -74,6 +74,7 @@
                 upstream_directory& directory, known_upstream& upstream,
                 const direct_packet& packet, uint32_t bytes, time_point now) {
   LearnAnswer(upstream.load, now - flow.requested_at);
+  tracker.answer_times.Add(now - flow.requested_at);
   const bool is_small = LearnSize(tracker.sizes, packet.flow.service, bytes);
   if (is_small)
     LearnFailure(upstream.load, now);
@@ -105,6 +106,7 @@
   const double took_s =
       std::chrono::duration<double>(now - flow.sent_at).count();
   tracker.confirm_s += kConfirmWeight * (took_s - tracker.confirm_s);
+  tracker.confirm_times.Add(now - flow.sent_at);
   LearnAlive(upstream.load);
 }
 
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -12,6 +12,7 @@
 #include "direct/answer_sizes.h"
 #include "direct/direct_packet.h"
 #include "direct/upstream_directory.h"
+#include "observe/time_histogram.h"
 
 namespace radishyard {
 
@@ -46,6 +47,8 @@
   /// Smoothed time from an opening to the caller's next packet.
   double confirm_s = kFirstConfirmS;
   answer_sizes sizes;
+  time_histogram confirm_times;  ///< As smoothed in `confirm_s`.
+  time_histogram answer_times;   ///< From a request to its answer.
 };
 
 /// \brief An opening is overdue after this time.
--- a/test/direct_tracker_test.cc
+++ b/test/direct_tracker_test.cc
@@ -37,6 +37,23 @@
   EXPECT_NEAR(world.Known(1).load.answer_s, 0.040, 1e-6);
 }
 
+TEST(DirectTracker, MetricsPageHasHistogramsAndEachUpstream) {
+  direct_world world({Entry(1), Entry(26, kAway)});
+  const verdict placed = world.Open(1, AtMs(0));
+  world.Send(1, placed.mark, 100, 50, 1, AtMs(9));
+  world.Send(1, placed.mark, 150, 0, 900, AtMs(49));
+  const std::string page = MetricsPage({}, world.state, AtMs(1000));
+  for (const char* line :
+       {"radishyard_confirm_seconds_count 1",
+        "radishyard_answer_seconds_count 1",
+        "radishyard_answer_seconds_bucket{le=\"0.064\"} 1",
+        "radishyard_answer_seconds_bucket{le=\"0.032\"} 0",
+        "radishyard_upstream_flows{upstream=\"1\",service=\"survey-link\"} 1",
+        "radishyard_upstream_flows{upstream=\"1a\",service=\"survey-link\"} 0",
+        "radishyard_registry_age_seconds 1"})
+    EXPECT_THAT(page, testing::HasSubstr(line));
+}
+
 // Found by an incident: the acknowledgement of an old answer came with the next
 // request, for its own had gone through another balancer, and an upstream that
 // had been silent for two seconds passed for alive.
