Leave the table to other balancers only where its bound allows it

Found by reading: a watch on a path that is gone looks like one without news. Two readers of a domain that are cut off at once went on to confirm the table for up to 3 s of keep-alive, and a balancer that relies on them waited 2 s more: an edit could be 5 s late where 3 s are due. Now a reader follows the table only while its readings of the registry are answered, and a balancer relies on readers only if all of that fits into the bound (5 s on the grown sites, not 3 s on the first). A lost history no longer logs a dependency as regained.

--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -37,9 +37,8 @@
 constexpr size_t kHeldPackets = 1024;
 constexpr duration kUpkeepInterval = 200ms;
 /// A balancer that is told by others reads itself once its list is older than
-/// this many intervals, or the table has not been confirmed for so long.
+/// this many intervals.
 constexpr double kStaleIntervals = 1.5;
-constexpr duration kTableUnconfirmed = 2s;
 constexpr duration kShortestSuspension = 300ms;
 
 udp::endpoint ToUdp(const endpoint& e) {
@@ -132,7 +131,8 @@
                 [this](const endpoint& peer, const snapshot_effect& effect) {
                   TakePeerView(peer, effect);
                 },
-            .follows_table = [this] { return follower_.follows_table(); }};
+            .follows_table =
+                [this] { return follower_.FollowsTable(clock::now()); }};
   }
 
   bool NeedsList(time_point now) const {
@@ -144,6 +144,7 @@
 
   bool NeedsTable(time_point now) const {
     return peers_.IsReader(now) ||
+           !MayRelayTable(times_.list_interval, config_.edit_bound) ||
            now - peers_.table_confirmed_at() > kTableUnconfirmed;
   }
 
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -46,6 +46,7 @@
         list_.is_waiting = false;
         if (!list) return Fail(list_, why, &registry_follower::List);
         Succeed(list_);
+        listed_at_ = clock::now();
         handlers_.on_list(*list, asked_at);
         const duration jitter =
             times_.list_interval / kJitterPart *
@@ -54,6 +55,11 @@
       });
 }
 
+bool registry_follower::FollowsTable(time_point now) const {
+  return is_watching_ && table_.failures == 0 && list_.failures == 0 &&
+         now - listed_at_ <= times_.list_interval + kAnswerMargin;
+}
+
 void registry_follower::ReadTable() {
   source_.ReadTable(
       [this, alive = std::weak_ptr(alive_)](
@@ -91,13 +97,14 @@
 void registry_follower::Succeed(reading& what) {
   if (what.failures > 0) handlers_.on_state(what.name, "");
   what.failures = 0;
+  what.lost_history = false;
 }
 
 void registry_follower::Fail(reading& what, const failure& why,
                              void (registry_follower::*next)()) {
   // A lost history is no outage: reading anew settles it at once.
-  if (why.kind == failure_kind::kNotFound && what.failures == 0) {
-    ++what.failures;
+  if (why.kind == failure_kind::kNotFound && !what.lost_history) {
+    what.lost_history = true;
     return (this->*next)();
   }
   if (what.failures == 0) handlers_.on_state(what.name, why.text);
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -21,6 +21,9 @@
   auto operator<=>(const follower_times&) const = default;
 };
 
+/// \brief Longest usual time of a reading of the platform.
+inline constexpr duration kAnswerMargin = 300ms;
+
 /// \brief What the follower tells its owner.
 struct follower_handlers {
   /// A list that was current at the given instant.
@@ -46,8 +49,9 @@
   void Start();
   /// \brief Lists at once, unless a call is on its way.
   void ListNow();
-  /// \brief True while the table is watched and no call for it has failed.
-  bool follows_table() const { return is_watching_ && table_.failures == 0; }
+  /// \brief True while the table is watched and the platform answers: a watch
+  /// alone would not notice for seconds that the path to it is gone.
+  bool FollowsTable(time_point now) const;
 
  private:
   /// One of the two readings.
@@ -55,7 +59,8 @@
     std::string name;
     asio::steady_timer timer;
     unsigned failures = 0;
-    bool is_waiting = false;  ///< A call is on its way.
+    bool is_waiting = false;    ///< A call is on its way.
+    bool lost_history = false;  ///< And has not been read anew since.
   };
 
   void List();
@@ -75,6 +80,7 @@
   reading list_;
   reading table_;
   bool is_watching_ = false;  ///< A watch of the table is on its way.
+  time_point listed_at_{};    ///< Last answer to a reading of the upstreams.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "direct/registry_follower.h"
+
 namespace radishyard {
 namespace {
 
@@ -125,6 +127,12 @@
   return effect;
 }
 
+bool MayRelayTable(duration list_interval, duration edit_bound) {
+  const duration unnoticed = list_interval + kAnswerMargin;
+  const duration own_reading = kAnswerMargin;
+  return unnoticed + kTableUnconfirmed + own_reading <= edit_bound;
+}
+
 report_effect TakeReport(forwarder& state, const view_report& report,
                          time_point now) {
   if (report.table_version > state.table.version) return report_effect::kFetch;
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -29,6 +29,15 @@
 snapshot_effect TakeSnapshot(forwarder& state, const view_snapshot& snapshot,
                              time_point now);
 
+/// \brief A balancer that is told of the table by others reads it itself once
+/// nobody has confirmed it for so long: a report and a bit.
+inline constexpr duration kTableUnconfirmed = 1200ms;
+
+/// \brief Whether a balancer may leave the table to others that read the
+/// registry each `list_interval`. If they are cut off from the platform, all of
+/// this passes before it reads itself, and an edit is due within `edit_bound`.
+bool MayRelayTable(duration list_interval, duration edit_bound);
+
 /// \brief What a report calls for.
 enum class report_effect : uint8_t {
   kNone,
--- a/test/view_sharing_test.cc
+++ b/test/view_sharing_test.cc
@@ -85,6 +85,13 @@
   EXPECT_EQ(world.state.directory.read_at, AtMs(1500));
 }
 
+// Readers that are cut off from the platform pass for informed until their next
+// reading of the registry fails; an edit may be due before that is noticed.
+TEST(ViewSharing, TableIsLeftToOthersOnlyWhereItsBoundAllows) {
+  EXPECT_FALSE(MayRelayTable(1500ms, 3s));
+  EXPECT_TRUE(MayRelayTable(2500ms, 5s));
+}
+
 TEST(ViewSharing, DigestHoldsWhatPlacementDependsOn) {
   const upstream_list list{1, {Entry(1), Entry(2)}};
   upstream_list other{9, {Entry(2), Entry(1)}};
