Silence of an upstream is no longer believed after a second without evidence

From the logs: an upstream was dark from 30.6 to 31.8; balancer b0 saw four repetitions at 31.0 and believed it silent until 39.0, for its flows had gone elsewhere and no answer came by. At 36.5 it got a packet of a flow opened by another balancer at 35.6, and reset it. Ruled out: a fault of the check (the upstream had been in touch for more than 4 s). Test first: DirectForwarder.OldSilenceIsNoReasonForAReset.

--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -56,7 +56,7 @@
   const uint32_t end = packet.sequence + packet.length;
   if (!IsAfter(end, flow.next_sequence)) {
     if (now - flow.sent_at < kShortestRepetition) return std::nullopt;
-    LearnRepetition(upstream.load, flow.sent_at);
+    LearnRepetition(upstream.load, flow.sent_at, now);
     return flow.sent_at;
   }
   flow.next_sequence = end;
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -1,5 +1,6 @@
-// A bounded memory of the flows seen here. It serves placement only: a packet
-// of an open flow is forwarded by its mark, whether the flow is known or not.
+// A bounded memory of the flows seen here, for placement and for what is
+// learned of upstreams: a packet of an open flow is forwarded by its mark,
+// whether the flow is known here or not.
 #pragma once
 #include <absl/container/flat_hash_map.h>
 
--- a/src/direct/upstream_load.cc
+++ b/src/direct/upstream_load.cc
@@ -22,6 +22,8 @@
 constexpr uint32_t kSilentRepetitions = 2;
 /// Longer than the pause before a caller's first repetition.
 constexpr duration kSilence = 350ms;
+/// Callers of a silent upstream repeat data more often than this.
+constexpr duration kSilenceMemory = 1s;
 
 }  // namespace
 
@@ -73,9 +75,13 @@
   load.tried_at = now;
 }
 
-void LearnRepetition(upstream_load& load, time_point sent_at) {
+void LearnRepetition(upstream_load& load, time_point sent_at, time_point now) {
+  const bool is_stale =
+      load.repetitions > 0 && now - load.repeated_at > kSilenceMemory;
+  if (is_stale) load.unanswered = load.repetitions = 0;
   if (load.unanswered++ == 0) load.silent_since = sent_at;
   ++load.repetitions;
+  load.repeated_at = now;
 }
 
 bool IsDoubted(const upstream_load& load, duration bound, time_point now) {
@@ -86,6 +92,7 @@
 
 bool IsSilent(const upstream_load& load, time_point now) {
   return load.repetitions >= kSilentRepetitions &&
+         now - load.repeated_at <= kSilenceMemory &&
          now - load.silent_since >= kSilence;
 }
 
--- a/src/direct/upstream_load.h
+++ b/src/direct/upstream_load.h
@@ -21,6 +21,7 @@
   uint32_t unanswered = 0;    ///< Openings and repetitions without an answer.
   uint32_t repetitions = 0;   ///< Repeated data among them.
   time_point silent_since{};  ///< First of them; valid if there are any.
+  time_point repeated_at{};   ///< Last repetition; valid if there are any.
   time_point tried_at{};      ///< Last opening placed.
   double failure_rate = 0;    ///< Smoothed share of requests that failed.
   time_point failed_at{};  ///< Last failed request; valid if the rate is > 0.
@@ -65,15 +66,16 @@
 void LearnTried(upstream_load& load, time_point now);
 
 /// \brief A caller repeats data that went to the upstream at `sent_at`.
-void LearnRepetition(upstream_load& load, time_point sent_at);
+void LearnRepetition(upstream_load& load, time_point sent_at, time_point now);
 
 /// \brief True while new flows should avoid the upstream: an opening has had no
 /// answer for longer than `bound`, and it is too early to try another.
 bool IsDoubted(const upstream_load& load, duration bound, time_point now);
 
 /// \brief True where the upstream has left repeated data of its callers without
-/// an answer, so that its open flows are lost. Slow upstreams acknowledge
-/// repeated data and are never silent.
+/// an answer just now, so that its open flows are lost. What is older says
+/// nothing: its answers may go through other balancers. Slow upstreams
+/// acknowledge repeated data and are never silent.
 bool IsSilent(const upstream_load& load, time_point now);
 
 }  // namespace radishyard
--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -193,6 +193,22 @@
             verdict_kind::kForward);
 }
 
+// Found by the soak, seed 263: flows of an upstream that was dark for a second
+// went elsewhere, so no answer of it came by here, and a flow that another
+// balancer had opened five seconds later was reset.
+TEST(DirectForwarder, OldSilenceIsNoReasonForAReset) {
+  silent_world world(kFeedAddress);
+  world.Send(1, FlowMark(1), 150, 50, 500, AtMs(1200));
+  world.Send(2, FlowMark(1), 150, 50, 500, AtMs(1300));
+  EXPECT_EQ(world.Send(3, FlowMark(1), 100, 50, 1, AtMs(2200)).what,
+            verdict_kind::kRefuse);
+  EXPECT_EQ(world.Send(4, FlowMark(1), 100, 50, 1, AtMs(2301)).what,
+            verdict_kind::kForward);
+  // Nor does it count with what comes later.
+  EXPECT_EQ(world.Send(4, FlowMark(1), 100, 50, 1, AtMs(6000)).what,
+            verdict_kind::kForward);
+}
+
 // After a pause of this process, data and its repetitions arrive together.
 TEST(DirectForwarder, BurstOfRepetitionsAfterAPauseIsNoSilence) {
   silent_world world(kFeedAddress);
