--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -220,7 +220,7 @@
   }
 
   void TakeState(const std::string& name, const std::string& reason) {
-    if (!reason.empty()) ++counters_.list_failures;
+    if (!reason.empty()) ++counters_.platform_losses;
     Log(reason.empty() ? severity::kInfo : severity::kWarn,
         reason.empty() ? "platform_regained" : "platform_lost",
         {{"reading", name}, {"reason", reason}});
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -48,8 +48,9 @@
           "Openings that a caller repeated.", counters.opening_copies);
   Counter(page, "radishyard_registry_reads_total", "Readings of the registry.",
           counters.lists);
-  Counter(page, "radishyard_registry_failures_total",
-          "Readings of the registry that failed.", counters.list_failures);
+  Counter(page, "radishyard_platform_losses_total",
+          "Times that a reading of the platform began to fail.",
+          counters.platform_losses);
   Gauge(page, "radishyard_table_version", "Version of the table in force.",
         static_cast<double>(state.table.version));
   Gauge(page, "radishyard_registry_age_seconds",
--- a/src/direct/direct_counters.h
+++ b/src/direct/direct_counters.h
@@ -11,12 +11,12 @@
 /// \brief Counters since the start.
 struct direct_counters {
   std::array<uint64_t, kVerdictReasons> verdicts{};  ///< By reason.
-  uint64_t malformed = 0;       ///< Datagrams that are no packet.
-  uint64_t send_failures = 0;   ///< Datagrams that the kernel did not take.
-  uint64_t opening_copies = 0;  ///< Openings that a caller repeated.
-  uint64_t lists = 0;           ///< Readings of the registry.
-  uint64_t list_failures = 0;
-  uint64_t tables = 0;  ///< Versions of the table taken.
+  uint64_t malformed = 0;        ///< Datagrams that are no packet.
+  uint64_t send_failures = 0;    ///< Datagrams that the kernel did not take.
+  uint64_t opening_copies = 0;   ///< Openings that a caller repeated.
+  uint64_t lists = 0;            ///< Readings of the registry.
+  uint64_t platform_losses = 0;  ///< Times that a reading began to fail.
+  uint64_t tables = 0;           ///< Versions of the table taken.
 };
 
 /// \brief The text of the metrics page.
