Flows that ended around a hand-over no longer stay counted at the new owner

Cause, three parts, each with a unit test that failed first: - A flow was learned at the new owner from a packet before its record came; the record was then skipped, and with it the FINs that the old owner had seen. The flow waited for a FIN that does not come again. - The export left ended flows out. Their last acknowledgements, late or overtaken, opened them anew at the new owner. - Such a learned flow was to be dropped after 5 s, but two late acknowledgements (one a direction, as both FINs are acknowledged) made it pass for confirmed, and it stayed for the idle timeout of 900 s. Now ends are merged, ended TCP flows go along with the hand-over, and only payload confirms a learned flow.

The status page now tells the age of its figures, and WaitIdle takes only figures from after its call: stricter for all tests that use it.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -188,7 +188,9 @@
   page["threads"] = json::array();
   for (const traffic_report& report : traffic_.reports()) {
     open += report.open_flows;
-    page["threads"].push_back(CountersJson(report.counters));
+    json thread = CountersJson(report.counters);
+    thread["age_ms"] = ToMs(now - report.at);
+    page["threads"].push_back(std::move(thread));
     for (const served_load& load : report.loads) {
       queued += load.load.waiting;
       json pool = LoadJson(load);
--- a/src/flow/flow_record.h
+++ b/src/flow/flow_record.h
@@ -23,8 +23,8 @@
   kCallerFin = 0x01,        ///< The caller sent FIN.
   kUpstreamFin = 0x02,      ///< The upstream sent FIN.
   kUnconfirmed = 0x04,      ///< The caller has not answered the SYN-ACK, or the
-                            ///< flow was learned from another balancer and its
-                            ///< upstream has sent nothing since.
+                            ///< flow was learned from another balancer and no
+                            ///< payload has passed since.
   kHoldsConnection = 0x08,  ///< Counts against the upstream's connections.
   kWitnessSent = 0x10,      ///< The standby has been told of this flow.
   kWasPassed =
@@ -54,6 +54,8 @@
   uint8_t attempt = 0;  ///< Placements so far, less one.
   auto operator<=>(const flow_record&) const = default;
 
+  /// \brief True for a flow whose opening another balancer saw.
+  bool IsLearned() const { return syn_seq == 0; }
   bool Has(flow_mark mark) const { return (marks & mark) != 0; }
   void Set(flow_mark mark) { marks = static_cast<uint8_t>(marks | mark); }
   void Clear(flow_mark mark) { marks = static_cast<uint8_t>(marks & ~mark); }
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -131,8 +131,7 @@
   ForwardToUpstream(in, flow, now);
   if (in.packet.proto != protocol::kTcp) return outcome::kDone;
   if (in.packet.Has(kRst)) End(slot, flow_end::kAbandoned, now);
-  if (flow.Has(kCallerFin) && flow.Has(kUpstreamFin))
-    End(slot, flow_end::kCompleted, now);
+  EndByFins(slot, flow_end::kCompleted, now);
   return outcome::kDone;
 }
 
@@ -145,10 +144,16 @@
          });
 }
 
+// Acknowledgements of a flow that has ended may come late, and must not keep a
+// flow counted that was learned from them.
+void flow_owner::Confirm(flow_record& flow, const inbound& in) {
+  if (!flow.IsLearned() || !in.packet.payload.empty()) flow.Clear(kUnconfirmed);
+}
+
 void flow_owner::ForwardToUpstream(inbound& in, flow_record& flow,
                                    time_point now) {
   flow.last_seen_ms = Ms(now);
-  flow.Clear(kUnconfirmed);
+  Confirm(flow, in);
   if (!in.packet.payload.empty()) flow.Set(kPayloadSent);
   if (in.packet.Has(kFin) && in.packet.proto == protocol::kTcp)
     flow.Set(kCallerFin);
@@ -374,6 +379,14 @@
   lingering_.push_back({slot, flow.key, now + timing_.linger});
 }
 
+// A request is over once its upstream has sent FIN, a flow once both ends have.
+void flow_owner::EndByFins(uint32_t slot, flow_end how, time_point now) {
+  flow_record& flow = flows_.At(slot);
+  if (!flow.Has(kUpstreamFin)) return;
+  if (flow.kind == port_kind::kRequest) Release(flow, how, now);
+  if (flow.Has(kCallerFin)) End(slot, how, now);
+}
+
 void flow_owner::Remove(uint32_t slot) {
   const flow_phase phase = flows_.At(slot).phase;
   if (phase != flow_phase::kPassed) --served_[flows_.At(slot).pool]->flows;
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -165,6 +165,7 @@
 
   outcome HandleKnown(inbound& in, uint32_t slot, time_point now);
   outcome HandleUnknown(inbound& in, time_point now);
+  static void Confirm(flow_record& flow, const inbound& in);
   void ForwardToUpstream(inbound& in, flow_record& flow, time_point now);
   void FollowPassed(const inbound& in, const flow_record& flow);
   void FollowMoved(const inbound& in, const flow_record& flow,
@@ -192,10 +193,12 @@
   void LearnFromUpstream(const inbound& in, time_point now);
   uint32_t AdoptFlow(const inbound& in, uint32_t upstream, time_point now);
   void RememberEnd(const inbound& in, uint32_t upstream, time_point now);
+  void MergeEnds(uint32_t slot, const flow_entry& entry, time_point now);
   uint32_t AdoptEntry(const flow_entry& entry, uint16_t pool, time_point now);
   void ForwardToCaller(inbound& in);
 
   void End(uint32_t slot, flow_end how, time_point now);
+  void EndByFins(uint32_t slot, flow_end how, time_point now);
   void Release(flow_record& flow, flow_end how, time_point now);
   void Remove(uint32_t slot);
   held_flow Held(const flow_record& flow) const;
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -36,7 +36,7 @@
     return;
   }
   flow.last_seen_ms = Ms(now);
-  flow.Clear(kUnconfirmed);
+  Confirm(flow, in);
   if (flow.phase == flow_phase::kOpening && !HandleOpeningAnswer(in, slot, now))
     return;
   ForwardToCaller(in);
@@ -50,11 +50,7 @@
     return;
   }
   if (in.packet.Has(kFin)) flow.Set(kUpstreamFin);
-  const bool answered =
-      flow.kind == port_kind::kRequest && flow.Has(kUpstreamFin);
-  if (answered) Release(flow, flow_end::kCompleted, now);
-  if (flow.Has(kUpstreamFin) && flow.Has(kCallerFin))
-    End(slot, flow_end::kCompleted, now);
+  EndByFins(slot, flow_end::kCompleted, now);
 }
 
 // The first packet from the upstream of an opening. False: it must not reach
--- a/src/traffic/flow_owner_moves.cc
+++ b/src/traffic/flow_owner_moves.cc
@@ -8,6 +8,20 @@
 namespace {
 
 constexpr uint32_t kWitnessSearch = 20000;  // Slots looked at in one call.
+constexpr uint8_t kBothFins = kCallerFin | kUpstreamFin;
+
+// Ended TCP flows are told too: the new owner must not learn them anew from
+// their last acknowledgements.
+bool IsTold(const flow_record& flow) {
+  return flow.phase == flow_phase::kOpen ||
+         flow.phase == flow_phase::kOpening ||
+         (flow.phase == flow_phase::kClosed &&
+          flow.key.proto == protocol::kTcp);
+}
+
+bool HasEnded(const flow_entry& entry) {
+  return (entry.marks & kBothFins) == kBothFins;
+}
 
 }  // namespace
 
@@ -43,13 +57,14 @@
   for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
     if (!flows_.Holds(slot)) continue;
     const flow_record& flow = flows_.At(slot);
-    const bool is_open =
-        flow.phase == flow_phase::kOpen || flow.phase == flow_phase::kOpening;
-    if (!is_open || served_[flow.pool].get() != pool) continue;
-    const auto fins = static_cast<uint8_t>(
-        flow.marks & (kCallerFin | kUpstreamFin | kHoldsConnection));
+    if (!IsTold(flow) || served_[flow.pool].get() != pool) continue;
+    const bool has_ended = flow.phase == flow_phase::kClosed;
+    const auto marks = static_cast<uint8_t>(
+        has_ended
+            ? kBothFins
+            : flow.marks & (kCallerFin | kUpstreamFin | kHoldsConnection));
     batch.flows.push_back(
-        {flow.key, flow.upstream, flow.kind, flow.priority, fins});
+        {flow.key, flow.upstream, flow.kind, flow.priority, marks});
   }
   batch.digests = duplicates_.List();
   return batch;
@@ -62,11 +77,29 @@
   if (found == served_.end()) return;
   for (const uint64_t digest : batch.digests) duplicates_.Add(digest, now);
   for (const flow_entry& entry : batch.flows) {
-    if (flows_.Find(entry.key)) continue;
-    AdoptEntry(entry, static_cast<uint16_t>(found - served_.begin()), now);
+    auto slot = flows_.Find(entry.key);
+    if (slot) {
+      MergeEnds(*slot, entry, now);
+      continue;
+    }
+    slot =
+        AdoptEntry(entry, static_cast<uint16_t>(found - served_.begin()), now);
+    if (HasEnded(entry)) End(*slot, flow_end::kAbandoned, now);
   }
 }
 
+// The flow was learned from a packet before its record came. What the previous
+// owner saw of its end does not come again.
+void flow_owner::MergeEnds(uint32_t slot, const flow_entry& entry,
+                           time_point now) {
+  flow_record& flow = flows_.At(slot);
+  const bool is_same = flow.phase == flow_phase::kOpen && flow.IsLearned() &&
+                       flow.upstream == entry.upstream;
+  if (!is_same) return;
+  flow.marks = static_cast<uint8_t>(flow.marks | (entry.marks & kBothFins));
+  EndByFins(slot, flow_end::kAbandoned, now);
+}
+
 // A flow that ended while its record was on its way here: the record must not
 // open it again.
 void flow_owner::RememberEnd(const inbound& in, uint32_t upstream,
--- a/src/traffic/traffic_thread.cc
+++ b/src/traffic/traffic_thread.cc
@@ -120,9 +120,9 @@
     core_.Tick(now);
     if (now - reported_at_ >= options_.report_every) {
       reported_at_ = now;
-      traffic_report report{core_.counters(), core_.owner().Loads(now),
+      traffic_report report{core_.counters(),         core_.owner().Loads(now),
                             core_.owner().Leftover(), core_.owner().OpenFlows(),
-                            core_.owner().times()};
+                            core_.owner().times(),    now};
       report.counters.send_failed = send_failed_;
       on_report_(report);
     }
--- a/src/traffic/traffic_thread.h
+++ b/src/traffic/traffic_thread.h
@@ -18,6 +18,7 @@
   std::vector<pool_name> leftover;  ///< \sa flow_owner::Leftover()
   size_t open_flows = 0;
   traffic_times times;
+  time_point at{};  ///< When the figures were taken.
 };
 
 /// \brief Settings of a traffic thread.
--- a/test/support/world.cc
+++ b/test/support/world.cc
@@ -225,16 +225,22 @@
 }
 
 std::string world::WaitIdle(duration timeout) {
-  WaitFor([this] { return BusyPools().empty(); }, timeout);
-  return BusyPools();
+  const time_point since = std::chrono::steady_clock::now();
+  WaitFor([this, since] { return BusyPools(since).empty(); }, timeout);
+  return BusyPools(since);
 }
 
-std::string world::BusyPools() {
+std::string world::BusyPools(time_point since) {
   std::string busy;
   for (const balancer& b : balancers_) {
     if (!b.is_running() || b.is_frozen()) continue;
+    const time_point asked_at = std::chrono::steady_clock::now();
     const json status = b.Status();
     if (!status.is_object()) return b.name() + " has no status page\n";
+    const int64_t waited = ToMs(asked_at - since);
+    for (const json& thread : status["threads"])
+      if (thread["age_ms"].get<int64_t>() > waited)
+        busy += b.name() + " has figures from before\n";
     for (const json& pool : status["pools"])
       if (pool["connections"] != 0 || pool["slots"] != 0)
         busy += b.name() + " " + pool.dump() + "\n";
--- a/test/support/world.h
+++ b/test/support/world.h
@@ -122,7 +122,8 @@
   /// \brief Waits until every balancer that runs has the versions that the
   /// platform has, and every pool has one owner.
   bool WaitInForce(duration timeout);
-  /// \brief Waits until no balancer counts a connection or a slot in use.
+  /// \brief Waits until no balancer counts a connection or a slot in use, by
+  /// figures that were all taken after the call.
   /// \returns the pools that still do, one a line; empty where all is well.
   std::string WaitIdle(duration timeout);
   /// \brief Has the fabric spray over the balancers that run, but one.
@@ -137,7 +138,7 @@
 
  private:
   bool IsInForce();
-  std::string BusyPools();
+  std::string BusyPools(time_point since);
 
   std::string folder_ = TestFolder();
   process platform_;
--- a/test/traffic_moves_test.cc
+++ b/test/traffic_moves_test.cc
@@ -90,6 +90,83 @@
   EXPECT_EQ(connections, 500U);
 }
 
+const endpoint kRequester{bench::kCaller.address, 7};
+
+packet_fields FromRequester(uint8_t flags) {
+  return Tcp(kRequester, bench::kRequest, flags);
+}
+
+// Opens a request flow, up to the caller's acknowledgement.
+endpoint OpenRequest(bench& b) {
+  const auto opening =
+      b.In({kRequester, bench::kRequest, protocol::kTcp, kSyn, 100}, AtMs(1));
+  const endpoint up = opening.at(0).View().destination;
+  b.In(Tcp(up, kRequester, kSyn | kAck), AtMs(2));
+  b.In(FromRequester(kAck), AtMs(3));
+  return up;
+}
+
+void HandOver(bench& from, bench& to, time_point now) {
+  to.core.owner().Import(to.rennes().name,
+                         from.core.owner().Export(from.rennes().name), now);
+  from.core.owner().Forget(from.rennes().name);
+  to.rennes().previous.reset();
+  to.Publish(now);
+}
+
+uint32_t Connections(const bench& b, time_point now) {
+  const std::vector<served_load> loads = b.core.owner().Loads(now);
+  uint32_t held = 0;
+  for (const upstream_load& load : loads.at(0).load.upstreams)
+    held += load.connections;
+  return held;
+}
+
+TEST(TrafficMoves, AnEndThatTheOldOwnerSawComesWithTheRecord) {
+  bench from;
+  bench to;
+  const endpoint up = OpenRequest(from);
+  from.In(Tcp(up, kRequester, kFin | kAck), AtMs(4));
+  MoveToPeer(from, to);
+  const auto passed = from.In(FromRequester(kAck), AtMs(11));
+  to.In(FromRequester(kAck), AtMs(12), passed.at(0).forward);
+  EXPECT_EQ(Connections(to, AtMs(12)), 1U) << "learned from the packet";
+  HandOver(from, to, AtMs(13));
+  to.In(FromRequester(kFin | kAck), AtMs(14));
+  EXPECT_EQ(Connections(to, AtMs(15)), 0U);
+  EXPECT_EQ(to.core.owner().OpenFlows(), 0U);
+}
+
+TEST(TrafficMoves, AFlowThatEndedAtTheOldOwnerIsNotLearnedAnew) {
+  bench from;
+  bench to;
+  const endpoint up = OpenRequest(from);
+  from.In(Tcp(up, kRequester, kFin | kAck), AtMs(4));
+  from.In(FromRequester(kFin | kAck), AtMs(5));
+  MoveToPeer(from, to);
+  HandOver(from, to, AtMs(12));
+  const auto out =
+      to.In(FromRequester(kAck), AtMs(13),
+            forward_option{forward_kind::kUnknownFlow, 1, 1, up.address, 0});
+  EXPECT_EQ(out.size(), 1U) << "a late packet still passes";
+  EXPECT_EQ(Connections(to, AtMs(14)), 0U);
+  EXPECT_EQ(to.core.owner().OpenFlows(), 0U);
+}
+
+// Both ends acknowledge the other's FIN; after a kill nobody knows the flow.
+TEST(TrafficMoves, LateAcknowledgementsKeepNoFlowCounted) {
+  bench to;
+  const endpoint up = OpenRequest(to);
+  bench fresh;
+  fresh.In(FromRequester(kAck), AtMs(10),
+           forward_option{forward_kind::kUnknownFlow, 1, 1, up.address, 0});
+  fresh.In(Tcp(up, kRequester, kAck), AtMs(11));
+  fresh.In(FromRequester(kAck), AtMs(12));
+  EXPECT_EQ(Connections(fresh, AtMs(13)), 1U);
+  for (int ms = 20; ms < 8000; ms += 20) fresh.Tick(AtMs(ms));
+  EXPECT_EQ(Connections(fresh, AtMs(8000)), 0U);
+}
+
 TEST(TrafficMoves, ACopyOfARequestThatRanAtTheOldOwnerIsNotPlacedByTheNew) {
   bench from;
   bench to;
