Flows that pause on a silent upstream are reset before their callers ask

Cause: when upstreams are lost, most of the requests that fail are not those on their way, but the next ones on open flows, which go to nobody. A balancer that has seen the silence of an upstream now resets its flows at once, without waiting for their packets: those of idempotent addresses, and of the others those on which no request waits. A non-idempotent request that waits may still be answered, so its flow stays.

--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -1,6 +1,7 @@
 // Openings are placed, packets of open flows follow their mark.
 #include "direct/forwarder.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -63,13 +64,32 @@
   return Forward(*upstream, verdict_reason::kPlaced);
 }
 
+/// True for flows of an address whose requests may be repeated.
+bool IsRepeatable(const routing_table& table, const flow_key& flow) {
+  const published_address* const row = Find(table, flow.service);
+  return row != nullptr && row->requests != request_class::kNonIdempotent;
+}
+
 /// True where the caller gains by opening another flow: its upstream is silent,
 /// and its request may be repeated.
 bool IsLost(const forwarder& state, const direct_packet& packet,
             const known_upstream& upstream, time_point now) {
-  if (packet.length == 0 || !IsSilent(upstream.load, now)) return false;
-  const published_address* const row = Find(state.table, packet.flow.service);
-  return row != nullptr && row->requests != request_class::kNonIdempotent;
+  return packet.length > 0 && IsSilent(upstream.load, now) &&
+         IsRepeatable(state.table, packet.flow);
+}
+
+bool AnySilent(const upstream_directory& directory, time_point now) {
+  return std::any_of(
+      directory.upstreams.begin(), directory.upstreams.end(),
+      [now](const auto& known) { return IsSilent(known.second.load, now); });
+}
+
+bool IsLostFlow(const forwarder& state, const flow_key& key,
+                const tracked_flow& flow, time_point now) {
+  if (!flow.is_open) return false;
+  const known_upstream* const u = FindByMark(state.directory, flow.mark);
+  if (u == nullptr || !IsSilent(u->load, now)) return false;
+  return !flow.is_waiting || IsRepeatable(state.table, key);
 }
 
 }  // namespace
@@ -93,6 +113,20 @@
   return decided;
 }
 
+std::vector<direct_packet> TakeLostFlows(forwarder& state, time_point now) {
+  std::vector<direct_packet> lost;
+  if (!AnySilent(state.directory, now)) return lost;
+  for (const auto& [key, flow] : state.tracker.flows)
+    if (IsLostFlow(state, key, flow, now))
+      lost.push_back({.flow = key,
+                      .mark = flow.mark,
+                      .sequence = flow.next_sequence,
+                      .acknowledged = flow.acknowledged});
+  for (const direct_packet& packet : lost)
+    ForgetFlow(state.tracker, state.directory, packet.flow);
+  return lost;
+}
+
 bool TakeTable(forwarder& state, routing_table table) {
   if (table.version <= state.table.version) return false;
   state.table = std::move(table);
