Balancers that are close behind get only what changed of the list

At 5,500 upstreams each change cost every member of a domain the whole list, 279 KB, over the budget of 18 KB/s while upstreams change all the time. A balancer now remembers the last 32 changes; whoever asks names the digest of its list and gets the difference, checked by the digest of the result. A base that is not known gets the whole list; a difference that no longer fits is left alone until the next report. Entries that stay keep the end of their cold start.

Proved by a property over lists that change back and forth.

--- a/bench/direct_bench.cc
+++ b/bench/direct_bench.cc
@@ -107,13 +107,33 @@
   size_t bytes = 0;
   for (auto _ : bench) {
     failure why;
-    const auto frame = EncodeFrame(ToSnapshot(*state, 1, AtMs(10)), why);
+    const auto frame =
+        EncodeFrame(ToSnapshot(*state, {.table_version = 1}, AtMs(10)), why);
     bytes = frame ? frame->size() : 0;
   }
   bench.counters["bytes"] = static_cast<double>(bytes);
 }
 BENCHMARK(Snapshot)->Arg(18)->Arg(150)->Arg(5500);
 
+// Ten upstreams of the list have been replaced since the asker's list.
+void SnapshotOfChanges(benchmark::State& bench) {
+  constexpr uint64_t kReplaced = 10;
+  const auto state = Forwarder(static_cast<uint32_t>(bench.range(0)), 0);
+  view_request request = ToRequest(*state);
+  upstream_list list = state->listed;
+  ++list.revision;
+  for (uint64_t i = 0; i < kReplaced; ++i) list.upstreams[i].id += 1;
+  TakeUpstreams(*state, list, AtMs(10), AtMs(10));
+  size_t bytes = 0;
+  for (auto _ : bench) {
+    failure why;
+    const auto frame = EncodeFrame(ToSnapshot(*state, request, AtMs(20)), why);
+    bytes = frame ? frame->size() : 0;
+  }
+  bench.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(SnapshotOfChanges)->Arg(18)->Arg(150)->Arg(5500);
+
 void Report(benchmark::State& bench) {
   view_report report;
   report.self = {{0x0A000001, 7720}, "domain-0", 55};
--- a/include/radishyard/direct.h
+++ b/include/radishyard/direct.h
@@ -13,6 +13,7 @@
 #include "direct/flow_mark.h"
 #include "direct/flow_tracker.h"
 #include "direct/forwarder.h"
+#include "direct/list_history.h"
 #include "direct/packet_codec.h"
 #include "direct/peer_exchange.h"
 #include "direct/peer_members.h"
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -190,6 +190,7 @@
 
   void TakeList(const upstream_list& list, time_point at) {
     ++counters_.lists;
+    counters_.refused += list.refused;
     const uint64_t before = state_.digest;
     LogChanges(TakeUpstreams(state_, list, at, clock::now()), list.revision);
     BecomeReady();
@@ -200,6 +201,7 @@
   void TakeNewTable(routing_table table) {
     const uint64_t version = table.version;
     const uint64_t addresses = table.addresses.size();
+    counters_.refused += table.refused;
     const bool taken = TakeTable(state_, std::move(table));
     if (taken) ++counters_.tables;
     Log(severity::kInfo, taken ? "table_taken" : "table_older",
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -48,6 +48,12 @@
           "Openings that a caller repeated.", counters.opening_copies);
   Counter(page, "radishyard_registry_reads_total", "Readings of the registry.",
           counters.lists);
+  Counter(page, "radishyard_tables_taken_total", "Versions of the table taken.",
+          counters.tables);
+  Counter(page, "radishyard_entries_refused_total",
+          "Entries of the registry and rows of the table that could not be "
+          "used, counted at each reading.",
+          counters.refused);
   Counter(page, "radishyard_platform_losses_total",
           "Times that a reading of the platform began to fail.",
           counters.platform_losses);
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -140,8 +140,11 @@
   if (list.revision < state.directory.revision) return {};
   std::vector<directory_change> changes =
       Update(state.directory, list, read_at, now);
+  const uint64_t digest = ListDigest(list);
+  if (digest != state.digest)
+    NoteChange(state.history, state.listed, state.digest, list);
   state.listed = list;
-  state.digest = ListDigest(list);
+  state.digest = digest;
   if (!changes.empty()) RecountFlows(state.tracker, state.directory);
   return changes;
 }
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "direct/direct_packet.h"
 #include "direct/flow_tracker.h"
+#include "direct/list_history.h"
 #include "direct/routing_table.h"
 #include "direct/upstream_directory.h"
 
@@ -61,6 +62,7 @@
   upstream_directory directory;
   upstream_list listed;  ///< The last list taken.
   uint64_t digest = 0;   ///< Of `listed`.
+  list_history history;  ///< Of `listed`.
   flow_tracker tracker;
 };
 
--- /dev/null
+++ b/src/direct/list_history.cc
@@ -0,0 +1,89 @@
+// Differences of lists by id; the order of entries has no meaning.
+#include "direct/list_history.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace radishyard {
+namespace {
+
+using entries_by_id = absl::flat_hash_map<upstream_id, const upstream_entry*>;
+
+entries_by_id IndexById(const upstream_list& list) {
+  entries_by_id index;
+  index.reserve(list.upstreams.size());
+  for (const upstream_entry& entry : list.upstreams)
+    index.emplace(entry.id, &entry);
+  return index;
+}
+
+/// Equal but for the time that is left of a cold start, which shrinks by
+/// itself.
+bool IsSame(const upstream_entry& a, const upstream_entry& b) {
+  upstream_entry aged = a;
+  aged.cold_for = b.cold_for;
+  return aged == b;
+}
+
+std::vector<upstream_id> ChangedIds(const upstream_list& before,
+                                    const upstream_list& after) {
+  std::vector<upstream_id> ids;
+  entries_by_id earlier = IndexById(before);
+  for (const upstream_entry& entry : after.upstreams) {
+    const auto found = earlier.find(entry.id);
+    const bool is_same =
+        found != earlier.end() && IsSame(*found->second, entry);
+    if (!is_same) ids.push_back(entry.id);
+    if (found != earlier.end()) earlier.erase(found);
+  }
+  for (const auto& [id, entry] : earlier) ids.push_back(id);
+  return ids;
+}
+
+}  // namespace
+
+void NoteChange(list_history& history, const upstream_list& before,
+                uint64_t digest_before, const upstream_list& after) {
+  history.changes.push_back({digest_before, ChangedIds(before, after)});
+  if (history.changes.size() > kRememberedChanges) history.changes.pop_front();
+}
+
+std::optional<list_delta> DeltaSince(const list_history& history,
+                                     uint64_t digest,
+                                     const upstream_list& present) {
+  const auto from =
+      std::find_if(history.changes.rbegin(), history.changes.rend(),
+                   [digest](const list_change& change) {
+                     return change.digest_before == digest;
+                   });
+  if (from == history.changes.rend()) return std::nullopt;
+  absl::flat_hash_set<upstream_id> ids;
+  for (auto change = history.changes.rbegin(); change != from + 1; ++change)
+    ids.insert(change->ids.begin(), change->ids.end());
+  list_delta delta;
+  for (const upstream_entry& entry : present.upstreams)
+    if (ids.erase(entry.id) > 0) delta.upstreams.push_back(entry);
+  delta.removed.assign(ids.begin(), ids.end());
+  std::sort(delta.removed.begin(), delta.removed.end());
+  return delta;
+}
+
+std::vector<upstream_entry> ApplyDelta(const upstream_list& base,
+                                       const list_delta& delta,
+                                       duration elapsed) {
+  absl::flat_hash_set<upstream_id> replaced(delta.removed.begin(),
+                                            delta.removed.end());
+  for (const upstream_entry& entry : delta.upstreams) replaced.insert(entry.id);
+  std::vector<upstream_entry> result;
+  for (const upstream_entry& entry : base.upstreams) {
+    if (replaced.contains(entry.id)) continue;
+    result.push_back(entry);
+    result.back().cold_for = std::max(duration{}, entry.cold_for - elapsed);
+  }
+  result.insert(result.end(), delta.upstreams.begin(), delta.upstreams.end());
+  return result;
+}
+
+}  // namespace radishyard
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -82,7 +82,7 @@
     handlers.on_message = [this](peer_link& link, const peer_message& message) {
       const auto* request = std::get_if<view_request>(&message);
       if (request == nullptr || !IsReady(state_)) return link.Close();
-      link.Send(ToSnapshot(state_, request->table_version, clock::now()));
+      link.Send(ToSnapshot(state_, *request, clock::now()));
     };
     return handlers;
   }
@@ -222,7 +222,7 @@
     link_ = std::make_shared<peer_link>(std::move(*fetching_),
                                         std::move(handlers), counters_);
     link_->Start();
-    link_->Send(view_request{state_.table.version});
+    link_->Send(ToRequest(state_));
   }
 
   void Take(const view_snapshot& snapshot, const endpoint& peer) {
--- a/src/direct/routing_table.h
+++ b/src/direct/routing_table.h
@@ -38,6 +38,7 @@
   uint64_t version = 0;  ///< Rises with each edit; 0: none read yet.
   std::vector<published_address> addresses;
   duration idle_timeout = 15s;  ///< Flows silent for longer may be forgotten.
+  uint32_t refused = 0;         ///< Rows left out of a reading since unusable.
   auto operator<=>(const routing_table&) const = default;
 };
 
--- a/src/direct/upstream_entry.h
+++ b/src/direct/upstream_entry.h
@@ -28,6 +28,7 @@
 struct upstream_list {
   uint64_t revision = 0;  ///< Of the store; rises with each change.
   std::vector<upstream_entry> upstreams;
+  uint32_t refused = 0;  ///< Entries left out since they name no upstream.
   auto operator<=>(const upstream_list&) const = default;
 };
 
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -45,6 +45,7 @@
 /// \brief Asks for a snapshot.
 struct view_request {
   uint64_t table_version = 0;  ///< That the sender has; 0: none.
+  uint64_t list_digest = 0;    ///< Of the list that it has; 0: none.
   auto operator<=>(const view_request&) const = default;
 };
 
@@ -86,7 +87,12 @@
   std::vector<view_address> addresses;  ///< Empty where the asker has them.
   uint64_t revision = 0;
   uint32_t age_ms = 0;  ///< Of the list.
-  std::vector<view_upstream> upstreams;
+  uint64_t digest = 0;  ///< Of the list.
+  /// Digest of the asker's list, where only the difference from it follows; 0
+  /// where the whole list does.
+  uint64_t base_digest = 0;
+  std::vector<view_upstream> upstreams;  ///< All, or added and changed ones.
+  std::vector<uint64_t> removed;         ///< Ids; empty for a whole list.
   auto operator<=>(const view_snapshot&) const = default;
 };
 
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -86,6 +86,22 @@
   return table;
 }
 
+/// The sender's list, or nothing where it can't be made up from the list here.
+std::optional<upstream_list> ListOf(const forwarder& state,
+                                    const view_snapshot& snapshot,
+                                    time_point read_at) {
+  upstream_list list{.revision = snapshot.revision};
+  for (const view_upstream& m : snapshot.upstreams)
+    list.upstreams.push_back(FromMessage(m));
+  if (snapshot.base_digest == 0) return list;
+  if (snapshot.base_digest != state.digest) return std::nullopt;
+  const list_delta delta{std::move(list.upstreams), snapshot.removed};
+  const duration elapsed = read_at - state.directory.read_at;
+  list.upstreams = ApplyDelta(state.listed, delta, elapsed);
+  if (ListDigest(list) != snapshot.digest) return std::nullopt;
+  return list;
+}
+
 }  // namespace
 
 uint64_t ListDigest(const upstream_list& list) {
@@ -94,18 +110,32 @@
   return digest;
 }
 
-view_snapshot ToSnapshot(const forwarder& state, uint64_t table_version,
+view_request ToRequest(const forwarder& state) {
+  return {.table_version = state.table.version, .list_digest = state.digest};
+}
+
+view_snapshot ToSnapshot(const forwarder& state, const view_request& request,
                          time_point now) {
   view_snapshot snapshot{
       .table_version = state.table.version,
       .idle_timeout_ms = Milliseconds(state.table.idle_timeout),
       .revision = state.listed.revision,
-      .age_ms = Milliseconds(now - state.directory.read_at)};
-  if (table_version < state.table.version)
+      .age_ms = Milliseconds(now - state.directory.read_at),
+      .digest = state.digest};
+  if (request.table_version < state.table.version)
     for (const published_address& row : state.table.addresses)
       snapshot.addresses.push_back(ToMessage(row));
-  for (const upstream_entry& entry : state.listed.upstreams)
+  list_delta delta{.upstreams = state.listed.upstreams};
+  if (request.list_digest != 0) {
+    if (auto found =
+            DeltaSince(state.history, request.list_digest, state.listed)) {
+      delta = std::move(*found);
+      snapshot.base_digest = request.list_digest;
+    }
+  }
+  for (const upstream_entry& entry : delta.upstreams)
     snapshot.upstreams.push_back(ToMessage(entry));
+  snapshot.removed = std::move(delta.removed);
   return snapshot;
 }
 
@@ -118,12 +148,11 @@
   const bool is_newer =
       snapshot.revision != 0 && snapshot.revision > state.directory.revision;
   if (!is_newer) return effect;
-  upstream_list list{.revision = snapshot.revision};
-  for (const view_upstream& m : snapshot.upstreams)
-    list.upstreams.push_back(FromMessage(m));
   const time_point read_at = now - milliseconds(snapshot.age_ms);
+  const auto list = ListOf(state, snapshot, read_at);
+  if (!list) return effect;
   effect.list_taken = true;
-  effect.changes = TakeUpstreams(state, list, read_at, now);
+  effect.changes = TakeUpstreams(state, *list, read_at, now);
   return effect;
 }
 
@@ -150,8 +179,8 @@
 
 std::vector<upstream_events> TakeEvents(forwarder& state) {
   std::vector<upstream_events> events;
-  for (auto& [id, known] : state.directory.upstreams) {
-    upstream_load::recent& recent = known.load.unreported;
+  for (const auto& [id, known] : state.directory.upstreams) {
+    const upstream_load::recent& recent = known.load.unreported;
     if (recent.answers + recent.failures == 0) continue;
     const double mean_s =
         recent.answers == 0 ? 0 : recent.answer_s / recent.answers;
@@ -159,7 +188,6 @@
     events.push_back({id, recent.answers,
                       static_cast<uint32_t>(mean_s * kMicroseconds),
                       recent.failures});
-    recent = {};
   }
   std::stable_sort(events.begin(), events.end(),
                    [](const upstream_events& a, const upstream_events& b) {
@@ -167,6 +195,8 @@
                             std::pair(b.failures, b.answers);
                    });
   if (events.size() > kReportedUpstreams) events.resize(kReportedUpstreams);
+  for (const upstream_events& each : events)
+    state.directory.upstreams.at(each.upstream).load.unreported = {};
   return events;
 }
 
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -14,8 +14,12 @@
 /// balancer, whatever the order. Not of the time that upstreams stay cold.
 uint64_t ListDigest(const upstream_list& list);
 
-/// \brief The view of `state` for a balancer that has `table_version`.
-view_snapshot ToSnapshot(const forwarder& state, uint64_t table_version,
+/// \brief What a balancer asks for that has the view of `state`.
+view_request ToRequest(const forwarder& state);
+
+/// \brief The view of `state` for a balancer that asks with `request`: only
+/// what it lacks, as far as that is known.
+view_snapshot ToSnapshot(const forwarder& state, const view_request& request,
                          time_point now);
 
 /// \brief What a snapshot changed.
@@ -25,7 +29,8 @@
   std::vector<directory_change> changes;
 };
 
-/// \brief Takes whatever is newer in a snapshot.
+/// \brief Takes whatever is newer in a snapshot. A difference from a list that
+/// is no longer the present one is left alone: the next report asks again.
 snapshot_effect TakeSnapshot(forwarder& state, const view_snapshot& snapshot,
                              time_point now);
 
@@ -53,7 +58,7 @@
 inline constexpr size_t kReportedUpstreams = 32;
 
 /// \brief Takes what was learned since the last call out of the loads, the
-/// upstreams with failures first.
+/// upstreams with failures first. What does not fit stays for the next call.
 std::vector<upstream_events> TakeEvents(forwarder& state);
 
 /// \brief Learns from another balancer's events as from own ones.
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -119,7 +119,7 @@
 }
 template <is<view_request> T>
 auto Fields(T& m) {
-  return std::tie(m.table_version);
+  return std::tie(m.table_version, m.list_digest);
 }
 template <is<view_share> T>
 auto Fields(T& m) {
@@ -138,7 +138,7 @@
 template <is<view_snapshot> T>
 auto Fields(T& m) {
   return std::tie(m.table_version, m.idle_timeout_ms, m.addresses, m.revision,
-                  m.age_ms, m.upstreams);
+                  m.age_ms, m.digest, m.base_digest, m.upstreams, m.removed);
 }
 
 void Write(packer& to, bool value) { to.pack(value); }
--- a/test/view_sharing_test.cc
+++ b/test/view_sharing_test.cc
@@ -1,6 +1,8 @@
 // What balancers make of each other's views.
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 #include <random>
 
@@ -24,7 +26,7 @@
   direct_world other({Entry(1), Entry(2, kAway)});
   forwarder fresh;
   fresh.domain = kHome;
-  const view_snapshot snapshot = ToSnapshot(other.state, 0, AtMs(5000));
+  const view_snapshot snapshot = ToSnapshot(other.state, {}, AtMs(5000));
   const snapshot_effect effect = TakeSnapshot(fresh, snapshot, AtMs(9000));
   EXPECT_TRUE(effect.table_taken && effect.list_taken);
   EXPECT_TRUE(IsReady(fresh));
@@ -36,8 +38,89 @@
 
 TEST(ViewSharing, SnapshotLeavesOutTheTableThatTheAskerHas) {
   direct_world other({Entry(1)});
-  EXPECT_TRUE(ToSnapshot(other.state, 1, AtMs(0)).addresses.empty());
-  EXPECT_EQ(ToSnapshot(other.state, 0, AtMs(0)).addresses.size(), 2U);
+  EXPECT_TRUE(
+      ToSnapshot(other.state, {.table_version = 1}, AtMs(0)).addresses.empty());
+  EXPECT_EQ(ToSnapshot(other.state, {}, AtMs(0)).addresses.size(), 2U);
+}
+
+/// Two balancers with the same list, and what the first sends of the second
+/// one's later list.
+struct delta_worlds {
+  explicit delta_worlds(const std::vector<upstream_entry>& entries)
+      : asker(entries), other(entries) {}
+
+  view_snapshot Changes(time_point now) const {
+    return ToSnapshot(other.state, ToRequest(asker.state), now);
+  }
+
+  direct_world asker;
+  direct_world other;
+};
+
+TEST(ViewSharing, ABalancerThatIsCloseBehindGetsOnlyWhatChanged) {
+  upstream_entry cold = Entry(2);
+  cold.cold_for = 5s;
+  delta_worlds worlds({Entry(1), cold, Entry(3)});
+  upstream_entry leaving = Entry(3);
+  leaving.leaving = true;
+  worlds.other.List({Entry(1), cold, leaving, Entry(4)}, AtMs(1000));
+  worlds.other.List({cold, leaving, Entry(4)}, AtMs(2000));
+  const view_snapshot changes = worlds.Changes(AtMs(2000));
+  EXPECT_EQ(changes.upstreams.size(), 2U) << "the leaving and the new one";
+  EXPECT_EQ(changes.removed, std::vector<uint64_t>{1});
+  const auto effect = TakeSnapshot(worlds.asker.state, changes, AtMs(2000));
+  EXPECT_TRUE(effect.list_taken);
+  EXPECT_EQ(worlds.asker.state.digest, worlds.other.state.digest);
+  using kind = directory_change::kind;
+  const std::vector<directory_change> expected{
+      {kind::kLeaving, 3}, {kind::kJoined, 4}, {kind::kGone, 1}};
+  EXPECT_EQ(effect.changes, expected);
+  // It stays cold until 5 s, whatever came in between.
+  EXPECT_EQ(worlds.asker.Known(2).cold_until, AtMs(5000));
+}
+
+TEST(ViewSharing, AChangeOfALaterListIsLeftAlone) {
+  delta_worlds worlds({Entry(1)});
+  worlds.other.List({Entry(1), Entry(2)}, AtMs(1000));
+  const view_snapshot changes = worlds.Changes(AtMs(1000));
+  // Meanwhile the asker has read the registry itself.
+  worlds.asker.List({Entry(3)}, AtMs(900));
+  worlds.asker.state.directory.revision = 1;
+  EXPECT_FALSE(
+      TakeSnapshot(worlds.asker.state, changes, AtMs(1001)).list_taken);
+  EXPECT_EQ(worlds.asker.state.listed.upstreams.size(), 1U);
+}
+
+TEST(ViewSharing, WhoeverIsFarBehindGetsTheWholeList) {
+  delta_worlds worlds({Entry(1)});
+  for (upstream_id id = 2; id < kRememberedChanges + 4; ++id)
+    worlds.other.List({Entry(1), Entry(id)}, AtMs(100));
+  const view_snapshot whole = worlds.Changes(AtMs(200));
+  EXPECT_EQ(whole.base_digest, 0U);
+  EXPECT_EQ(whole.upstreams.size(), 2U);
+  EXPECT_TRUE(TakeSnapshot(worlds.asker.state, whole, AtMs(200)).list_taken);
+  EXPECT_EQ(worlds.asker.state.digest, worlds.other.state.digest);
+}
+
+// Lists that change back and forth, and askers that skip some of them.
+RC_GTEST_PROP(ViewSharing, ChangesAlwaysLeadToTheSendersList, ()) {
+  delta_worlds worlds({Entry(1)});
+  for (int step = 0; step < 20; ++step) {
+    const auto listed = *rc::gen::arbitrary<uint8_t>();   // A bit for each.
+    const auto leaving = *rc::gen::arbitrary<uint8_t>();  // The same.
+    std::vector<upstream_entry> entries;
+    for (upstream_id id = 1; id <= 8; ++id) {
+      const unsigned bit = 1U << (id - 1);
+      if ((listed & bit) == 0) continue;
+      entries.push_back(Entry(id));
+      entries.back().leaving = (leaving & bit) != 0;
+    }
+    const time_point now = AtMs(100 * (step + 1));
+    worlds.other.List(entries, now);
+    if (*rc::gen::arbitrary<bool>()) continue;
+    TakeSnapshot(worlds.asker.state, worlds.Changes(now), now);
+    RC_ASSERT(worlds.asker.state.digest == worlds.other.state.digest);
+  }
 }
 
 TEST(ViewSharing, AnOlderSnapshotChangesNothing) {
@@ -45,8 +128,8 @@
   direct_world world({Entry(1)});
   world.List({Entry(1), Entry(2)}, AtMs(100));
   TakeTable(world.state, Table(4));
-  const auto effect =
-      TakeSnapshot(world.state, ToSnapshot(old.state, 0, AtMs(200)), AtMs(200));
+  const auto effect = TakeSnapshot(
+      world.state, ToSnapshot(old.state, {}, AtMs(200)), AtMs(200));
   EXPECT_FALSE(effect.table_taken || effect.list_taken);
   EXPECT_EQ(world.state.table.version, 4U);
   EXPECT_EQ(world.state.directory.upstreams.size(), 2U);
@@ -125,6 +208,18 @@
   EXPECT_TRUE(TakeEvents(world.state).empty());
 }
 
+TEST(ViewSharing, WhatDoesNotFitAReportComesWithTheNext) {
+  std::vector<upstream_entry> entries;
+  for (upstream_id id = 1; id <= kReportedUpstreams + 5; ++id)
+    entries.push_back(Entry(id));
+  direct_world world(entries);
+  for (auto& [id, known] : world.state.directory.upstreams)
+    LearnAnswer(known.load, 20ms);
+  EXPECT_EQ(TakeEvents(world.state).size(), kReportedUpstreams);
+  EXPECT_EQ(TakeEvents(world.state).size(), 5U);
+  EXPECT_TRUE(TakeEvents(world.state).empty());
+}
+
 TEST(ViewSharing, MessagesSurviveTheCodecAndItsFuzzing) {
   direct_world world({Entry(1), Entry(2, kAway)});
   view_report report = ReportOf(world.state, AtMs(10));
@@ -133,8 +228,8 @@
   report.events = {{1, 2, 3, 4}};
   std::mt19937 random(3);
   for (const peer_message& message :
-       {peer_message(ToSnapshot(world.state, 0, AtMs(10))),
-        peer_message(report), peer_message(view_request{7})}) {
+       {peer_message(ToSnapshot(world.state, {}, AtMs(10))),
+        peer_message(report), peer_message(view_request{7, 8})}) {
     failure why;
     const std::string frame = *EncodeFrame(message, why);
     EXPECT_EQ(DecodePayload(NextFrame(frame).payload, why), message);
