--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -36,17 +36,17 @@
 
 class peer_exchange::core : public std::enable_shared_from_this<core> {
  public:
-  core(asio::io_context& io, const view_member& self,
+  core(asio::io_context& io, const endpoint& listen, const view_member& self,
        std::vector<endpoint> seeds, forwarder& state,
        exchange_handlers handlers)
       : seeds_(std::move(seeds)),
         io_(io),
         state_(state),
         handlers_(std::move(handlers)),
-        socket_(io, ToUdp(self.peer)),
+        socket_(io, ToUdp(listen)),
         timer_(io),
         fetch_timer_(io),
-        server_(io, self.peer, ServerHandlers(), counters_) {
+        server_(io, listen, ServerHandlers(), counters_) {
     members_.self = self;
     socket_.non_blocking(true);
   }
@@ -257,10 +257,11 @@
   bool is_stopped_ = false;
 };
 
-peer_exchange::peer_exchange(asio::io_context& io, const view_member& self,
+peer_exchange::peer_exchange(asio::io_context& io, const endpoint& listen,
+                             const view_member& self,
                              const std::vector<endpoint>& seeds,
                              forwarder& state, exchange_handlers handlers)
-    : core_(std::make_shared<core>(io, self, seeds, state,
+    : core_(std::make_shared<core>(io, listen, self, seeds, state,
                                    std::move(handlers))) {}
 
 peer_exchange::~peer_exchange() { core_->Stop(); }
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -24,11 +24,13 @@
 /// \brief Exchanges views with the other balancers of the domain.
 class peer_exchange {
  public:
+  /// \param listen where reports and snapshots arrive; others are told
+  /// `self.peer`.
   /// \param seeds balancers to ask first. Some may be down or gone.
   /// \param state outlives the exchange.
-  peer_exchange(asio::io_context& io, const view_member& self,
-                const std::vector<endpoint>& seeds, forwarder& state,
-                exchange_handlers handlers);
+  peer_exchange(asio::io_context& io, const endpoint& listen,
+                const view_member& self, const std::vector<endpoint>& seeds,
+                forwarder& state, exchange_handlers handlers);
   ~peer_exchange();
   peer_exchange(const peer_exchange&) = delete;
   peer_exchange& operator=(const peer_exchange&) = delete;
