A paused owner places nothing it held before; ends and answers reach an owner that seems dead

Found with a trace of ProcessPlatform.AnswersAreLostAfterWrites (a print of records idle for 20 s that hold a slot, beside the spans of their flows): the FIN of the upstream was not in the owner's spans, although the caller had it. It had come to a balancer that believed owner and successors dead, which passes answers to the caller by itself and told nobody; the flow stayed counted for the idle timeout. That balancer now also sends ends of flows to the owner that the roster names.

- Datagrams of an idempotent UDP answer were passed on by whoever got them, and joined by the caller with the answer of the upstream that ran the repetition.
The owner now decides on them; one that does not know the flow drops them, and refuses no repetition of such a request.
Ended UDP flows go along with a hand-over, so the rest of their answers still passes.
- An owner that wakes from a pause placed its unanswered and waiting openings again, after its successor had opened the flows elsewhere.
It forgets them.
- Openings that leave a queue at a move leave the callers' shares as well.

Each has a test in traffic_moves_test that failed first (but the hand-over of ended UDP flows, which guards against the new drop).

--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -75,7 +75,11 @@
     first = ForeignFirst(name, inputs, members);
   }
   route.epoch = pool->since_epoch;
-  if (!first) return;
+  if (!first) {
+    const member* const named = members.Find(pool->owner);
+    if (named != nullptr) route.owner = ThreadEndpoint(*named, name);
+    return;
+  }
   SetRole(route, inputs, *pool, *first);
   const member* const serving = members.Find(*first);
   if (serving == nullptr) return;
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -229,6 +229,12 @@
                      });
 }
 
+void ForgetWaiting(pool_state& pool) {
+  for (const auto* list : {&pool.queue.short_work, &pool.queue.bulk})
+    for (const waiting_opening& w : *list) LeaveQueue(pool, w);
+  pool.queue = {};
+}
+
 const waiting_opening* FirstWaiting(const pool_state& pool) {
   const auto& list = pool.queue.short_work;
   return list.empty() ? nullptr : &list.front();
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -123,6 +123,9 @@
 /// \sa FirstWaiting
 std::optional<open_decision> PopForPeer(pool_state& pool, time_point now);
 
+/// \brief Takes all openings out of the queue, without a decision on them.
+void ForgetWaiting(pool_state& pool);
+
 /// \brief The opening that `PopForPeer` would take; none where none waits.
 /// \warning Ask it before popping: an opening that is opened again starts a new
 /// wait, unless its `waited` says how long it has waited.
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -264,8 +264,9 @@
   flow.syn_seq = in.packet.seq;
   if (in.CameAs(forward_kind::kPassedOpening)) flow.Set(kWasPassed);
   const bool is_new_owner = now - pool.taken_at < kRetryWindow;
+  const bool has_run = may_have_run || withheld_answers_.Has(in.hash);
   const bool is_udp = in.packet.proto == protocol::kUdp;
-  if (is_udp && (may_have_run || is_new_owner)) flow.Set(kMayHaveRun);
+  if (is_udp && (has_run || is_new_owner)) flow.Set(kMayHaveRun);
   held_[slot].assign(in.bytes.begin(), in.bytes.end());
   Trace(in, "owner", "open", now);
   Settle(slot,
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -88,8 +88,8 @@
   void AdoptAndForward(inbound& in, uint32_t upstream, time_point now);
 
   /// \brief This process was paused: other balancers may have placed what waits
-  /// here, so nothing of it is refused, and no new flow is placed until the
-  /// control thread has heard of its peers.
+  /// here or has had no answer yet, so all of it is forgotten, and no new flow
+  /// is placed until the control thread has heard of its peers.
   void ResumeAfterPause(time_point now);
 
   /// \brief Queue decisions, unanswered openings, ends of linger and idle
@@ -228,6 +228,7 @@
   absl::flat_hash_map<uint32_t, byte_buffer> held_;  // Opening packets by slot.
   duplicate_filter duplicates_{kRepeatWindow};  // Of non-idempotent requests.
   duplicate_filter copies_{kRetryWindow};       // Of idempotent requests.
+  duplicate_filter withheld_answers_{kRetryWindow};  // Their flows, by hash.
   traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -96,7 +96,15 @@
   SendHeld(slot, now);
 }
 
+// Part of an answer to a repeatable request is dropped: other parts went down
+// with the previous owner, and the caller would join it with the answer of
+// another upstream once it has sent the request again.
 void flow_owner::LearnFromUpstream(const inbound& in, time_point now) {
+  if (in.IsRepeatable()) {
+    ++counters_.stale_answers;
+    withheld_answers_.Add(in.hash, now);
+    return;
+  }
   const bool ends = in.packet.proto == protocol::kTcp &&
                     (in.packet.Has(kRst) || in.packet.Has(kFin));
   if (in.IsWitnessed() && !ends) {
--- a/src/traffic/flow_owner_moves.cc
+++ b/src/traffic/flow_owner_moves.cc
@@ -10,13 +10,12 @@
 constexpr uint32_t kWitnessSearch = 20000;  // Slots looked at in one call.
 constexpr uint8_t kBothFins = kCallerFin | kUpstreamFin;
 
-// Ended TCP flows are told too: the new owner must not learn them anew from
-// their last acknowledgements.
+// Ended flows are told too: the new owner must not learn them anew from their
+// last acknowledgements, and passes on the rest of their answers.
 bool IsTold(const flow_record& flow) {
   return flow.phase == flow_phase::kOpen ||
          flow.phase == flow_phase::kOpening ||
-         (flow.phase == flow_phase::kClosed &&
-          flow.key.proto == protocol::kTcp);
+         flow.phase == flow_phase::kClosed;
 }
 
 bool HasEnded(const flow_entry& entry) {
@@ -37,7 +36,7 @@
   const bool begins = !pool.moved_to;
   pool.moved_to = route.owner;
   if (!begins || pool.state.queue.empty()) return;
-  pool.state.queue = {};
+  ForgetWaiting(pool.state);
   for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
     if (!flows_.Holds(slot) || flows_.At(slot).phase != flow_phase::kQueued)
       continue;
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -14,9 +14,14 @@
 
 void flow_owner::ResumeAfterPause(time_point now) {
   resume_at_ = now + kPacketLifetime;
+  for (const auto& pool : served_) ForgetWaiting(pool->state);
   for (uint32_t slot = 0; slot < flows_.SlotLimit(); ++slot) {
-    if (flows_.Holds(slot) && flows_.At(slot).phase == flow_phase::kQueued)
-      flows_.At(slot).Set(kMayHaveRun);
+    if (!flows_.Holds(slot)) continue;
+    flow_record& flow = flows_.At(slot);
+    const bool is_opening =
+        flow.phase == flow_phase::kOpening && flow.key.proto == protocol::kTcp;
+    if (is_opening) Release(flow, flow_end::kAbandoned, now);
+    if (is_opening || flow.phase == flow_phase::kQueued) Remove(slot);
   }
 }
 
--- a/src/traffic/inbound.h
+++ b/src/traffic/inbound.h
@@ -35,6 +35,12 @@
   bool IsUnsafe() const {
     return packet.proto == protocol::kUdp && !port.idempotent;
   }
+  /// \brief True for a request that its caller sends again, maybe to another
+  /// upstream, until it has the whole answer of one.
+  bool IsRepeatable() const {
+    return packet.proto == protocol::kUdp && port.kind == port_kind::kRequest &&
+           port.idempotent;
+  }
   /// \brief True if return traffic names the flow's upstream for later packets.
   bool IsWitnessed() const {
     return packet.proto == protocol::kTcp || port.kind == port_kind::kFeed;
--- a/src/traffic/routing_view.h
+++ b/src/traffic/routing_view.h
@@ -46,7 +46,9 @@
   uint64_t epoch = 0;  ///< Epoch that named the owner.
   pool_role role = pool_role::kNone;
   bool reachable = false;  ///< Some balancer that serves it is alive.
-  endpoint owner;          ///< Data endpoint of the one who serves it.
+  /// Data endpoint of the one who serves it; while none is reachable, of the
+  /// one whom the roster names. Port 0 if none.
+  endpoint owner;
   std::optional<endpoint>
       previous;  ///< Asks here for flows that were not handed over yet.
 };
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -241,9 +241,9 @@
 
 void traffic_core::FromUpstream(inbound& in, time_point now) {
   in.hash = StableHash(in.key);
+  const bool ends = in.packet.proto == protocol::kTcp &&
+                    (in.packet.Has(kFin) || in.packet.Has(kRst));
   if (in.IsWitnessed()) {
-    const bool ends = in.packet.proto == protocol::kTcp &&
-                      (in.packet.Has(kFin) || in.packet.Has(kRst));
     if (ends) {
       witnesses_.Drop(in.hash);
     } else {
@@ -259,15 +259,29 @@
     Bounce(in);
   } else if (slot || serves) {
     owner_.HandleUpstream(in, slot, now);
+  } else if (view_->pools[in.pool].reachable) {
+    ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
   } else {
-    if (view_->pools[in.pool].reachable) {
-      ForwardToOwner(in, forward_kind::kFromUpstream, 0, now);
-    } else {
-      // Nobody serves the pool now; the caller still gets its answer.
-      RewriteSource(in.bytes, in.key.service);
-      sink_.ToFabric(in.bytes, in.hash);
-    }
+    PassAnswer(in, ends);
+  }
+}
+
+// No balancer that serves the pool seems alive; the caller still gets its
+// answer. The owner may live, so it is told of the end of a flow, and decides
+// on answers that must not be joined from two runs.
+void traffic_core::PassAnswer(inbound& in, bool ends) {
+  const pool_route& route = view_->pools[in.pool];
+  const bool is_told = ends || in.IsRepeatable();
+  if (is_told && route.owner.port != 0 && in.Hops() < kMaxHops) {
+    const auto hops = static_cast<uint8_t>(in.Hops() + 1);
+    sink_.ToBalancer(
+        route.owner,
+        {forward_kind::kFromUpstream, hops, route.tag, 0, in.ParentSpan()},
+        in.bytes);
   }
+  if (in.IsRepeatable()) return;
+  RewriteSource(in.bytes, in.key.service);
+  sink_.ToFabric(in.bytes, in.hash);
 }
 
 // The previous owner does not know the flow either; the new one goes on by
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -61,6 +61,7 @@
   void TakeOutcome(inbound& in, flow_owner::outcome result, time_point now);
   void Withhold(time_point now);
   void RetryWithheld(time_point now);
+  void PassAnswer(inbound& in, bool ends);
   void Bounce(inbound& in);
   uint32_t Ms(time_point now) const {
     return static_cast<uint32_t>(ToMs(now - start_));
--- a/test/support/traffic_bench.cc
+++ b/test/support/traffic_bench.cc
@@ -11,7 +11,9 @@
   s.ports = {{7000, 7000, protocol::kTcp, port_kind::kFeed},
              {7001, 7001, protocol::kTcp, port_kind::kRequest},
              {7002, 7002, protocol::kUdp, port_kind::kRequest,
-              priority_class::kNormal, false, 30}};
+              priority_class::kNormal, false, 30},
+             {7003, 7003, protocol::kUdp, port_kind::kRequest,
+              priority_class::kNormal, true, 30}};
   s.upstreams = {{"u1", kFirstUpstream, "rennes", 10, slots, 2000},
                  {"u2", kFirstUpstream + 1, "rennes", 10, slots, 2000},
                  {"u3", kFirstUpstream + 2, "vannes", 10, slots, 2000}};
--- a/test/support/traffic_bench.h
+++ b/test/support/traffic_bench.h
@@ -50,7 +50,8 @@
   static constexpr endpoint kCaller{0x0a010101, 40000};
   static constexpr endpoint kFeed{0x0a140001, 7000};
   static constexpr endpoint kRequest{0x0a140001, 7001};
-  static constexpr endpoint kOrder{0x0a140001, 7002};  // UDP, not idempotent.
+  static constexpr endpoint kOrder{0x0a140001, 7002};   // UDP, not idempotent.
+  static constexpr endpoint kLookup{0x0a140001, 7003};  // UDP, idempotent.
 
   /// \param slots of each of the two upstreams of the pool in "rennes".
   explicit traffic_bench(uint32_t slots = 2);
--- a/test/traffic_moves_test.cc
+++ b/test/traffic_moves_test.cc
@@ -153,6 +153,94 @@
   EXPECT_EQ(to.core.owner().OpenFlows(), 0U);
 }
 
+packet_fields Lookup() {
+  return {bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7,
+          Payload()};
+}
+
+packet_fields AnswerOf(const endpoint& up) {
+  return {up, bench::kCaller, protocol::kUdp, 0, 0, 0, 8, Payload()};
+}
+
+// Found by ProcessKill.OwnerPausedPastItsLease: the owner woke after its
+// successor had opened the flow, placed the opening a second time, and the
+// caller's flow was reset.
+TEST(TrafficMoves, APausedOwnerPlacesNothingThatItHeldBefore) {
+  bench owner(1);
+  for (uint16_t port = 1; port <= 3; ++port)
+    owner.In({{bench::kCaller.address, port},
+              bench::kRequest,
+              protocol::kTcp,
+              kSyn,
+              100},
+             AtMs(1));
+  EXPECT_EQ(owner.core.owner().Loads(AtMs(2)).at(0).load.waiting, 1U);
+  owner.core.owner().ResumeAfterPause(AtMs(6000));
+  for (int ms = 6000; ms < 8000; ms += 10)
+    EXPECT_TRUE(owner.Tick(AtMs(ms)).empty());
+  EXPECT_EQ(Connections(owner, AtMs(8000)), 0U);
+  EXPECT_EQ(owner.core.owner().Loads(AtMs(8000)).at(0).load.waiting, 0U);
+}
+
+// An answer takes several datagrams. Those that come after the owner was lost
+// would be joined with the answer of the upstream that runs the repetition.
+TEST(TrafficMoves, PartOfALostOwnersAnswerIsNotPassedOn) {
+  bench lost;
+  const endpoint up = lost.In(Lookup(), AtMs(1)).at(0).View().destination;
+  bench successor;
+  EXPECT_TRUE(successor.In(AnswerOf(up), AtMs(5)).empty());
+  const auto again = successor.In(Lookup(), AtMs(1000));
+  ASSERT_EQ(again.size(), 1U);
+  const endpoint next = again[0].View().destination;
+  EXPECT_EQ(successor.In(AnswerOf(next), AtMs(1005)).size(), 1U);
+}
+
+/// An ingress that believes all balancers dead that serve the pool.
+struct lonely_ingress : bench {
+  lonely_ingress() {
+    rennes().role = pool_role::kNone;
+    rennes().reachable = false;
+    Publish(AtMs(1));
+  }
+};
+
+// Found by ProcessPlatform.AnswersAreLostAfterWrites: the FIN of an upstream
+// passed a balancer that wrongly believed the owner dead, and the owner counted
+// the flow for 300 s.
+TEST(TrafficMoves, AnOwnerThatSeemsDeadIsToldOfTheEndOfAFlow) {
+  bench owner;
+  const endpoint up = OpenRequest(owner);
+  lonely_ingress ingress;
+  EXPECT_EQ(ingress.In(Tcp(up, kRequester, kAck), AtMs(9)).size(), 1U);
+  const auto sent = ingress.In(Tcp(up, kRequester, kFin | kAck), AtMs(10));
+  ASSERT_EQ(sent.size(), 2U);
+  EXPECT_EQ(sent[0].to, bench::kPeer);
+  EXPECT_EQ(sent[1].View().source, bench::kRequest) << "the caller has it";
+  owner.In(Tcp(up, kRequester, kFin | kAck), AtMs(11), sent[0].forward);
+  EXPECT_EQ(Connections(owner, AtMs(12)), 0U);
+}
+
+TEST(TrafficMoves, AnOwnerThatSeemsDeadDecidesOnAnswersThatMayBeJoined) {
+  bench owner;
+  const endpoint up = owner.In(Lookup(), AtMs(1)).at(0).View().destination;
+  lonely_ingress ingress;
+  const auto sent = ingress.In(AnswerOf(up), AtMs(5));
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].to, bench::kPeer);
+  EXPECT_EQ(owner.In(AnswerOf(up), AtMs(6), sent[0].forward).size(), 1U);
+}
+
+TEST(TrafficMoves, TheRestOfAnAnswerPassesTheNewOwnerAfterAHandOver) {
+  bench from;
+  bench to;
+  const endpoint up = from.In(Lookup(), AtMs(1)).at(0).View().destination;
+  EXPECT_EQ(from.In(AnswerOf(up), AtMs(5)).size(), 1U);
+  MoveToPeer(from, to);
+  HandOver(from, to, AtMs(12));
+  EXPECT_EQ(to.In(AnswerOf(up), AtMs(13)).size(), 1U);
+  EXPECT_EQ(Connections(to, AtMs(14)), 0U);
+}
+
 // Both ends acknowledge the other's FIN; after a kill nobody knows the flow.
 TEST(TrafficMoves, LateAcknowledgementsKeepNoFlowCounted) {
   bench to;
