No reset where callers repeat what is answered: their packets come late

A balancer that has seen three answered repetitions within 2 s now takes repetitions for no sign of silence. The unit test failed without it.

--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -21,6 +21,10 @@
 constexpr double kOverdueAnswers = 8;
 constexpr double kShortestOverdueS = 0.3;
 
+/// So many answered repetitions within this time are no single lost packets.
+constexpr size_t kDelayedRepetitions = 3;
+constexpr duration kDelayedWithin = 2s;
+
 using flow_iterator = absl::flat_hash_map<flow_key, tracked_flow>::iterator;
 
 void EndWaiting(tracked_flow& flow, upstream_directory& directory) {
@@ -62,6 +66,7 @@
       return std::nullopt;
     }
     if (now - flow.sent_at < kShortestRepetition) return std::nullopt;
+    flow.is_repeated = true;
     LearnRepetition(upstream.load, flow.sent_at, now);
     return flow.sent_at;
   }
@@ -70,15 +75,23 @@
   if (flow.is_waiting) return std::nullopt;
   flow.is_waiting = true;
   flow.is_overdue = false;
+  flow.is_repeated = false;
   flow.requested_at = now;
   ++upstream.load.waiting;
   return std::nullopt;
 }
 
+void NoteAnsweredRepetition(flow_tracker& tracker, time_point now) {
+  tracker.answered_repetitions.push_back(now);
+  if (tracker.answered_repetitions.size() > kDelayedRepetitions)
+    tracker.answered_repetitions.pop_front();
+}
+
 /// Takes the answer of the flow's request, as far as it can be seen.
 void TakeAnswer(flow_tracker& tracker, tracked_flow& flow,
                 upstream_directory& directory, known_upstream& upstream,
                 const direct_packet& packet, uint32_t bytes, time_point now) {
+  if (flow.is_repeated) NoteAnsweredRepetition(tracker, now);
   LearnAnswer(upstream.load, now - flow.requested_at);
   tracker.answer_times.Add(now - flow.requested_at);
   const bool is_small = LearnSize(tracker.sizes, packet.flow.service, bytes);
@@ -177,6 +190,11 @@
   return std::clamp(bound, kShortestBound, kLongestBound);
 }
 
+bool IsDelayed(const flow_tracker& tracker, time_point now) {
+  return tracker.answered_repetitions.size() == kDelayedRepetitions &&
+         now - tracker.answered_repetitions.front() < kDelayedWithin;
+}
+
 void ForgetFlow(flow_tracker& tracker, upstream_directory& directory,
                 const flow_key& flow) {
   const auto at = tracker.flows.find(flow);
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -33,6 +34,7 @@
   bool is_open = false;          ///< A packet after the opening was seen.
   bool is_waiting = false;       ///< A request has no acknowledged answer yet.
   bool is_overdue = false;       ///< That request has counted as failed.
+  bool is_repeated = false;      ///< The caller has sent that request again.
   time_point requested_at{};     ///< Valid while waiting.
   time_point sent_at{};          ///< When the last new data or opening went on.
   time_point seen_at{};
@@ -50,6 +52,9 @@
   /// End of this process's last pause. Data sent on before says nothing of its
   /// upstream when it is repeated: the answers may still wait to be read.
   time_point awake_since{};
+  /// When repeated requests were answered after all, the last ones; see
+  /// IsDelayed().
+  std::deque<time_point> answered_repetitions;
   answer_sizes sizes;
   time_histogram confirm_times;  ///< As smoothed in `confirm_s`.
   time_histogram answer_times;   ///< From a request to its answer.
@@ -58,6 +63,10 @@
 /// \brief An opening is overdue after this time.
 duration ConfirmBound(const flow_tracker& tracker);
 
+/// \brief True where callers repeat requests that are answered: their packets
+/// arrive late here, so that repetitions say nothing of upstreams.
+bool IsDelayed(const flow_tracker& tracker, time_point now);
+
 /// \brief Notes that the flow of an opening was placed on `upstream`.
 void TrackOpening(flow_tracker& tracker, upstream_directory& directory,
                   const direct_packet& packet, known_upstream& upstream,
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -75,6 +75,7 @@
 bool IsLost(const forwarder& state, const direct_packet& packet,
             const known_upstream& upstream, time_point now) {
   return packet.length > 0 && IsSilent(upstream.load, now) &&
+         !IsDelayed(state.tracker, now) &&
          IsRepeatable(state.table, packet.flow);
 }
 
@@ -116,6 +117,7 @@
 std::vector<direct_packet> TakeLostFlows(forwarder& state, time_point now) {
   std::vector<direct_packet> lost;
   if (!AnySilent(state.directory, now)) return lost;
+  if (IsDelayed(state.tracker, now)) return lost;
   for (const auto& [key, flow] : state.tracker.flows)
     if (IsLostFlow(state, key, flow, now))
       lost.push_back({.flow = key,
--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -198,6 +198,30 @@
   EXPECT_TRUE(TakeLostFlows(world.state, AtMs(1401)).empty());
 }
 
+// Found by the soak, seeds 407 and 417: packets to one balancer took 250 ms
+// more, so that callers repeated what had been answered; then the routers moved
+// flows away, their answers went by other balancers, and all flows of a healthy
+// upstream were reset.
+TEST(DirectForwarder, RepetitionsThatAreAnsweredAreNoSilence) {
+  silent_world world(kFeedAddress);
+  for (uint32_t caller : {11, 12, 13}) {
+    world.Open(caller, AtMs(400));
+    world.Send(caller, FlowMark(1), 100, 50, 1, AtMs(420));
+    world.Send(caller, FlowMark(1), 100, 50, 1, AtMs(620));
+    world.Send(caller, FlowMark(1), 150, 0, 900, AtMs(700));
+  }
+  world.Send(1, FlowMark(1), 150, 50, 500, AtMs(1200));
+  world.Send(2, FlowMark(1), 150, 50, 500, AtMs(1300));
+  ASSERT_TRUE(IsSilent(world.Known(1).load, AtMs(1600)));
+  EXPECT_EQ(world.Send(1, FlowMark(1), 150, 50, 500, AtMs(1600)).what,
+            verdict_kind::kForward);
+  EXPECT_TRUE(TakeLostFlows(world.state, AtMs(1600)).empty());
+  // Silence that lasts is believed once answered repetitions are long past.
+  world.Send(1, FlowMark(1), 150, 50, 500, AtMs(2400));
+  world.Send(2, FlowMark(1), 150, 50, 500, AtMs(2500));
+  EXPECT_FALSE(TakeLostFlows(world.state, AtMs(2701)).empty());
+}
+
 TEST(DirectForwarder, NeverResetsAFlowWithANonIdempotentRequest) {
   silent_world world(kOrderAddress);
   for (int64_t ms : {1200, 1600, 2400, 4000})
