--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -80,7 +80,7 @@
         upkeep_(io),
         stop_(io),
         peers_(io, config.peer,
-               {config.peer_public, config.domain, config.size}, config.peers,
+               {PeerAsSeen(config), config.domain, config.size}, config.peers,
                state_, PeerHandlers()),
         times_(TimesFor(config)),
         follower_(io, source, times_, Handlers(),
--- a/src/direct/direct_settings.cc
+++ b/src/direct/direct_settings.cc
@@ -105,9 +105,8 @@
   reader.Address("ready", s.ready);
   reader.Address("metrics", s.metrics);
   reader.Address("peer", s.peer);
-  s.peer_public = s.peer;
   if (document->contains("peer_public"))
-    reader.Address("peer_public", s.peer_public);
+    reader.Address("peer_public", s.peer_public.emplace());
   reader.Addresses("peers", s.peers);
   reader.Address("platform", s.platform);
   reader.Bound("drain_bound_ms", s.drain_bound);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -17,14 +17,15 @@
 /// and bounds.
 struct direct_settings {
   std::string name;
-  std::string domain;    ///< Failure domain.
-  uint32_t size = 1;     ///< Relative capacity of the VM.
-  endpoint traffic;      ///< Where callers' packets arrive (UDP). Callers take
-                         ///< refusals at the same port of theirs.
-  endpoint ready;        ///< Readiness page (HTTP).
-  endpoint metrics;      ///< Metrics page (HTTP).
-  endpoint peer;         ///< Reports (UDP) and snapshots (TCP) of others.
-  endpoint peer_public;  ///< Where others reach `peer`, if it is mapped.
+  std::string domain;  ///< Failure domain.
+  uint32_t size = 1;   ///< Relative capacity of the VM.
+  endpoint traffic;    ///< Where callers' packets arrive (UDP). Callers take
+                       ///< refusals at the same port of theirs.
+  endpoint ready;      ///< Readiness page (HTTP).
+  endpoint metrics;    ///< Metrics page (HTTP).
+  endpoint peer;       ///< Reports (UDP) and snapshots (TCP) of others.
+  std::optional<endpoint> peer_public;  ///< Where others reach `peer`, if it
+                                        ///< is mapped.
   std::vector<endpoint>
       peers;                  ///< Balancers to ask while the platform is away.
   endpoint platform;          ///< The platform's store (HTTP).
@@ -35,6 +36,11 @@
   auto operator<=>(const direct_settings&) const = default;
 };
 
+/// \brief Where other balancers reach this one.
+inline endpoint PeerAsSeen(const direct_settings& s) {
+  return s.peer_public.value_or(s.peer);
+}
+
 /// \brief Reads settings and reports every fault together.
 /// \returns nothing where a required setting is missing or any is malformed.
 std::optional<direct_settings> ParseDirectSettings(std::string_view json,
