Revert: paused flows on silent upstreams are reset before their callers ask

Back to resets on a packet of the flow alone; the guard against answered repetitions stays for those.

--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -299,17 +299,6 @@
     if (decided.what == verdict_kind::kForward)
       Forward(datagram, *packet, decided);
     if (decided.what == verdict_kind::kRefuse) SendRefusal(*packet);
-    if (decided.repeats) ResetLostFlows(now);
-  }
-
-  void ResetLostFlows(time_point now) {
-    const verdict reset{.what = verdict_kind::kRefuse,
-                        .reason = verdict_reason::kSilentUpstream};
-    for (const direct_packet& flow : TakeLostFlows(state_, now)) {
-      ++counters_.verdicts[static_cast<size_t>(reset.reason)];
-      LogDecision(flow, reset, now);
-      SendRefusal(flow);
-    }
   }
 
   /// One line for each decision but the ordinary one, to send on by the mark.
@@ -411,7 +400,6 @@
     NoticePause(now);
     FindOverdue(state_.tracker, state_.directory, now);
     LogBeliefs(now);
-    ResetLostFlows(now);
     ForgetIdle(state_.tracker, state_.directory, state_.table.idle_timeout,
                now);
     upkeep_.expires_after(kUpkeepInterval);
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -1,7 +1,6 @@
 // Openings are placed, packets of open flows follow their mark.
 #include "direct/forwarder.h"
 
-#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -79,20 +78,6 @@
          IsRepeatable(state.table, packet.flow);
 }
 
-bool AnySilent(const upstream_directory& directory, time_point now) {
-  return std::any_of(
-      directory.upstreams.begin(), directory.upstreams.end(),
-      [now](const auto& known) { return IsSilent(known.second.load, now); });
-}
-
-bool IsLostFlow(const forwarder& state, const flow_key& key,
-                const tracked_flow& flow, time_point now) {
-  if (!flow.is_open) return false;
-  const known_upstream* const u = FindByMark(state.directory, flow.mark);
-  if (u == nullptr || !IsSilent(u->load, now)) return false;
-  return !flow.is_waiting || IsRepeatable(state.table, key);
-}
-
 }  // namespace
 
 std::string_view NameOf(verdict_reason reason) {
@@ -114,21 +99,6 @@
   return decided;
 }
 
-std::vector<direct_packet> TakeLostFlows(forwarder& state, time_point now) {
-  std::vector<direct_packet> lost;
-  if (!AnySilent(state.directory, now)) return lost;
-  if (IsDelayed(state.tracker, now)) return lost;
-  for (const auto& [key, flow] : state.tracker.flows)
-    if (IsLostFlow(state, key, flow, now))
-      lost.push_back({.flow = key,
-                      .mark = flow.mark,
-                      .sequence = flow.next_sequence,
-                      .acknowledged = flow.acknowledged});
-  for (const direct_packet& packet : lost)
-    ForgetFlow(state.tracker, state.directory, packet.flow);
-  return lost;
-}
-
 bool TakeTable(forwarder& state, routing_table table) {
   if (table.version <= state.table.version) return false;
   state.table = std::move(table);
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -69,12 +69,6 @@
 /// \brief Decides on a packet that arrived at `now`.
 verdict Decide(forwarder& state, const direct_packet& packet, time_point now);
 
-/// \brief Takes out the flows that gain by a reset before their callers ask
-/// again: those of silent upstreams, but for flows on which a non-idempotent
-/// request waits, which may still be answered.
-/// \returns what is known of each flow, as a packet of its caller.
-std::vector<direct_packet> TakeLostFlows(forwarder& state, time_point now);
-
 /// \brief Takes a version of the table unless it is older than the present one.
 /// \returns whether it was taken.
 bool TakeTable(forwarder& state, routing_table table);
