Silence is one caller that repeats its data twice, not two that repeat it once

A request of several packets, repeated as a whole, counted once for each packet.

Now a flow counts its own repetitions since the last sign of life of its upstream, and two are needed.

--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -52,30 +52,42 @@
   tracker.flows.erase(at);
 }
 
-/// The caller's data: a new request, or a repetition of what went unanswered
-/// while this process ran.
+/// Data that went on before: a repetition of what went unanswered while this
+/// process ran.
+/// \returns when it was first sent on, unless it says nothing.
+std::optional<time_point> TrackRepetition(const flow_tracker& tracker,
+                                          tracked_flow& flow,
+                                          known_upstream& upstream,
+                                          time_point now) {
+  if (flow.sent_at < tracker.awake_since) {
+    flow.sent_at = now;
+    return std::nullopt;
+  }
+  const time_point last =
+      flow.repetitions > 0 ? flow.repeated_at : flow.sent_at;
+  if (now - last < kShortestRepetition) return std::nullopt;
+  if (upstream.load.alive_at >= flow.repeated_at) flow.repetitions = 0;
+  if (flow.repetitions < UINT8_MAX) ++flow.repetitions;
+  flow.repeated_at = now;
+  LearnRepetition(upstream.load, flow.repetitions, flow.sent_at, now);
+  return flow.sent_at;
+}
+
+/// The caller's data: a new request, or a repetition.
 /// \returns for a repetition, when the data was first sent on.
 std::optional<time_point> TrackData(const flow_tracker& tracker,
                                     tracked_flow& flow,
                                     const direct_packet& packet,
                                     known_upstream& upstream, time_point now) {
   const uint32_t end = packet.sequence + packet.length;
-  if (!IsAfter(end, flow.next_sequence)) {
-    if (flow.sent_at < tracker.awake_since) {
-      flow.sent_at = now;
-      return std::nullopt;
-    }
-    if (now - flow.sent_at < kShortestRepetition) return std::nullopt;
-    flow.is_repeated = true;
-    LearnRepetition(upstream.load, flow.sent_at, now);
-    return flow.sent_at;
-  }
+  if (!IsAfter(end, flow.next_sequence))
+    return TrackRepetition(tracker, flow, upstream, now);
   flow.next_sequence = end;
   flow.sent_at = now;
+  flow.repetitions = 0;
   if (flow.is_waiting) return std::nullopt;
   flow.is_waiting = true;
   flow.is_overdue = false;
-  flow.is_repeated = false;
   flow.requested_at = now;
   ++upstream.load.waiting;
   return std::nullopt;
@@ -91,7 +103,7 @@
 void TakeAnswer(flow_tracker& tracker, tracked_flow& flow,
                 upstream_directory& directory, known_upstream& upstream,
                 const direct_packet& packet, uint32_t bytes, time_point now) {
-  if (flow.is_repeated) NoteAnsweredRepetition(tracker, now);
+  if (flow.repetitions > 0) NoteAnsweredRepetition(tracker, now);
   LearnAnswer(upstream.load, now - flow.requested_at);
   tracker.answer_times.Add(now - flow.requested_at);
   const bool is_small = LearnSize(tracker.sizes, packet.flow.service, bytes);
@@ -114,7 +126,7 @@
   flow.acknowledged = packet.acknowledged;
   const bool is_prompt = packet.length == 0 && !packet.finishes;
   if (!is_prompt) return EndWaiting(flow, directory);
-  LearnAlive(upstream.load);
+  LearnAlive(upstream.load, now);
   if (flow.is_waiting)
     TakeAnswer(tracker, flow, directory, upstream, packet, bytes, now);
 }
@@ -126,7 +138,7 @@
       std::chrono::duration<double>(now - flow.sent_at).count();
   tracker.confirm_s += kConfirmWeight * (took_s - tracker.confirm_s);
   tracker.confirm_times.Add(now - flow.sent_at);
-  LearnAlive(upstream.load);
+  LearnAlive(upstream.load, now);
 }
 
 /// Takes the state of a flow that was not known here, or only by its opening.
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -34,9 +34,12 @@
   bool is_open = false;          ///< A packet after the opening was seen.
   bool is_waiting = false;       ///< A request has no acknowledged answer yet.
   bool is_overdue = false;       ///< That request has counted as failed.
-  bool is_repeated = false;      ///< The caller has sent that request again.
+  /// Times that the caller repeated its last data since its upstream's last
+  /// sign of life.
+  uint8_t repetitions = 0;
   time_point requested_at{};     ///< Valid while waiting.
   time_point sent_at{};          ///< When the last new data or opening went on.
+  time_point repeated_at{};      ///< Last repetition; valid if there are any.
   time_point seen_at{};
 };
 
--- a/src/direct/upstream_load.cc
+++ b/src/direct/upstream_load.cc
@@ -18,7 +18,8 @@
 /// Wait for the next opening after a first unanswered one; doubles with each.
 constexpr duration kFirstRetry = 250ms;
 constexpr uint32_t kMostDoublings = 4;
-/// Repetitions without an answer that a lost datagram or two does not explain.
+/// Repetitions of the same data that a lost datagram or two, or a slow upstream,
+/// does not explain.
 constexpr uint32_t kSilentRepetitions = 2;
 /// Longer than the pause before a caller's first repetition.
 constexpr duration kSilence = 350ms;
@@ -65,7 +66,8 @@
          now - load.failed_at < kFailureMemory;
 }
 
-void LearnAlive(upstream_load& load) {
+void LearnAlive(upstream_load& load, time_point now) {
+  load.alive_at = now;
   load.unanswered = 0;
   load.repetitions = 0;
 }
@@ -75,12 +77,13 @@
   load.tried_at = now;
 }
 
-void LearnRepetition(upstream_load& load, time_point sent_at, time_point now) {
+void LearnRepetition(upstream_load& load, uint32_t times, time_point sent_at,
+                     time_point now) {
   const bool is_stale =
       load.repetitions > 0 && now - load.repeated_at > kSilenceMemory;
   if (is_stale) load.unanswered = load.repetitions = 0;
   if (load.unanswered++ == 0) load.silent_since = sent_at;
-  ++load.repetitions;
+  load.repetitions = std::max(load.repetitions, times);
   load.repeated_at = now;
 }
 
--- a/src/direct/upstream_load.h
+++ b/src/direct/upstream_load.h
@@ -19,9 +19,10 @@
   double answer_s = 0;   ///< Smoothed time to the first acknowledged answer.
   uint32_t answers = 0;  ///< Samples in `answer_s`.
   uint32_t unanswered = 0;    ///< Openings and repetitions without an answer.
-  uint32_t repetitions = 0;   ///< Repeated data among them.
+  uint32_t repetitions = 0;   ///< Most times that one caller repeated data.
   time_point silent_since{};  ///< First of them; valid if there are any.
   time_point repeated_at{};   ///< Last repetition; valid if there are any.
+  time_point alive_at{};      ///< Last sign of life.
   time_point tried_at{};      ///< Last opening placed.
   double failure_rate = 0;    ///< Smoothed share of requests that failed.
   time_point failed_at{};  ///< Last failed request; valid if the rate is > 0.
@@ -60,13 +61,15 @@
 bool IsFailing(const upstream_load& load, time_point now);
 
 /// \brief The upstream has answered: it is alive and reached.
-void LearnAlive(upstream_load& load);
+void LearnAlive(upstream_load& load, time_point now);
 
 /// \brief An opening goes to the upstream.
 void LearnTried(upstream_load& load, time_point now);
 
-/// \brief A caller repeats data that went to the upstream at `sent_at`.
-void LearnRepetition(upstream_load& load, time_point sent_at, time_point now);
+/// \brief A caller repeats data that went to the upstream at `sent_at`, for the
+/// `times`-th time.
+void LearnRepetition(upstream_load& load, uint32_t times, time_point sent_at,
+                     time_point now);
 
 /// \brief True while new flows should avoid the upstream: an opening has had no
 /// answer for longer than `bound`, and it is too early to try another.
@@ -75,7 +78,8 @@
 /// \brief True where the upstream has left repeated data of its callers without
 /// an answer just now, so that its open flows are lost. What is older says
 /// nothing: its answers may go through other balancers. Slow upstreams
-/// acknowledge repeated data and are never silent.
+/// acknowledge repeated data, so that a caller repeats it once; they are never
+/// silent, however many callers wait.
 bool IsSilent(const upstream_load& load, time_point now);
 
 }  // namespace radishyard
