An opening that was passed on is not passed again, and never goes round

The opening came back as unknown, without the sign that it had been passed; B queued it and passed it back to A, A had it marked as passed and sent it on to B, B to A, and so on, some 4,000 times a second for seconds, for FollowPassed looked at no hop limit. Each repetition of the caller joined it. When a pool placed it at last, all copies ran at once, six or eight on an upstream of two slots.

Ruled out: slots given back too early, records that the successor lacked, and inherited counts: no upstream was over its slots before an opening went round.

Now what a previous owner was asked for is not passed on again; two pools that passed copies to each other leave the opening to the one with the lower tag; the hop limit holds for passed and moved openings; and a previous owner that passed the opening itself says so, instead of taking it for a duplicate.

--- a/src/flow/flow_record.h
+++ b/src/flow/flow_record.h
@@ -27,8 +27,8 @@
                             ///< payload has passed since.
   kHoldsConnection = 0x08,  ///< Counts against the upstream's connections.
   kWitnessSent = 0x10,      ///< The standby has been told of this flow.
-  kWasPassed =
-      0x40,  ///< Another pool passed its opening here; not passed on again.
+  kWasPassed = 0x40,    ///< Another balancer passed its opening here, or was
+                        ///< asked for it; not passed on again.
   kMayHaveRun = 0x80,   ///< A copy of the request may have run: it is not
                         ///< refused, but dropped.
   kPayloadSent = 0x20,  ///< Payload went to the upstream: never placed again.
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -82,8 +82,8 @@
   const bool serves = Route(in).role != pool_role::kNone;
   const bool is_over = flow.phase == flow_phase::kClosed && in.IsOpening();
   if (serves && (is_over || flow.phase == flow_phase::kPassed)) {
-    const bool begins_anew =
-        is_over || in.packet.IsSyn() || PassedPoolIsServed(flow);
+    const bool begins_anew = is_over || in.packet.IsSyn() ||
+                             PassedPoolIsServed(flow) || WasExchanged(in, flow);
     if (begins_anew) {
       Remove(slot);
       return HandleUnknown(in, now);
@@ -150,6 +150,18 @@
   if (!flow.IsLearned() || !in.packet.payload.empty()) flow.Clear(kUnconfirmed);
 }
 
+// Two pools, or more in a ring, have passed copies of the opening to each
+// other. The one with the lowest tag keeps it, the others follow.
+bool flow_owner::WasExchanged(const inbound& in,
+                              const flow_record& flow) const {
+  return in.CameAs(forward_kind::kPassedOpening) && Route(in).tag < flow.pool;
+}
+
+bool flow_owner::HasPassedTo(uint32_t slot, uint16_t tag) const {
+  const flow_record& flow = flows_.At(slot);
+  return flow.phase == flow_phase::kPassed && flow.pool == tag;
+}
+
 void flow_owner::ForwardToUpstream(inbound& in, flow_record& flow,
                                    time_point now) {
   flow.last_seen_ms = Ms(now);
@@ -163,6 +175,10 @@
 }
 
 void flow_owner::FollowPassed(const inbound& in, const flow_record& flow) {
+  if (in.Hops() >= kMaxHops) {
+    ++counters_.hop_limit;
+    return;
+  }
   const auto port = view_->ports.find({in.key.proto, in.key.service});
   if (port == view_->ports.end()) return;
   for (const uint16_t index : port->second.pools) {
@@ -185,6 +201,10 @@
     ++counters_.duplicates;
     return;
   }
+  if (in.Hops() >= kMaxHops) {
+    ++counters_.hop_limit;
+    return;
+  }
   ++counters_.forwarded;
   sink_.ToBalancer(
       to,
@@ -262,7 +282,10 @@
   flow.priority = in.port.priority;
   flow.last_seen_ms = Ms(now);
   flow.syn_seq = in.packet.seq;
-  if (in.CameAs(forward_kind::kPassedOpening)) flow.Set(kWasPassed);
+  // One that a previous owner was asked for may have been passed here before.
+  if (in.CameAs(forward_kind::kPassedOpening) ||
+      in.CameAs(forward_kind::kUnknownFlow))
+    flow.Set(kWasPassed);
   const bool is_new_owner = now - pool.taken_at < kRetryWindow;
   const bool has_run = may_have_run || withheld_answers_.Has(in.hash);
   const bool is_udp = in.packet.proto == protocol::kUdp;
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -83,6 +83,10 @@
   outcome HandleUpstream(inbound& in, std::optional<uint32_t> slot,
                          time_point now);
 
+  /// \brief True where the flow's opening was passed on to the pool of that
+  /// tag: that pool has it, though it asks.
+  bool HasPassedTo(uint32_t slot, uint16_t tag) const;
+
   /// \brief Learns that `upstream` serves the flow, and forwards the caller's
   /// packet to it.
   void AdoptAndForward(inbound& in, uint32_t upstream, time_point now);
@@ -174,6 +178,7 @@
   outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
   outcome KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
+  bool WasExchanged(const inbound& in, const flow_record& flow) const;
   served_pool* FindServed(const pool_name& name) const;
   bool AsksPrevious(const inbound& in) const;
   void AskPrevious(const inbound& in);
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -94,6 +94,9 @@
   }
   if (in.CameAs(forward_kind::kWitnessed)) {
     TakeWitness(in, now);
+  } else if (slot && in.CameAs(forward_kind::kToPrevious) &&
+             owner_.HasPassedTo(*slot, in.forward->pool)) {
+    SendBack(in);
   } else if (slot) {
     TakeOutcome(in, owner_.HandleCaller(in, slot, now), now);
   } else if (in.CameAs(forward_kind::kToPrevious)) {
@@ -291,6 +294,10 @@
     ++counters_.duplicates;
     return;
   }
+  SendBack(in);
+}
+
+void traffic_core::SendBack(inbound& in) {
   const uint32_t hint = in.Hint() != 0 ? in.Hint() : witnesses_.Get(in.hash);
   sink_.ToBalancer(
       in.from,
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -63,6 +63,7 @@
   void RetryWithheld(time_point now);
   void PassAnswer(inbound& in, bool ends);
   void Bounce(inbound& in);
+  void SendBack(inbound& in);
   uint32_t Ms(time_point now) const {
     return static_cast<uint32_t>(ToMs(now - start_));
   }
--- a/test/traffic_moves_test.cc
+++ b/test/traffic_moves_test.cc
@@ -292,6 +292,79 @@
   EXPECT_EQ(sent[0].View().source, caller);
 }
 
+/// A balancer whose pool is full, with room reported in the other pool, to
+/// which openings may be passed.
+struct full_bench : bench {
+  full_bench() : bench(1) {
+    for (uint16_t port = 1; port <= 2; ++port) In(Lookup(port), AtMs(1));
+    vannes().reachable = true;
+    Publish(AtMs(2));
+    core.owner().SetGrants({{}, {{vannes().name, 1}}});
+  }
+  static packet_fields Lookup(uint16_t caller_port) {
+    return {{bench::kCaller.address, caller_port},
+            bench::kLookup,
+            protocol::kUdp,
+            0,
+            0,
+            0,
+            7,
+            Payload()};
+  }
+};
+
+// Found by ProcessKill: what the previous owner had been asked for came back as
+// if no one had passed it here, and went round between two balancers for
+// seconds; all its copies then ran at once on one upstream.
+TEST(TrafficMoves, APassedOpeningThatAskedThePreviousOwnerIsNotPassedAgain) {
+  full_bench b;
+  b.rennes().previous = bench::kPeer;
+  b.Publish(AtMs(3));
+  const auto asked = b.In(full_bench::Lookup(3), AtMs(4),
+                          forward_option{forward_kind::kPassedOpening, 1, 1});
+  ASSERT_EQ(asked.size(), 1U);
+  ASSERT_EQ(asked[0].forward->kind, forward_kind::kToPrevious);
+  b.In(full_bench::Lookup(3), AtMs(5),
+       forward_option{forward_kind::kUnknownFlow, 3, 1});
+  EXPECT_TRUE(b.Tick(AtMs(6)).empty());
+}
+
+TEST(TrafficMoves, OpeningsThatWereExchangedStayAtTheLowerTag) {
+  full_bench b;
+  b.In(full_bench::Lookup(3), AtMs(4));
+  const auto passed = b.Tick(AtMs(5));
+  ASSERT_EQ(passed.size(), 1U);
+  ASSERT_EQ(passed[0].forward->kind, forward_kind::kPassedOpening);
+  const forward_option back{forward_kind::kPassedOpening, 1, 1};
+  EXPECT_TRUE(b.In(full_bench::Lookup(3), AtMs(100), back).empty());
+  EXPECT_TRUE(b.In(full_bench::Lookup(3), AtMs(101)).empty()) << "waits here";
+}
+
+TEST(TrafficMoves, AnOpeningThatGoesRoundIsDropped) {
+  full_bench b;
+  b.In(full_bench::Lookup(3), AtMs(4));
+  ASSERT_EQ(b.Tick(AtMs(5)).size(), 1U);
+  b.rennes().tag = 9;  // Above that of the pool it was passed to.
+  b.Publish(AtMs(6));
+  forward_option back{forward_kind::kPassedOpening, 1, 9};
+  const auto followed = b.In(full_bench::Lookup(3), AtMs(7), back);
+  ASSERT_EQ(followed.size(), 1U);
+  EXPECT_EQ(followed[0].forward->hops, 2);
+  back.hops = kMaxHops;
+  EXPECT_TRUE(b.In(full_bench::Lookup(3), AtMs(8), back).empty());
+}
+
+// The pool to which the opening was passed asks the balancer that passed it.
+TEST(TrafficMoves, APreviousOwnerThatPassedAnOpeningDoesNotKnowIt) {
+  full_bench b;
+  b.In(full_bench::Lookup(3), AtMs(4));
+  ASSERT_EQ(b.Tick(AtMs(5)).size(), 1U);
+  const auto answer = b.In(full_bench::Lookup(3), AtMs(6),
+                           forward_option{forward_kind::kToPrevious, 2, 2});
+  ASSERT_EQ(answer.size(), 1U);
+  EXPECT_EQ(answer[0].forward->kind, forward_kind::kUnknownFlow);
+}
+
 TEST(TrafficMoves, TheStandbyLearnsFlowsThatLast) {
   bench owner;
   bench standby;
