A copy of a passed SYN follows it, and exchanged openings are placed

A copy of a SYN that had been passed on was placed again where it came, so that two upstreams had the flow; it begins anew now only with another sequence number, another flow of the same port. An opening that two pools had exchanged was taken for a copy by the pool that was to keep it, and waited for its caller's next repetition; it is placed now.

A repetition of an idempotent request renews its digest: copies that the fabric makes of the repetition ran as well, since only the first copy's time counted.

--- a/src/direct/upstream_load.cc
+++ b/src/direct/upstream_load.cc
@@ -18,8 +18,8 @@
 /// Wait for the next opening after a first unanswered one; doubles with each.
 constexpr duration kFirstRetry = 250ms;
 constexpr uint32_t kMostDoublings = 4;
-/// Repetitions of the same data that a lost datagram or two, or a slow upstream,
-/// does not explain.
+/// Repetitions of the same data that a lost datagram or two, or a slow
+/// upstream, does not explain.
 constexpr uint32_t kSilentRepetitions = 2;
 /// Longer than the pause before a caller's first repetition.
 constexpr duration kSilence = 350ms;
--- a/src/traffic/duplicate_filter.cc
+++ b/src/traffic/duplicate_filter.cc
@@ -11,7 +11,9 @@
 
 void duplicate_filter::Forget(time_point now) {
   while (!by_age_.empty() && now - by_age_.front().at > retention_) {
-    seen_.erase(by_age_.front().digest);
+    const auto found = seen_.find(by_age_.front().digest);
+    if (found != seen_.end() && found->second == by_age_.front().at)
+      seen_.erase(found);
     by_age_.pop_front();
   }
 }
@@ -36,4 +38,11 @@
   return true;
 }
 
+void duplicate_filter::Renew(uint64_t digest, time_point now) {
+  const auto found = seen_.find(digest);
+  if (found == seen_.end()) return;
+  found->second = now;
+  by_age_.push_back({now, digest});
+}
+
 }  // namespace radishyard
--- a/src/traffic/duplicate_filter.h
+++ b/src/traffic/duplicate_filter.h
@@ -27,9 +27,13 @@
   /// duplicate.
   bool Add(uint64_t digest, time_point now);
 
+  /// \brief The request came again later than a copy would, and is taken in:
+  /// copies of this repetition count from now.
+  void Renew(uint64_t digest, time_point now);
+
   bool Has(uint64_t digest) const { return seen_.contains(digest); }
 
-  /// \brief When the digest was added, if it is present.
+  /// \brief When the digest was added or renewed, if it is present.
   std::optional<time_point> AddedAt(uint64_t digest) const;
 
   /// \brief Digests held, for the hand-over of a pool.
@@ -44,7 +48,8 @@
   void Forget(time_point now);
 
   duration retention_;
-  // Invariant: both hold the same digests; by_age_ is in order of time.
+  // Invariant: by_age_ is in order of time and holds each digest of seen_ with
+  // its time; times before a renewal are left in it.
   absl::flat_hash_map<uint64_t, time_point> seen_;
   std::deque<aged_digest> by_age_;
 };
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -81,13 +81,12 @@
   if (IsLateSyn(in, flow)) return outcome::kDone;
   const bool serves = Route(in).role != pool_role::kNone;
   const bool is_over = flow.phase == flow_phase::kClosed && in.IsOpening();
-  if (serves && (is_over || flow.phase == flow_phase::kPassed)) {
-    const bool begins_anew = is_over || in.packet.IsSyn() ||
-                             PassedPoolIsServed(flow) || WasExchanged(in, flow);
-    if (begins_anew) {
-      Remove(slot);
-      return HandleUnknown(in, now);
-    }
+  if (serves && (is_over || BeginsAnew(in, flow))) {
+    const bool is_exchanged = !is_over && WasExchanged(in, flow);
+    Remove(slot);
+    if (!is_exchanged || in.IsUnsafe()) return HandleUnknown(in, now);
+    Place(in, true, now);  // Its first copy has been admitted here.
+    return outcome::kDone;
   }
   if (flow.phase == flow_phase::kPassed) {
     FollowPassed(in, flow);
@@ -150,11 +149,21 @@
   if (!flow.IsLearned() || !in.packet.payload.empty()) flow.Clear(kUnconfirmed);
 }
 
+// Whether an opening that was passed on is placed here after all: the caller
+// uses its port for another flow, the pool that has the opening is served here
+// by now, or it was exchanged.
+bool flow_owner::BeginsAnew(const inbound& in, const flow_record& flow) const {
+  if (flow.phase != flow_phase::kPassed) return false;
+  const bool is_another = in.packet.IsSyn() && in.packet.seq != flow.syn_seq;
+  return is_another || PassedPoolIsServed(flow) || WasExchanged(in, flow);
+}
+
 // Two pools, or more in a ring, have passed copies of the opening to each
 // other. The one with the lowest tag keeps it, the others follow.
 bool flow_owner::WasExchanged(const inbound& in,
                               const flow_record& flow) const {
-  return in.CameAs(forward_kind::kPassedOpening) && Route(in).tag < flow.pool;
+  return in.CameAs(forward_kind::kPassedOpening) &&
+         flow.phase == flow_phase::kPassed && Route(in).tag < flow.pool;
 }
 
 bool flow_owner::HasPassedTo(uint32_t slot, uint16_t tag) const {
@@ -260,8 +269,10 @@
   duplicate_filter& seen = in.IsUnsafe() ? duplicates_ : copies_;
   if (seen.Add(digest, now)) return admission::kFirst;
   const auto added_at = seen.AddedAt(digest);
-  if (in.port.idempotent && now - *added_at > kPacketLifetime)
+  if (in.port.idempotent && now - *added_at > kPacketLifetime) {
+    seen.Renew(digest, now);
     return admission::kRepeated;
+  }
   ++counters_.duplicates;
   return admission::kCopy;
 }
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -178,6 +178,7 @@
   outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
   outcome KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
+  bool BeginsAnew(const inbound& in, const flow_record& flow) const;
   bool WasExchanged(const inbound& in, const flow_record& flow) const;
   served_pool* FindServed(const pool_name& name) const;
   bool AsksPrevious(const inbound& in) const;
--- a/test/traffic_moves_test.cc
+++ b/test/traffic_moves_test.cc
@@ -338,6 +338,32 @@
   const forward_option back{forward_kind::kPassedOpening, 1, 1};
   EXPECT_TRUE(b.In(full_bench::Lookup(3), AtMs(100), back).empty());
   EXPECT_TRUE(b.In(full_bench::Lookup(3), AtMs(101)).empty()) << "waits here";
+  const endpoint caller{bench::kCaller.address, 1};
+  for (const uint32_t last : {1U, 2U}) {
+    const endpoint from{0x0a1e0100 + last, bench::kLookup.port};
+    b.In({from, caller, protocol::kUdp, 0, 0, 0, 1, Payload()}, AtMs(102));
+    b.In({from, {caller.address, 2}, protocol::kUdp, 0, 0, 0, 1, Payload()},
+         AtMs(102));
+  }
+  const auto placed = b.Tick(AtMs(103));
+  ASSERT_EQ(placed.size(), 1U);
+  EXPECT_EQ(placed[0].View().source.port, 3);
+}
+
+// Its copy would be placed a second time, and the caller reset one of the two.
+TEST(TrafficMoves, ACopyOfAPassedSynFollowsIt) {
+  full_bench b;
+  const packet_fields syn{
+      {bench::kCaller.address, 3}, bench::kRequest, protocol::kTcp, kSyn, 100};
+  const forward_option here{forward_kind::kToOwner, 1, 1};
+  b.In(syn, AtMs(4), here);
+  ASSERT_EQ(b.Tick(AtMs(5)).size(), 1U);
+  const auto copy = b.In(syn, AtMs(6), here);
+  ASSERT_EQ(copy.size(), 1U);
+  EXPECT_EQ(copy[0].forward->kind, forward_kind::kPassedOpening);
+  packet_fields another = syn;
+  another.seq = 9000;
+  EXPECT_TRUE(b.In(another, AtMs(7), here).empty()) << "another flow waits here";
 }
 
 TEST(TrafficMoves, AnOpeningThatGoesRoundIsDropped) {
--- a/test/traffic_test.cc
+++ b/test/traffic_test.cc
@@ -123,6 +123,19 @@
       << "a copy that arrives after the answer";
 }
 
+// An idempotent request runs again when its caller repeats it, but once: the
+// answers of two runs would be joined.
+TEST(Traffic, ACopyOfARepetitionIsNotForwarded) {
+  bench b;
+  const packet_fields lookup{
+      bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7, Payload()};
+  EXPECT_EQ(b.In(lookup, AtMs(1)).size(), 1U);
+  EXPECT_TRUE(b.In(lookup, AtMs(20)).empty());
+  EXPECT_EQ(b.In(lookup, AtMs(1001)).size(), 1U);
+  EXPECT_TRUE(b.In(lookup, AtMs(1020)).empty());
+  EXPECT_EQ(b.In(lookup, AtMs(2001)).size(), 1U);
+}
+
 TEST(Traffic, NonIdempotentWorkIsWithheldWithoutALease) {
   bench b;
   b.GrantUnsafe(AtMs(1000));
