--- a/test/traffic_moves_test.cc
+++ b/test/traffic_moves_test.cc
@@ -363,7 +363,8 @@
   EXPECT_EQ(copy[0].forward->kind, forward_kind::kPassedOpening);
   packet_fields another = syn;
   another.seq = 9000;
-  EXPECT_TRUE(b.In(another, AtMs(7), here).empty()) << "another flow waits here";
+  EXPECT_TRUE(b.In(another, AtMs(7), here).empty())
+      << "another flow waits here";
 }
 
 TEST(TrafficMoves, AnOpeningThatGoesRoundIsDropped) {
