A repeated request goes back to the upstream that answered part of it

Now a closed flow of a repeatable request keeps its upstream for the repetition, which waits for room there: while it is full or others wait, the repetition is dropped, as the caller repeats it, and the record stays. Copies within the packets' lifetime no longer remove the record.

--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -23,6 +23,9 @@
       0;              ///< Handed back with the decision; names the held packet.
   duration waited{};  ///< Time spent before, at other balancers and pools; it
                       ///< counts against the longest wait.
+  /// Address of the upstream that answered this request before: taken if it has
+  /// room, so that parts of its answers are not joined with another's.
+  uint32_t preferred = 0;
   auto operator<=>(const open_request&) const = default;
 };
 
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -39,7 +39,8 @@
 pool_upstream* Place(pool_state& pool, const open_request& r, uint32_t except,
                      time_point now) {
   if (!MayTake(pool, r.kind, r.priority, now)) return nullptr;
-  pool_upstream* u = internal::Choose(pool, {r.kind, r.priority, except}, now);
+  pool_upstream* u =
+      internal::Choose(pool, {r.kind, r.priority, except, r.preferred}, now);
   if (u == nullptr) return nullptr;
   internal::Take(pool, *u, Held(r, u->address));
   internal::Sent(u->health, r.key.proto == protocol::kTcp, now);
@@ -229,6 +230,14 @@
                      });
 }
 
+bool MustWaitFor(const pool_state& pool, uint32_t upstream, port_kind kind,
+                 time_point now) {
+  const auto u =
+      std::ranges::find(pool.upstreams, upstream, &pool_upstream::address);
+  if (u == pool.upstreams.end()) return false;
+  return !pool.queue.empty() || internal::LacksRoom(*u, kind, now);
+}
+
 void ForgetWaiting(pool_state& pool) {
   for (const auto* list : {&pool.queue.short_work, &pool.queue.bulk})
     for (const waiting_opening& w : *list) LeaveQueue(pool, w);
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -113,6 +113,11 @@
 /// \brief Present load of the pool.
 pool_load Load(const pool_state& pool, time_point now);
 
+/// \brief Whether an opening that only `upstream` may have must wait: it takes
+/// new ones but has no room, or others wait already.
+bool MustWaitFor(const pool_state& pool, uint32_t upstream, port_kind kind,
+                 time_point now);
+
 /// \brief Whether an opening of `kind` would be placed at once, and not at an
 /// upstream so slow that another pool with room is better.
 bool HasRoom(const pool_state& pool, port_kind kind, priority_class priority,
--- a/src/pool/upstream_choice.cc
+++ b/src/pool/upstream_choice.cc
@@ -108,12 +108,21 @@
   return IsHealthy(u.health, now) && HasRoomFor(u, kind);
 }
 
+bool LacksRoom(const pool_upstream& u, port_kind kind, time_point now) {
+  const bool takes_any = !u.leaving && u.weight > 0 && IsHealthy(u.health, now);
+  return takes_any && !HasRoomFor(u, kind);
+}
+
 bool IsWorthPassing(const pool_upstream& u, port_kind kind) {
   return kind == port_kind::kRequest && u.speed.speed < kWorthPassing;
 }
 
 pool_upstream* Choose(pool_state& pool, const choice_need& need,
                       time_point now) {
+  pool_upstream* const before = FindUpstream(pool, need.preferred);
+  const bool is_first = before != nullptr && before->address != need.except &&
+                        TakesNew(*before, need.kind, now);
+  if (is_first) return before;
   if (pool_upstream* probe = FindProbe(pool, need, now)) return probe;
   if (pool_upstream* best = Cheapest(pool, need, false, now)) return best;
   if (now >= pool.ramps_until) return nullptr;
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -83,9 +83,10 @@
   const bool is_over = flow.phase == flow_phase::kClosed && in.IsOpening();
   if (serves && (is_over || BeginsAnew(in, flow))) {
     const bool is_exchanged = !is_over && WasExchanged(in, flow);
+    if (is_over && in.IsRepeatable()) return RepeatAnswered(in, slot, now);
     Remove(slot);
     if (!is_exchanged || in.IsUnsafe()) return HandleUnknown(in, now);
-    Place(in, true, now);  // Its first copy has been admitted here.
+    Place(in, true, 0, now);  // Its first copy has been admitted here.
     return outcome::kDone;
   }
   if (flow.phase == flow_phase::kPassed) {
@@ -149,6 +150,24 @@
   if (!flow.IsLearned() || !in.packet.payload.empty()) flow.Clear(kUnconfirmed);
 }
 
+// The caller lacks part of an answer that went by here. It would join the rest
+// with the answer of another upstream, so only the same one may have the
+// request again; until it has room, repetitions are dropped.
+flow_owner::outcome flow_owner::RepeatAnswered(inbound& in, uint32_t slot,
+                                               time_point now) {
+  if (Admit(in, now) == admission::kCopy) return outcome::kDone;
+  flow_record& flow = flows_.At(slot);
+  const uint32_t upstream = flow.upstream;
+  const pool_state& pool = served_[ServedIndex(in.pool)]->state;
+  if (MustWaitFor(pool, upstream, flow.kind, now)) {
+    flow.last_seen_ms = Ms(now);
+    return outcome::kDone;
+  }
+  Remove(slot);
+  Place(in, true, upstream, now);
+  return outcome::kDone;
+}
+
 // Whether an opening that was passed on is placed here after all: the caller
 // uses its port for another flow, the pool that has the opening is served here
 // by now, or it was exchanged.
@@ -246,7 +265,7 @@
   const admission admitted = Admit(in, now);
   if (admitted == admission::kNoLease) return outcome::kWithheld;
   if (admitted != admission::kCopy)
-    Place(in, admitted == admission::kRepeated, now);
+    Place(in, admitted == admission::kRepeated, 0, now);
   return outcome::kDone;
 }
 
@@ -283,7 +302,8 @@
          flow.syn_seq == in.packet.seq;
 }
 
-void flow_owner::Place(inbound& in, bool may_have_run, time_point now) {
+void flow_owner::Place(inbound& in, bool may_have_run, uint32_t answered_by,
+                       time_point now) {
   served_pool& pool = *served_[ServedIndex(in.pool)];
   const uint32_t slot = flows_.Insert(in.key);
   flow_record& flow = flows_.At(slot);
@@ -304,7 +324,9 @@
   held_[slot].assign(in.bytes.begin(), in.bytes.end());
   Trace(in, "owner", "open", now);
   Settle(slot,
-         Open(pool.state, {in.key, in.port.kind, in.port.priority, slot}, now),
+         Open(pool.state,
+              {in.key, in.port.kind, in.port.priority, slot, {}, answered_by},
+              now),
          now);
 }
 
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -169,6 +169,7 @@
 
   outcome HandleKnown(inbound& in, uint32_t slot, time_point now);
   outcome HandleUnknown(inbound& in, time_point now);
+  outcome RepeatAnswered(inbound& in, uint32_t slot, time_point now);
   static void Confirm(flow_record& flow, const inbound& in);
   void ForwardToUpstream(inbound& in, flow_record& flow, time_point now);
   void FollowPassed(const inbound& in, const flow_record& flow);
@@ -188,7 +189,10 @@
   admission Admit(const inbound& in, time_point now);
   bool HasLease(const pool_route& route, time_point now) const;
   bool IsLateSyn(const inbound& in, const flow_record& flow) const;
-  void Place(inbound& in, bool may_have_run, time_point now);
+  /// \param answered_by address of the upstream that answered the request
+  /// before; 0 if none is known.
+  void Place(inbound& in, bool may_have_run, uint32_t answered_by,
+             time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
   void SendHeld(uint32_t slot, time_point now);
   void Refuse(uint32_t slot, std::span<uint8_t> bytes);
@@ -212,6 +216,7 @@
   void CheckLinger(time_point now);
   void SweepIdle(time_point now);
   uint32_t IdleLimitMs(const flow_record& flow) const;
+  bool WaitsForItsUpstream(const flow_record& flow, time_point now) const;
   void PollPools(time_point now);
   void PassWaiting(served_pool& pool, time_point now);
   std::optional<uint16_t> PoolWithRoom(const flow_record& flow) const;
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -120,11 +120,23 @@
     lingering_.pop_front();
     if (!flows_.Holds(timer.slot)) continue;
     const flow_record& flow = flows_.At(timer.slot);
-    if (flow.key == timer.key && flow.phase == flow_phase::kClosed)
+    if (!(flow.key == timer.key) || flow.phase != flow_phase::kClosed) continue;
+    if (WaitsForItsUpstream(flow, now)) {
+      lingering_.push_back({timer.slot, timer.key, now + timing_.linger});
+    } else {
       Remove(timer.slot);
+    }
   }
 }
 
+// Its request was repeated just now and could not go to the upstream that has
+// answered it before.
+bool flow_owner::WaitsForItsUpstream(const flow_record& flow,
+                                     time_point now) const {
+  return flow.key.proto == protocol::kUdp &&
+         Ms(now) - flow.last_seen_ms < ToMs(timing_.linger);
+}
+
 uint32_t flow_owner::IdleLimitMs(const flow_record& flow) const {
   constexpr uint32_t kMsPerSecond = 1000;
   constexpr uint32_t kDefaultIdleMs = 300 * kMsPerSecond;
--- a/test/traffic_test.cc
+++ b/test/traffic_test.cc
@@ -136,6 +136,43 @@
   EXPECT_EQ(b.In(lookup, AtMs(2001)).size(), 1U);
 }
 
+// Found by ProcessKill: one part of an answer went by a balancer that was
+// paused, and the caller joined the rest with the answer of another upstream.
+TEST(Traffic, ARepetitionGoesToTheUpstreamThatAnswered) {
+  bench b;
+  const packet_fields lookup{
+      bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7, Payload()};
+  const endpoint first = b.In(lookup, AtMs(1)).at(0).View().destination;
+  b.In({first, bench::kCaller, protocol::kUdp, 0, 0, 0, 1, Payload()}, AtMs(5));
+  // The other upstream is the less loaded one by now.
+  ASSERT_EQ(OpenFlow(b, bench::kRequest, AtMs(6), 1).address, first.address);
+  const auto again = b.In(lookup, AtMs(1001));
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].View().destination, first);
+}
+
+TEST(Traffic, ARepetitionWaitsForTheUpstreamThatAnswered) {
+  bench b(1);
+  const packet_fields lookup{
+      bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7, Payload()};
+  const endpoint first = b.In(lookup, AtMs(1)).at(0).View().destination;
+  const packet_fields part{first, bench::kCaller, protocol::kUdp, 0, 0, 0,
+                           1,     Payload()};
+  b.In(part, AtMs(5));
+  EXPECT_TRUE(b.In(lookup, AtMs(6)).empty()) << "a copy";
+  const endpoint holder = OpenFlow(b, bench::kRequest, AtMs(7), 1);
+  ASSERT_EQ(holder.address, first.address);
+  for (const int64_t at : {1001, 2001, 3001}) {
+    EXPECT_TRUE(b.In(lookup, AtMs(at)).empty());
+    b.Tick(AtMs(at + 999));
+  }
+  const endpoint caller{bench::kCaller.address, 1};
+  b.In({holder, caller, protocol::kTcp, kFin | kAck, 300, 101}, AtMs(4000));
+  const auto again = b.In(lookup, AtMs(4001));
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].View().destination, first);
+}
+
 TEST(Traffic, NonIdempotentWorkIsWithheldWithoutALease) {
   bench b;
   b.GrantUnsafe(AtMs(1000));
