--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -37,9 +37,9 @@
   /// Times that the caller repeated its last data since its upstream's last
   /// sign of life.
   uint8_t repetitions = 0;
-  time_point requested_at{};     ///< Valid while waiting.
-  time_point sent_at{};          ///< When the last new data or opening went on.
-  time_point repeated_at{};      ///< Last repetition; valid if there are any.
+  time_point requested_at{};  ///< Valid while waiting.
+  time_point sent_at{};       ///< When the last new data or opening went on.
+  time_point repeated_at{};   ///< Last repetition; valid if there are any.
   time_point seen_at{};
 };
 
