A new request from a port that was answered is not held to its upstream

Only a repetition, by its digest, waits; a pause of the process holds both back as for unknown flows. The check is part of ARepetitionWaitsForTheUpstreamThatAnswered.

--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -82,10 +82,10 @@
   const bool serves = Route(in).role != pool_role::kNone;
   const bool is_over = flow.phase == flow_phase::kClosed && in.IsOpening();
   if (serves && (is_over || BeginsAnew(in, flow))) {
-    const bool is_exchanged = !is_over && WasExchanged(in, flow);
-    if (is_over && in.IsRepeatable()) return RepeatAnswered(in, slot, now);
+    if (is_over && in.IsRepeatable()) return FollowAnswered(in, slot, now);
+    const bool is_admitted = WasExchanged(in, flow) && !in.IsUnsafe();
     Remove(slot);
-    if (!is_exchanged || in.IsUnsafe()) return HandleUnknown(in, now);
+    if (!is_admitted || now < resume_at_) return HandleUnknown(in, now);
     Place(in, true, 0, now);  // Its first copy has been admitted here.
     return outcome::kDone;
   }
@@ -150,21 +150,25 @@
   if (!flow.IsLearned() || !in.packet.payload.empty()) flow.Clear(kUnconfirmed);
 }
 
-// The caller lacks part of an answer that went by here. It would join the rest
-// with the answer of another upstream, so only the same one may have the
-// request again; until it has room, repetitions are dropped.
-flow_owner::outcome flow_owner::RepeatAnswered(inbound& in, uint32_t slot,
+// A request from the port of one that was answered here: another, or the same
+// again, whose caller lacks part of the answer. It would join the rest with the
+// answer of another upstream, so only the same one may have the request again;
+// until it has room, repetitions are dropped.
+flow_owner::outcome flow_owner::FollowAnswered(inbound& in, uint32_t slot,
                                                time_point now) {
-  if (Admit(in, now) == admission::kCopy) return outcome::kDone;
+  if (now < resume_at_) return outcome::kDone;  // The caller repeats it.
+  const admission admitted = Admit(in, now);
+  if (admitted == admission::kCopy) return outcome::kDone;
+  const bool is_repeated = admitted == admission::kRepeated;
   flow_record& flow = flows_.At(slot);
-  const uint32_t upstream = flow.upstream;
+  const uint32_t answered_by = is_repeated ? flow.upstream : 0;
   const pool_state& pool = served_[ServedIndex(in.pool)]->state;
-  if (MustWaitFor(pool, upstream, flow.kind, now)) {
+  if (is_repeated && MustWaitFor(pool, answered_by, flow.kind, now)) {
     flow.last_seen_ms = Ms(now);
     return outcome::kDone;
   }
   Remove(slot);
-  Place(in, true, upstream, now);
+  Place(in, is_repeated, answered_by, now);
   return outcome::kDone;
 }
 
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -169,7 +169,7 @@
 
   outcome HandleKnown(inbound& in, uint32_t slot, time_point now);
   outcome HandleUnknown(inbound& in, time_point now);
-  outcome RepeatAnswered(inbound& in, uint32_t slot, time_point now);
+  outcome FollowAnswered(inbound& in, uint32_t slot, time_point now);
   static void Confirm(flow_record& flow, const inbound& in);
   void ForwardToUpstream(inbound& in, flow_record& flow, time_point now);
   void FollowPassed(const inbound& in, const flow_record& flow);
--- a/test/traffic_test.cc
+++ b/test/traffic_test.cc
@@ -162,6 +162,16 @@
   EXPECT_TRUE(b.In(lookup, AtMs(6)).empty()) << "a copy";
   const endpoint holder = OpenFlow(b, bench::kRequest, AtMs(7), 1);
   ASSERT_EQ(holder.address, first.address);
+  // Another request from the same port may go elsewhere.
+  const std::string other_text = "id=2\n";
+  packet_fields other = lookup;
+  other.payload = {reinterpret_cast<const uint8_t*>(other_text.data()),
+                   other_text.size()};
+  bench apart(1);
+  apart.In(lookup, AtMs(1));
+  apart.In(part, AtMs(5));
+  OpenFlow(apart, bench::kRequest, AtMs(7), 1);
+  EXPECT_EQ(apart.In(other, AtMs(1001)).size(), 1U);
   for (const int64_t at : {1001, 2001, 3001}) {
     EXPECT_TRUE(b.In(lookup, AtMs(at)).empty());
     b.Tick(AtMs(at + 999));
