Revert: late answers to openings given up are dropped

Cause: a balancer that believes the owner dead passes a SYN-ACK straight to the caller; the owner gives its opening up when the caller goes on, and must then follow the witness to the same upstream, which the change forbade. The SYN that two pools place stays open (docs/proofs.md).

--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -112,18 +112,9 @@
                                               time_point now) {
   Release(flows_.At(slot), flow_end::kAbandoned, now);
   Remove(slot);
-  given_up_.Add(in.hash, now);
   return in.packet.Has(kRst) ? outcome::kDone : outcome::kUnknownFlow;
 }
 
-// What comes for such a flow is dropped: its upstream here never had it, or
-// lost it to another one.
-bool flow_owner::IsGivenUp(const inbound& in) {
-  if (!given_up_.Has(in.hash)) return false;
-  ++counters_.stale_answers;
-  return true;
-}
-
 // A packet of a flow that has its upstream, or waits for one.
 flow_owner::outcome flow_owner::KeepOnUpstream(inbound& in, uint32_t slot,
                                                time_point now) {
@@ -351,7 +342,7 @@
       ++counters_.queued;
       return;
     case open_decision::kind::kRefused:
-      Refuse(slot, held_[slot], now);
+      Refuse(slot, held_[slot]);
       return;
     case open_decision::kind::kPlaced:
       ++counters_.placed;
@@ -388,8 +379,7 @@
 
 // Only openings of which no payload was forwarded come here: the refusal is
 // true.
-void flow_owner::Refuse(uint32_t slot, std::span<uint8_t> bytes,
-                        time_point now) {
+void flow_owner::Refuse(uint32_t slot, std::span<uint8_t> bytes) {
   assert(!flows_.At(slot).Has(kPayloadSent) &&
          "a request that may have run is not refused");
   if (flows_.At(slot).Has(kMayHaveRun)) {
@@ -401,10 +391,8 @@
   failure why;
   const auto packet = ParsePacket(bytes, why);
   const uint64_t hash = StableHash(flows_.At(slot).key);
-  if (packet && packet->proto == protocol::kTcp) {
+  if (packet && packet->proto == protocol::kTcp)
     sink_.ToFabric(BuildReset(*packet), hash);
-    given_up_.Add(hash, now);
-  }
   if (packet && packet->proto == protocol::kUdp)
     sink_.ToFabric(BuildUnreachable(bytes), hash);
   Remove(slot);
@@ -413,7 +401,6 @@
 void flow_owner::AdoptAndForward(inbound& in, uint32_t upstream,
                                  time_point now) {
   auto slot = flows_.Find(in.key);
-  if (!slot && IsGivenUp(in)) return;
   const bool is_new = !slot;
   if (is_new && (in.packet.Has(kFin) || in.packet.Has(kRst))) {
     RememberEnd(in, upstream, now);
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -176,7 +176,6 @@
   void FollowMoved(const inbound& in, const flow_record& flow,
                    const endpoint& to);
   void MoveAway(served_pool& pool, const pool_route& route);
-  bool IsGivenUp(const inbound& in);
   outcome GiveUpOpening(inbound& in, uint32_t slot, time_point now);
   outcome KeepOnUpstream(inbound& in, uint32_t slot, time_point now);
   bool PassedPoolIsServed(const flow_record& flow) const;
@@ -196,7 +195,7 @@
              time_point now);
   void Settle(uint32_t slot, const open_decision& decision, time_point now);
   void SendHeld(uint32_t slot, time_point now);
-  void Refuse(uint32_t slot, std::span<uint8_t> bytes, time_point now);
+  void Refuse(uint32_t slot, std::span<uint8_t> bytes);
 
   void HandleAnswer(inbound& in, uint32_t slot, time_point now);
   bool HandleOpeningAnswer(const inbound& in, uint32_t slot, time_point now);
@@ -241,9 +240,6 @@
   duplicate_filter duplicates_{kRepeatWindow};  // Of non-idempotent requests.
   duplicate_filter copies_{kRetryWindow};       // Of idempotent requests.
   duplicate_filter withheld_answers_{kRetryWindow};  // Their flows, by hash.
-  // Hashes of TCP flows that were refused here, or are served by another pool:
-  // a late answer to their opening must not make them known again.
-  duplicate_filter given_up_{kRetryWindow};
   traffic_grants grants_;
   std::deque<opening_timer> openings_;  // In order of `due`.
   std::deque<linger_timer> lingering_;  // In order of `due`.
--- a/src/traffic/flow_owner_answers.cc
+++ b/src/traffic/flow_owner_answers.cc
@@ -87,7 +87,7 @@
       Replace(served_[flow.pool]->state, request, flow.upstream, now);
   if (!next) {
     Release(flow, flow_end::kFailed, now);
-    Refuse(slot, held_[slot], now);
+    Refuse(slot, held_[slot]);
     return;
   }
   ++counters_.replaced;
@@ -100,7 +100,6 @@
 // with the previous owner, and the caller would join it with the answer of
 // another upstream once it has sent the request again.
 void flow_owner::LearnFromUpstream(const inbound& in, time_point now) {
-  if (IsGivenUp(in)) return;
   if (in.IsRepeatable()) {
     ++counters_.stale_answers;
     withheld_answers_.Add(in.hash, now);
