--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -86,7 +86,8 @@
     const bool is_admitted = WasExchanged(in, flow) && !in.IsUnsafe();
     Remove(slot);
     if (!is_admitted || now < resume_at_) return HandleUnknown(in, now);
-    Place(in, true, 0, now);  // Its first copy has been admitted here.
+    // Its first copy was admitted here, and may run where it was passed to.
+    Place(in, true, 0, now);
     return outcome::kDone;
   }
   if (flow.phase == flow_phase::kPassed) {
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -120,7 +120,7 @@
     lingering_.pop_front();
     if (!flows_.Holds(timer.slot)) continue;
     const flow_record& flow = flows_.At(timer.slot);
-    if (!(flow.key == timer.key) || flow.phase != flow_phase::kClosed) continue;
+    if (flow.key != timer.key || flow.phase != flow_phase::kClosed) continue;
     if (WaitsForItsUpstream(flow, now)) {
       lingering_.push_back({timer.slot, timer.key, now + timing_.linger});
     } else {
--- a/test/traffic_test.cc
+++ b/test/traffic_test.cc
@@ -34,6 +34,11 @@
           Payload()};
 }
 
+packet_fields Lookup() {
+  return {bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7,
+          Payload()};
+}
+
 // Opens a TCP flow and answers it; returns its upstream.
 endpoint OpenFlow(bench& b, const endpoint& service, time_point now,
                   uint16_t caller_port = bench::kCaller.port) {
@@ -143,8 +148,7 @@
 // answers of two runs would be joined.
 TEST(Traffic, ACopyOfARepetitionIsNotForwarded) {
   bench b;
-  const packet_fields lookup{
-      bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7, Payload()};
+  const packet_fields lookup = Lookup();
   EXPECT_EQ(b.In(lookup, AtMs(1)).size(), 1U);
   EXPECT_TRUE(b.In(lookup, AtMs(20)).empty());
   EXPECT_EQ(b.In(lookup, AtMs(1001)).size(), 1U);
@@ -156,8 +160,7 @@
 // paused, and the caller joined the rest with the answer of another upstream.
 TEST(Traffic, ARepetitionGoesToTheUpstreamThatAnswered) {
   bench b;
-  const packet_fields lookup{
-      bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7, Payload()};
+  const packet_fields lookup = Lookup();
   const endpoint first = b.In(lookup, AtMs(1)).at(0).View().destination;
   b.In({first, bench::kCaller, protocol::kUdp, 0, 0, 0, 1, Payload()}, AtMs(5));
   // The other upstream is the less loaded one by now.
@@ -169,8 +172,7 @@
 
 TEST(Traffic, ARepetitionWaitsForTheUpstreamThatAnswered) {
   bench b(1);
-  const packet_fields lookup{
-      bench::kCaller, bench::kLookup, protocol::kUdp, 0, 0, 0, 7, Payload()};
+  const packet_fields lookup = Lookup();
   const endpoint first = b.In(lookup, AtMs(1)).at(0).View().destination;
   const packet_fields part{first, bench::kCaller, protocol::kUdp, 0, 0, 0,
                            1,     Payload()};
