An object that cannot be read costs that object alone

Cause: a response of the store was parsed into one tree. A number beyond the range of double, invalid UTF-8 or a lone surrogate in one entry made the whole list or table unreadable for as long as the entry stood; 200,000 nested arrays ended the process by recursive copies of the tree.

Ruled out: a stack overflow in the parser itself (it does not recurse; copying and passing values do); the port out of range (that entry was left out before).

Change: json_scan finds the extent of each value by strings and brackets, without recursion or allocation; each entry and route is then parsed by itself, bounded in size and depth. The product's own store (ParseBatch, one malformed object had stopped the follower for good) and rosters are read the same way.

--- a/src/control/store_follower.cc
+++ b/src/control/store_follower.cc
@@ -1,6 +1,8 @@
 // The loop of list and watch calls.
 #include "control/store_follower.h"
 
+#include "observe/log.h"
+
 namespace radishyard {
 namespace {
 
@@ -78,6 +80,9 @@
 }
 
 void store_follower::DeliverObjects(const object_batch& batch) {
+  if (batch.rejected > 0)
+    Log(severity::kWarn, "objects_rejected",
+        {{"objects", uint64_t{batch.rejected}}, {"revision", batch.revision}});
   for (const stored_object& object : batch.objects) on_object_(object);
 }
 
--- a/src/roster/roster_json.cc
+++ b/src/roster/roster_json.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <utility>
 
+#include "table/json_scan.h"
+
 namespace radishyard {
 namespace {
 
@@ -197,13 +199,17 @@
 }
 
 std::optional<roster> ParseRoster(std::string_view text, findings& found) {
-  const json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (!value.is_object()) {
-    found.Add("", "is not a JSON object");
+  constexpr internal::json_limits kLimits{.max_bytes = 1U << 20,
+                                          .max_depth = 8};
+  const auto extent = internal::ScanValue(text);
+  const auto value =
+      extent ? internal::ParseBoundedJson(*extent, kLimits) : std::nullopt;
+  if (!value || !value->is_object()) {
+    found.Add("", "is not a JSON object of bounded size and depth");
     return std::nullopt;
   }
   findings roster_findings;
-  roster r = ReadRoster(json_reader(value, "", roster_findings));
+  roster r = ReadRoster(json_reader(*value, "", roster_findings));
   found.Append(roster_findings);
   if (!roster_findings.empty()) return std::nullopt;
   return r;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -27,6 +27,7 @@
 struct object_batch {
   std::vector<stored_object> objects;
   uint64_t revision = 0;
+  uint32_t rejected = 0;  ///< Objects left out because they are malformed.
   auto operator<=>(const object_batch&) const = default;
 };
 
--- a/src/store/store_codec.cc
+++ b/src/store/store_codec.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "store/http_store.h"
+#include "table/json_scan.h"
 
 namespace radishyard::internal {
 namespace {
@@ -15,8 +16,18 @@
 constexpr std::string_view kUnescapedInUrl = "-._~/";
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 
-json ParseText(std::string_view text) {
-  return json::parse(text.begin(), text.end(), nullptr, false);
+/// Bounds of one response without a list of objects. An escaped character of a
+/// value takes up to six bytes.
+constexpr json_limits kResponseLimits{.max_bytes = 6 * kMaxValueBytes + 65'536,
+                                      .max_depth = 4};
+
+/// Parses a text with bounded nesting. \returns null if it is malformed.
+json ParseText(const json_text& text) {
+  return ParseBoundedJson(text, kResponseLimits).value_or(json());
+}
+
+json ParseDocument(std::string_view text) {
+  return ParseText(ScanValue(text).value_or(json_text{}));
 }
 
 /// Sets `value` to the field `name` of `j`. Returns false if the field is
@@ -65,33 +76,40 @@
 }  // namespace
 
 std::optional<stored_object> ParseObject(std::string_view text) {
-  return ToObject(ParseText(text));
+  return ToObject(ParseDocument(text));
 }
 
 std::optional<object_batch> ParseBatch(std::string_view text) {
-  const json j = ParseText(text);
   object_batch batch;
-  if (!j.is_object() || !ReadField(j, "revision", batch.revision))
-    return std::nullopt;
-  const auto objects = j.find("objects");
-  if (objects == j.end() || !objects->is_array()) return std::nullopt;
-  for (const json& item : *objects) {
-    std::optional<stored_object> object = ToObject(item);
-    if (!object) return std::nullopt;
-    batch.objects.push_back(std::move(*object));
-  }
+  bool has_revision = false;
+  bool has_objects = false;
+  const auto append = [&batch](const json_text& item) {
+    if (auto object = ToObject(ParseText(item)))
+      batch.objects.push_back(std::move(*object));
+    else
+      ++batch.rejected;
+  };
+  const bool is_object =
+      VisitMembers(text, [&](std::string_view key, const json_text& value) {
+        if (key == "objects") has_objects = VisitItems(value.text, append);
+        if (key != "revision") return;
+        const json revision = ParseText(value);
+        has_revision = revision.is_number_unsigned();
+        if (has_revision) batch.revision = revision.get<uint64_t>();
+      });
+  if (!is_object || !has_revision || !has_objects) return std::nullopt;
   return batch;
 }
 
 std::optional<uint64_t> ParseVersion(std::string_view text) {
-  const json j = ParseText(text);
+  const json j = ParseDocument(text);
   uint64_t version = 0;
   if (!j.is_object() || !ReadField(j, "version", version)) return std::nullopt;
   return version;
 }
 
 std::optional<std::vector<vm_entry>> ParseVms(std::string_view text) {
-  const json j = ParseText(text);
+  const json j = ParseDocument(text);
   if (!j.is_array()) return std::nullopt;
   std::vector<vm_entry> vms;
   for (const json& item : j) {
--- a/src/store/store_codec.h
+++ b/src/store/store_codec.h
@@ -11,7 +11,8 @@
 
 /// \brief Reads `{"key":..,"value":..,"version":..}`; nothing if malformed.
 std::optional<stored_object> ParseObject(std::string_view text);
-/// \brief Reads `{"revision":..,"objects":[..]}`; nothing if malformed.
+/// \brief Reads `{"revision":..,"objects":[..]}`. A malformed object is left
+/// out and counted; nothing if the batch as a whole is malformed.
 std::optional<object_batch> ParseBatch(std::string_view text);
 /// \brief Reads `{"version":..}`; nothing if malformed.
 std::optional<uint64_t> ParseVersion(std::string_view text);
