Outages of the registry are told to balancers that could not observe them

Those that took a list read before the outage saw a gap just under the fixed 3 s; those that took a list read after it saw none, and no message told them.

What was only heard of is not told further, or delays of messages would prolong it. Fields added at the end of a message may be missing, so that balancers of two releases understand each other. On sites with a list interval of 3 s an ordinary gap no longer counts as an outage.

Besides: an exception that nobody expects no longer ends the process or the chain of handlers (packets, reports, lists, tables, maintenance), with the reason why the state is sound beside each; the decoder of peer messages allocates no more items than the message has bytes; the HTTP pages accept again after a delay when no descriptor is left.

--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -11,6 +11,8 @@
 namespace http = beast::http;
 
 constexpr std::chrono::seconds kSessionTimeout{10};
+/// Delay after a failed accept, for example without a free file descriptor.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 
 // One HTTP connection. It reads a request, sends the response, and repeats this
 // until the client closes the connection, or until a request and its response
@@ -67,25 +69,34 @@
  public:
   listener(asio::io_context& io, const endpoint& listen, page_map pages)
       : acceptor_(io, {asio::ip::address_v4(listen.address), listen.port}),
+        retry_timer_(io),
         pages_(std::make_shared<const page_map>(std::move(pages))) {}
 
   void Accept() {
     acceptor_.async_accept([self = shared_from_this()](
                                error_code error, asio::ip::tcp::socket socket) {
       if (error == asio::error::operation_aborted) return;
-      if (!error)
-        std::make_shared<session>(std::move(socket), self->pages_)
-            ->ReadRequest();
+      if (error) return self->AcceptLater();
+      std::make_shared<session>(std::move(socket), self->pages_)->ReadRequest();
       self->Accept();
     });
   }
   void Close() {
     error_code ignored;
     acceptor_.close(ignored);
+    retry_timer_.cancel();
   }
 
  private:
+  void AcceptLater() {
+    retry_timer_.expires_after(kAcceptRetryDelay);
+    retry_timer_.async_wait([self = shared_from_this()](error_code error) {
+      if (!error) self->Accept();
+    });
+  }
+
   asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer retry_timer_;
   std::shared_ptr<const page_map> pages_;
 };
 
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -10,6 +10,7 @@
 #include "direct/forwarder.h"
 #include "direct/peer_exchange.h"
 #include "direct/registry_follower.h"
+#include "observe/guard.h"
 #include "observe/log.h"
 
 namespace radishyard {
@@ -93,6 +94,7 @@
         follower_(io, source, times_, MakeFollowerHandlers(),
                   std::hash<std::string>()(config.name)) {
     state_.domain = config.domain;
+    state_.directory.max_list_gap = times_.list_interval + kReadTimeAllowance;
     socket_.non_blocking(true);
     error_code ignored;  // A smaller buffer only drops packets earlier.
     socket_.set_option(udp::socket::receive_buffer_size(kReceiveBufferBytes),
@@ -279,7 +281,10 @@
     last_packet_at_ = clock::now();
     DetectPause(last_packet_at_);
     const mutable_bytes datagram(receive_buffer_.data(), headroom + size);
-    IsReady(state_) ? HandlePacket(datagram) : HoldPacket(datagram);
+    // A decision changes only the statistics of flows, which may be lost.
+    RunGuarded("packet", [&] {
+      IsReady(state_) ? HandlePacket(datagram) : HoldPacket(datagram);
+    });
     return true;
   }
 
@@ -409,14 +414,18 @@
     follower_.ReadListNow();
   }
 
-  void RunMaintenance() {
-    DetectSuspension();
-    const time_point now = clock::now();
+  void MaintainState(time_point now) {
     DetectPause(now);
     FailOverdueRequests(state_.tracker, state_.directory, now);
     LogHealthChanges(now);
     ExpireIdleFlows(state_.tracker, state_.directory, state_.table.idle_timeout,
                     now);
+  }
+
+  void RunMaintenance() {
+    DetectSuspension();
+    // The steps change statistics alone, and the next run repeats them.
+    RunGuarded("maintenance", [this] { MaintainState(clock::now()); });
     maintenance_timer_.expires_after(kMaintenanceInterval);
     maintenance_timer_.async_wait([this](error_code error) {
       if (!error) RunMaintenance();
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -2,9 +2,12 @@
 // same address and port.
 #include "direct/peer_exchange.h"
 
+#include <algorithm>
 #include <array>
+#include <span>
 #include <utility>
 
+#include "observe/guard.h"
 #include "observe/log.h"
 #include "peer/peer_codec.h"
 #include "peer/peer_server.h"
@@ -101,6 +104,7 @@
     report.digest = state_.digest;
     report.age_ms = static_cast<uint32_t>(
         std::max<int64_t>(0, ToMs(now - state_.directory.read_at)));
+    report.outage_age_ms = OutageAgeMs(state_.directory, now);
     return report;
   }
 
@@ -163,14 +167,17 @@
     const auto message = DecodePayload(frame.payload, why);
     const auto* report =
         message ? std::get_if<view_report>(&*message) : nullptr;
-    if (report != nullptr) HandleReport(*report, clock::now());
+    // The steps are independent of each other, and later reports repeat them.
+    if (report != nullptr)
+      RunGuarded("report", [&] { HandleReport(*report, clock::now()); });
     return true;
   }
 
   void HandleReport(const view_report& report, time_point now) {
     if (report.self.peer == members_.self.peer) return;
     RecordMember(members_, report.self, now);
-    for (const view_member& m : report.members)
+    const size_t listed = std::min(report.members.size(), kMaxMembersPerReply);
+    for (const view_member& m : std::span(report.members).first(listed))
       if (!members_.known.contains(m.peer)) ContactMember(m, now);
     if (report.wants_reply) SendReply(report.self, now);
     ApplyOutcomes(state_, report.outcomes, now);
@@ -237,10 +244,13 @@
   }
 
   void HandleSnapshot(const view_snapshot& snapshot, const endpoint& peer) {
-    const snapshot_effect effect =
-        ApplySnapshot(state_, snapshot, clock::now());
+    // The table and the list are each applied whole or repeated by the next
+    // snapshot.
+    RunGuarded("snapshot", [&] {
+      handlers_.on_snapshot(peer,
+                            ApplySnapshot(state_, snapshot, clock::now()));
+    });
     EndFetch();
-    handlers_.on_snapshot(peer, effect);
   }
 
   void EndFetch() {
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "observe/guard.h"
+
 namespace radishyard {
 namespace {
 
@@ -49,7 +51,9 @@
           return HandleFailure(list_, why, &registry_follower::ReadList);
         HandleSuccess(list_);
         last_list_at_ = clock::now();
-        handlers_.on_list(*list, requested_at);
+        // UpdateDirectory() leaves no dangling pointers; the next list repeats
+        // what is missing.
+        RunGuarded("list", [&] { handlers_.on_list(*list, requested_at); });
         const duration jitter =
             times_.list_interval / kJitterDivisor *
             static_cast<int64_t>(++seed_ * 0x9E3779B97F4A7C15 >> 56) / 256;
@@ -93,7 +97,9 @@
                                     const failure& why) {
   if (!result) return HandleFailure(table_, why, &registry_follower::ReadTable);
   HandleSuccess(table_);
-  if (result->table) handlers_.on_table(*result->table);
+  // A table is applied whole or not at all.
+  if (result->table)
+    RunGuarded("table", [&] { handlers_.on_table(*result->table); });
   WatchTableWhenNeeded(result->revision);
 }
 
--- a/src/direct/upstream_directory.cc
+++ b/src/direct/upstream_directory.cc
@@ -8,12 +8,8 @@
 
 using change = directory_change::kind;
 
-/// A gap between two lists longer than this is an outage of the registry. The
-/// registry removes the entries of upstreams that do not renew them for some
-/// seconds, so a list after an outage may lack upstreams that are alive.
-constexpr duration kMinOutage = 3s;
-/// Upstreams whose entries an outage removed register again within 2 s of its
-/// end.
+/// Upstreams whose entries an outage of the registry removed register again
+/// within 2 s of its end.
 constexpr duration kReregistrationGrace = 2500ms;
 /// Flows end no later than this after their upstream is deregistered.
 constexpr duration kDeregisteredRetention = 60s;
@@ -50,15 +46,20 @@
   return starts_leaving ? std::optional(change::kLeaving) : std::nullopt;
 }
 
+/// True while entries that an outage removed may not be back yet.
+bool IsWithinGrace(const std::optional<time_point>& outage_ended_at,
+                   time_point now) {
+  return outage_ended_at && now - *outage_ended_at < kReregistrationGrace;
+}
+
 /// Handles an upstream that the list does not contain.
 /// \returns the change of its state, if any.
 std::optional<change> HandleUnlisted(const upstream_directory& directory,
                                      known_upstream& known, time_point now) {
   if (known.phase == upstream_phase::kDeregistered) return std::nullopt;
-  const bool is_within_grace =
-      directory.outage_ended_at &&
-      now - *directory.outage_ended_at < kReregistrationGrace;
-  if (is_within_grace) {
+  const bool may_return = IsWithinGrace(directory.outage_ended_at, now) ||
+                          IsWithinGrace(directory.peer_outage_ended_at, now);
+  if (may_return) {
     if (known.is_missing) return std::nullopt;
     known.is_missing = true;
     return change::kMissing;
@@ -73,10 +74,9 @@
          std::pair(b.entry.started_unix_ms, b.entry.id);
 }
 
-/// Rebuilds `by_mark`. Of upstreams with the same mark, the one that started
-/// first owns it.
+/// Fills `by_mark`, which must be empty. Of upstreams with the same mark, the
+/// one that started first owns it.
 void IndexMarks(upstream_directory& directory) {
-  directory.by_mark.clear();
   for (auto& [id, known] : directory.upstreams) {
     known.owns_mark = true;
     known_upstream*& owner = directory.by_mark[known.mark];
@@ -90,9 +90,8 @@
   }
 }
 
-/// Rebuilds `ready_by_service`.
+/// Fills `ready_by_service`, which must be empty.
 void IndexReady(upstream_directory& directory) {
-  directory.ready_by_service.clear();
   for (auto& [id, known] : directory.upstreams) {
     if (known.phase == upstream_phase::kReady && known.owns_mark)
       directory.ready_by_service[known.entry.service].push_back(&known);
@@ -116,7 +115,8 @@
                                               time_point now) {
   std::vector<directory_change> changes;
   if (list.revision < directory.revision) return changes;
-  if (directory.has_list && read_at - directory.read_at > kMinOutage)
+  if (directory.has_list &&
+      read_at - directory.read_at > directory.max_list_gap)
     directory.outage_ended_at = now;
   std::set<upstream_id> listed;
   for (const upstream_entry& entry : list.upstreams) {
@@ -132,6 +132,10 @@
   directory.revision = list.revision;
   directory.read_at = std::max(directory.read_at, read_at);
   directory.has_list = true;
+  // Cleared before entries are removed, so that no pointer to a removed one
+  // remains if a step fails.
+  directory.by_mark.clear();
+  directory.ready_by_service.clear();
   RemoveExpired(directory, now);
   IndexMarks(directory);
   IndexReady(directory);
@@ -144,6 +148,22 @@
   directory.read_at = std::max(directory.read_at, read_at);
 }
 
+std::optional<duration> TimeSinceOutage(const upstream_directory& directory,
+                                        time_point now) {
+  if (directory.has_list && now - directory.read_at > directory.max_list_gap)
+    return duration{};
+  if (!IsWithinGrace(directory.outage_ended_at, now)) return std::nullopt;
+  return now - *directory.outage_ended_at;
+}
+
+void RecordPeerOutage(upstream_directory& directory, duration age,
+                      time_point now) {
+  const time_point ended_at = now - age;
+  if (!directory.peer_outage_ended_at ||
+      *directory.peer_outage_ended_at < ended_at)
+    directory.peer_outage_ended_at = ended_at;
+}
+
 known_upstream* FindByMark(const upstream_directory& directory, uint32_t mark) {
   const auto found = directory.by_mark.find(mark);
   return found == directory.by_mark.end() ? nullptr : found->second;
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -59,7 +59,13 @@
   uint64_t revision = 0;  ///< Of the list last applied.
   bool has_list = false;  ///< A list has been applied.
   time_point read_at{};   ///< When the last list was current.
-  std::optional<time_point> outage_ended_at;  ///< End of the last outage.
+  /// A longer gap between two lists is an outage of the registry.
+  duration max_list_gap = 3s;
+  /// End of the last outage that this balancer has observed.
+  std::optional<time_point> outage_ended_at;
+  /// End of the last outage that another balancer has reported. It is not
+  /// reported further, or delays of messages would prolong it.
+  std::optional<time_point> peer_outage_ended_at;
   std::map<upstream_id, known_upstream> upstreams;
   absl::flat_hash_map<uint32_t, known_upstream*> by_mark;
   std::map<std::string, std::vector<known_upstream*>> ready_by_service;
@@ -85,6 +91,18 @@
 void ConfirmList(upstream_directory& directory, uint64_t revision,
                  time_point read_at);
 
+/// \brief The time since the end of the last outage that this balancer has
+/// observed; 0 during an outage.
+/// \returns nothing if entries that an outage has removed are back by now.
+std::optional<duration> TimeSinceOutage(const upstream_directory& directory,
+                                        time_point now);
+
+/// \brief Records an outage of the registry that another balancer has
+/// observed. A balancer that has just started cannot observe it itself.
+/// \param age TimeSinceOutage() of the other balancer.
+void RecordPeerOutage(upstream_directory& directory, duration age,
+                      time_point now);
+
 /// \brief Returns the upstream that owns `mark`, or null if it is unknown.
 known_upstream* FindByMark(const upstream_directory& directory, uint32_t mark);
 
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -4,6 +4,7 @@
 // because clocks differ between machines.
 #pragma once
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -31,8 +32,13 @@
   auto operator<=>(const upstream_outcomes&) const = default;
 };
 
+/// \brief Value of `outage_age_ms` if there has been no outage lately.
+inline constexpr uint32_t kNoOutage = UINT32_MAX;
+
 /// \brief The report that a balancer sends to others about once a second.
 struct view_report {
+  /// Fields that every version of the protocol has; see peer/peer_codec.
+  static constexpr size_t kRequiredFields = 9;
   view_member self;
   bool wants_reply = false;    ///< The sender requests members of its domain.
   bool watches_table = false;  ///< It watches the table and its reads succeed.
@@ -43,6 +49,9 @@
   /// In a reply: members of the receiver's domain.
   std::vector<view_member> members;
   std::vector<upstream_outcomes> outcomes;
+  /// Time since the end of the last outage of the registry, 0 during one;
+  /// kNoOutage if its effects are over.
+  uint32_t outage_age_ms = kNoOutage;
   auto operator<=>(const view_report&) const = default;
 };
 
@@ -86,6 +95,7 @@
 
 /// \brief The sender's table and upstream list, or what the receiver lacks.
 struct view_snapshot {
+  static constexpr size_t kRequiredFields = 9;  ///< As in view_report.
   uint64_t table_version = 0;
   uint32_t idle_timeout_ms = 0;
   /// Empty if the receiver has this version of the table.
@@ -98,7 +108,8 @@
   uint64_t base_digest = 0;
   /// The whole list, or added and changed entries.
   std::vector<view_upstream> upstreams;
-  std::vector<uint64_t> removed;  ///< Ids; empty for a whole list.
+  std::vector<uint64_t> removed;       ///< Ids; empty for a whole list.
+  uint32_t outage_age_ms = kNoOutage;  ///< As in view_report.
   auto operator<=>(const view_snapshot&) const = default;
 };
 
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -107,6 +107,11 @@
   return list;
 }
 
+void ApplyOutageAge(forwarding_state& state, uint32_t age_ms, time_point now) {
+  if (age_ms != kNoOutage)
+    RecordPeerOutage(state.directory, milliseconds(age_ms), now);
+}
+
 }  // namespace
 
 uint64_t ListDigest(const upstream_list& list) {
@@ -115,6 +120,11 @@
   return digest;
 }
 
+uint32_t OutageAgeMs(const upstream_directory& directory, time_point now) {
+  const auto age = TimeSinceOutage(directory, now);
+  return age ? ToClampedMs(*age) : kNoOutage;
+}
+
 snapshot_request MakeSnapshotRequest(const forwarding_state& state) {
   return {.table_version = state.table.version,
           .known_list_digest = state.digest};
@@ -127,7 +137,8 @@
       .idle_timeout_ms = ToClampedMs(state.table.idle_timeout),
       .revision = state.applied_list.revision,
       .age_ms = ToClampedMs(now - state.directory.read_at),
-      .digest = state.digest};
+      .digest = state.digest,
+      .outage_age_ms = OutageAgeMs(state.directory, now)};
   if (request.table_version < state.table.version)
     for (const published_address& row : state.table.addresses)
       snapshot.addresses.push_back(ToMessage(row));
@@ -157,6 +168,7 @@
   const time_point read_at = now - milliseconds(snapshot.age_ms);
   const auto list = ToUpstreamList(state, snapshot, read_at);
   if (!list) return effect;
+  ApplyOutageAge(state, snapshot.outage_age_ms, now);
   effect.list_applied = true;
   effect.changes = ApplyUpstreamList(state, *list, read_at, now);
   return effect;
@@ -170,6 +182,7 @@
 
 report_effect ApplyReport(forwarding_state& state, const view_report& report,
                           time_point now) {
+  ApplyOutageAge(state, report.outage_age_ms, now);
   if (report.table_version > state.table.version)
     return report_effect::kFetchSnapshot;
   if (report.revision < state.directory.revision || report.revision == 0)
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -15,6 +15,9 @@
 /// is left out.
 uint64_t ListDigest(const upstream_list& list);
 
+/// \brief TimeSinceOutage() as reports and snapshots contain it.
+uint32_t OutageAgeMs(const upstream_directory& directory, time_point now);
+
 /// \brief Builds the request for what a balancer with `state` lacks.
 snapshot_request MakeSnapshotRequest(const forwarding_state& state);
 
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -3,6 +3,7 @@
 // function.
 #include "peer/peer_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <concepts>
 #include <limits>
@@ -118,7 +119,8 @@
 template <maybe_const<view_report> T>
 auto Fields(T& m) {
   return std::tie(m.self, m.wants_reply, m.watches_table, m.table_version,
-                  m.revision, m.digest, m.age_ms, m.members, m.outcomes);
+                  m.revision, m.digest, m.age_ms, m.members, m.outcomes,
+                  m.outage_age_ms);
 }
 template <maybe_const<snapshot_request> T>
 auto Fields(T& m) {
@@ -141,7 +143,8 @@
 template <maybe_const<view_snapshot> T>
 auto Fields(T& m) {
   return std::tie(m.table_version, m.idle_timeout_ms, m.addresses, m.revision,
-                  m.age_ms, m.digest, m.base_digest, m.upstreams, m.removed);
+                  m.age_ms, m.digest, m.base_digest, m.upstreams, m.removed,
+                  m.outage_age_ms);
 }
 
 void Write(packer& to, bool value) { to.pack(value); }
@@ -249,15 +252,27 @@
   return true;
 }
 
+/// Returns how many fields of T a message must contain. Later ones were added
+/// to the protocol: an older sender leaves them out, and they keep their
+/// defaults.
+template <typename T>
+constexpr size_t RequiredFields(size_t field_count) {
+  if constexpr (requires { T::kRequiredFields; }) return T::kRequiredFields;
+  return field_count;
+}
+
 template <field_struct T>
 bool Read(const msgpack::object& from, T& value) {
   if (from.type != msgpack::type::ARRAY) return false;
   const msgpack::object_array& array = from.via.array;
+  uint32_t i = 0;
+  const auto read_next = [&array, &i](auto& field) {
+    return i >= array.size || Read(array.ptr[i++], field);
+  };
   return std::apply(
-      [&array](auto&... field) {
-        uint32_t i = 0;
-        return array.size >= sizeof...(field) &&
-               (Read(array.ptr[i++], field) && ...);
+      [&](auto&... field) {
+        return array.size >= RequiredFields<T>(sizeof...(field)) &&
+               (read_next(field) && ...);
       },
       Fields(value));
 }
@@ -284,7 +299,10 @@
 
 /// Unpacks `body`, which must consist of exactly one msgpack value.
 std::optional<msgpack::object_handle> Unpack(std::string_view body) {
-  const msgpack::unpack_limit limit(kMaxArrayItems, 0, kMaxPayloadBytes,
+  // The decoder allocates an array's items before it reads them. Each needs at
+  // least one byte of the body.
+  const size_t max_items = std::min(kMaxArrayItems, body.size());
+  const msgpack::unpack_limit limit(max_items, 0, kMaxPayloadBytes,
                                     kMaxPayloadBytes, 0, kMaxNestingDepth);
   try {
     msgpack::object_handle handle;
--- a/test/direct_directory_test.cc
+++ b/test/direct_directory_test.cc
@@ -63,6 +63,24 @@
               testing::ElementsAre(directory_change{change::kDeregistered, 2}));
 }
 
+// Readers that read the list every 2.5 s observe a gap of less than 3 s if the
+// store is away for a short time only.
+TEST(DirectDirectory, TakesAGapBeyondTheListIntervalForAnOutage) {
+  direct_world world({MakeEntry(1), MakeEntry(2)});
+  world.state.directory.max_list_gap = 2800ms;
+  EXPECT_THAT(world.ApplyList({MakeEntry(1)}, AtMs(2900)),
+              testing::ElementsAre(directory_change{change::kMissing, 2}));
+  EXPECT_TRUE(
+      world.ApplyList({MakeEntry(1), MakeEntry(2)}, AtMs(4500)).empty());
+}
+
+TEST(DirectDirectory, AnOrdinaryListIntervalIsNoOutage) {
+  direct_world world({MakeEntry(1), MakeEntry(2)});
+  world.state.directory.max_list_gap = 3300ms;
+  EXPECT_THAT(world.ApplyList({MakeEntry(1)}, AtMs(3200)),
+              testing::ElementsAre(directory_change{change::kDeregistered, 2}));
+}
+
 TEST(DirectDirectory, KeepsTheStatisticsOfAReturningIncarnation) {
   direct_world world({MakeEntry(1)});
   const verdict placed = world.SendOpening(1, AtMs(10));
--- a/test/peer_test.cc
+++ b/test/peer_test.cc
@@ -100,6 +100,26 @@
   }
 }
 
+// A short message may claim long arrays within arrays, each of which the
+// decoder would allocate before it notices that the items are missing.
+TEST(PeerCodec, RejectsDeepNestingAndLengthsBeyondTheMessage) {
+  failure why;
+  const std::string head =
+      MustEncodeFrame(hello{MakeMember("vm-1")}).substr(kFrameLengthBytes, 2);
+  const std::string long_array = "\xdc\xff\xff";
+  std::string claims = head;
+  for (int level = 0; level < 8; ++level) claims += long_array;
+  EXPECT_FALSE(DecodePayload(claims, why));
+  const std::string huge_array = "\xdd\xff\xff\xff\xff";
+  EXPECT_FALSE(DecodePayload(head + huge_array, why));
+  const std::string huge_string = "\x91\xdb\xff\xff\xff\xff";
+  EXPECT_FALSE(DecodePayload(head + huge_string, why));
+  constexpr size_t kLevels = 500'000;
+  EXPECT_FALSE(DecodePayload(head + std::string(kLevels, '\x91'), why));
+  EXPECT_FALSE(
+      DecodePayload(head + std::string(kLevels, '\x91') + '\xc0', why));
+}
+
 // Guards against accepting corrupted bytes as another message: a mutated
 // payload that is decoded must encode and decode again to the same value, and
 // every other one must be rejected with a reason.
--- a/test/view_sharing_test.cc
+++ b/test/view_sharing_test.cc
@@ -44,6 +44,70 @@
   EXPECT_EQ(MakeSnapshot(other.state, {}, AtMs(0)).addresses.size(), 2U);
 }
 
+// A balancer that starts right after an outage takes the list of another one
+// that has just been read, so it observes no gap between its lists itself.
+TEST(ViewSharing, ABalancerThatStartsAfterAnOutageKeepsMissingUpstreams) {
+  using kind = directory_change::kind;
+  direct_world other({MakeEntry(1), MakeEntry(2), MakeEntry(3)});
+  other.ApplyList({MakeEntry(1), MakeEntry(2)}, AtMs(8000));
+  forwarding_state fresh;
+  fresh.domain = kLocalDomain;
+  ApplySnapshot(fresh, MakeSnapshot(other.state, {}, AtMs(8300)), AtMs(8300));
+  ASSERT_EQ(fresh.directory.upstreams.size(), 2U);
+  const auto changes = ApplyUpstreamList(
+      fresh, {other.revision + 1, {MakeEntry(1)}}, AtMs(9000), AtMs(9000));
+  EXPECT_EQ(changes, (std::vector<directory_change>{{kind::kMissing, 2}}));
+}
+
+TEST(ViewSharing, AReportTellsOfAnOutageThatTheReceiverHasNotObserved) {
+  using kind = directory_change::kind;
+  direct_world other({MakeEntry(1), MakeEntry(2)});
+  direct_world receiver({MakeEntry(1), MakeEntry(2)});
+  view_report report = MakeReport(other.state, AtMs(5000));
+  report.outage_age_ms = OutageAgeMs(other.state.directory, AtMs(5000));
+  EXPECT_EQ(report.outage_age_ms, 0U) << "no list for 5 s";
+  receiver.ApplyList({MakeEntry(1), MakeEntry(2)}, AtMs(2500));
+  ApplyReport(receiver.state, report, AtMs(5000));
+  EXPECT_EQ(receiver.ApplyList({MakeEntry(1)}, AtMs(5200)),
+            (std::vector<directory_change>{{kind::kMissing, 2}}));
+}
+
+// Otherwise the delays of messages would prolong an outage without end.
+TEST(ViewSharing, AnOutageHeardOfIsNotReportedFurther) {
+  direct_world receiver({MakeEntry(1)});
+  RecordPeerOutage(receiver.state.directory, 0ms, AtMs(500));
+  EXPECT_EQ(OutageAgeMs(receiver.state.directory, AtMs(600)), kNoOutage);
+}
+
+TEST(ViewSharing, AnOutageIsReportedUntilItsEffectsAreOver) {
+  direct_world world({MakeEntry(1)});
+  EXPECT_EQ(OutageAgeMs(world.state.directory, AtMs(1000)), kNoOutage);
+  EXPECT_EQ(OutageAgeMs(world.state.directory, AtMs(6000)), 0U);
+  world.ApplyList({MakeEntry(1)}, AtMs(7000));
+  EXPECT_EQ(OutageAgeMs(world.state.directory, AtMs(8000)), 1000U);
+  EXPECT_EQ(OutageAgeMs(world.state.directory, AtMs(9600)), kNoOutage);
+}
+
+// Balancers of two releases run side by side while they are replaced in turn.
+TEST(ViewSharing, AReportWithoutTheFieldsOfALaterReleaseIsAccepted) {
+  view_report report;
+  report.self = {{1, 2}, kLocalDomain, 3};
+  report.revision = 7;
+  report.outage_age_ms = 5;
+  failure why;
+  std::string payload = EncodeFrame(report, why)->substr(kFrameLengthBytes);
+  // The body is a short array; its last element is the one-byte integer 5.
+  payload[2] = static_cast<char>(payload[2] - 1);
+  payload.pop_back();
+  const auto decoded = DecodePayload(payload, why);
+  ASSERT_TRUE(decoded) << why.text;
+  report.outage_age_ms = kNoOutage;
+  EXPECT_EQ(std::get<view_report>(*decoded), report);
+  payload[2] = static_cast<char>(payload[2] - 1);
+  payload.pop_back();
+  EXPECT_FALSE(DecodePayload(payload, why));
+}
+
 /// Two balancers that start with the same list. `requester` requests snapshots
 /// from `other`, which receives later lists.
 struct balancer_pair {
