--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -89,7 +89,7 @@
         peers_(io, config.peer,
                {PublicPeerAddress(config), config.domain,
                 config.capacity_millicores},
-               config.peers, state_, MakeExchangeHandlers()),
+               config.peers, config.link_mbps, state_, MakeExchangeHandlers()),
         times_(ToFollowerTimes(config)),
         follower_(io, source, times_, MakeFollowerHandlers(),
                   std::hash<std::string>()(config.name)) {
@@ -315,6 +315,7 @@
     const verdict decision = RoutePacket(state_, *packet, now);
     ++counters_.verdicts[static_cast<size_t>(decision.reason)];
     LogVerdict(*packet, decision, now);
+    if (decision.first_sent_at) peers_.ReportSilence(decision.upstream);
     if (decision.action == verdict_action::kForward)
       ForwardPacket(datagram, *packet, decision);
     if (decision.action == verdict_action::kRefuse) SendRefusal(*packet);
@@ -371,7 +372,10 @@
   void Send(std::span<const uint8_t> bytes, const udp::endpoint& to) {
     error_code error;
     socket_.send_to(asio::buffer(bytes.data(), bytes.size()), to, 0, error);
-    if (error) ++counters_.send_failures;
+    if (!error) return;
+    ++counters_.send_failures;
+    Log(severity::kWarn, "send_failed",
+        {{"to", to.address().to_string()}, {"reason", error.message()}});
   }
 
   void LogHealthChanges(time_point now) {
--- a/src/direct/direct_settings.cc
+++ b/src/direct/direct_settings.cc
@@ -85,6 +85,17 @@
     value = std::max(1U, static_cast<uint32_t>(cores * kMillicoresPerCore));
   }
 
+  void ReadLinkCapacity(const char* key, uint32_t& value) const {
+    const json& member = GetField(document, key);
+    if (member.is_null()) return;
+    const double mbps = member.is_number() ? member.get<double>() : 0;
+    constexpr double kMaxMbps = 1e6;
+    if (mbps <= 0 || mbps > kMaxMbps)
+      return found.Add(JoinJsonPointer("", key),
+                       "is not a number of Mbit/s above 0 and up to 1000000");
+    value = std::max(1U, static_cast<uint32_t>(mbps));
+  }
+
   void ReadLevel(const char* key, log_level& value) const {
     const json& member = GetField(document, key);
     if (member.is_null()) return;
@@ -118,6 +129,7 @@
   reader.ReadBound("drain_bound_ms", s.drain_bound);
   reader.ReadBound("edit_bound_ms", s.edit_bound);
   reader.ReadBound("stop_grace_ms", s.stop_grace);
+  reader.ReadLinkCapacity("link_mbps", s.link_mbps);
   reader.ReadLevel("log_level", s.level);
   if (found.size() > before) return std::nullopt;
   return s;
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -38,6 +38,8 @@
   duration edit_bound = 3s;
   /// Time from SIGTERM to SIGKILL.
   duration stop_grace = 6s;
+  /// Capacity of the VM's network link in megabits a second.
+  uint32_t link_mbps = 1000;
   log_level level = log_level::kInfo;
   auto operator<=>(const direct_settings&) const = default;
 };
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "direct/placement.h"
+#include "direct/silence.h"
 #include "direct/view_sharing.h"
 
 namespace radishyard {
@@ -76,11 +77,19 @@
   return row != nullptr && row->retry_class != request_class::kNonIdempotent;
 }
 
+/// True if the silence of an upstream is not due to this balancer's own link:
+/// another balancer observes it too, or there is none.
+bool IsConfirmedByPeers(const forwarding_state& state,
+                        const known_upstream& upstream, time_point now) {
+  return !state.has_peers || CountWitnesses(upstream, now) > 0;
+}
+
 /// True if a reset helps the caller, because it can retry its request on
 /// another flow and the upstream of this one is unresponsive.
 bool IsFlowLost(const forwarding_state& state, const direct_packet& packet,
                 const known_upstream& upstream, time_point now) {
   return packet.length > 0 && IsUnresponsive(upstream.stats, now) &&
+         IsConfirmedByPeers(state, upstream, now) &&
          !IsCallerPathDelayed(state.tracker, now) &&
          IsRetryable(state.table, packet.flow);
 }
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -33,8 +33,8 @@
   kUnknownAddress,   ///< The table publishes no such address.
   kNoUpstream,       ///< No upstream of the service takes new flows.
   kUnknownMark,      ///< No upstream of the directory has the mark.
-  /// The flow's upstream is unresponsive, and the caller may retry its request
-  /// on another flow.
+  /// The flow's upstream is unresponsive, also to another balancer if there is
+  /// one, and the caller may retry its request on another flow.
   kUnresponsiveUpstream,
 };
 
@@ -67,6 +67,9 @@
   uint64_t digest = 0;           ///< ListDigest() of `applied_list`.
   list_history history;          ///< Latest changes of the upstream list.
   flow_tracker tracker;
+  /// Other balancers of the failure domain are alive. They are asked before a
+  /// flow is reset.
+  bool has_peers = false;
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -1,5 +1,5 @@
-// Sends reports over UDP and snapshots over short TCP connections. Both use the
-// same address and port.
+// Sends reports and notices over UDP, and decides when to fetch a snapshot.
+// Both use the same address and port.
 #include "direct/peer_exchange.h"
 
 #include <algorithm>
@@ -7,10 +7,11 @@
 #include <span>
 #include <utility>
 
+#include "direct/silence.h"
+#include "direct/snapshot_fetcher.h"
+#include "direct/snapshot_server.h"
 #include "observe/guard.h"
-#include "observe/log.h"
 #include "peer/peer_codec.h"
-#include "peer/peer_server.h"
 
 namespace radishyard {
 namespace {
@@ -28,8 +29,6 @@
 constexpr duration kDiscoveryInterval = 10s;
 /// The same while no other member of the domain is known.
 constexpr duration kIsolatedDiscoveryInterval = 500ms;
-/// A snapshot that takes longer is abandoned.
-constexpr duration kFetchTimeout = 500ms;
 /// Most members listed in a reply. The receiver discovers more through these.
 constexpr size_t kMaxMembersPerReply = 16;
 /// Longest report in bytes.
@@ -44,16 +43,23 @@
 class peer_exchange::core : public std::enable_shared_from_this<core> {
  public:
   core(asio::io_context& io, const endpoint& listen, const view_member& self,
-       std::vector<endpoint> seeds, forwarding_state& state,
+       std::vector<endpoint> seeds, uint32_t link_mbps, forwarding_state& state,
        exchange_handlers handlers)
       : seeds_(std::move(seeds)),
-        io_(io),
         state_(state),
         handlers_(std::move(handlers)),
         socket_(io, ToUdp(listen)),
         report_timer_(io),
-        fetch_timer_(io),
-        server_(io, listen, MakeServerHandlers(), counters_) {
+        fetcher_(std::make_shared<snapshot_fetcher>(io, MakeFetchHandlers(),
+                                                    counters_)),
+        server_(
+            io, listen, link_mbps,
+            [this](const snapshot_request& request) {
+              return IsReady(state_) ? std::optional(MakeSnapshot(
+                                           state_, request, clock::now()))
+                                     : std::nullopt;
+            },
+            counters_) {
     members_.self = self;
     socket_.non_blocking(true);
   }
@@ -68,7 +74,7 @@
     error_code ignored;
     socket_.close(ignored);
     report_timer_.cancel();
-    EndFetch();
+    fetcher_->Stop();
   }
 
   void SendReports(size_t count) {
@@ -80,21 +86,20 @@
       Send(report, to);
   }
 
+  void ReportSilence(upstream_id upstream) {
+    const time_point now = clock::now();
+    const auto notice = MakeSilenceNotice(state_, upstream, now);
+    if (!notice) return;
+    for (const view_member& member :
+         FindLiveMembers(members_, members_.self.domain, now))
+      SendNotice(*notice, member.peer);
+  }
+
   peer_members members_;
   std::vector<endpoint> seeds_;
   time_point table_confirmed_at_{};
 
  private:
-  link_handlers MakeServerHandlers() {
-    link_handlers handlers;
-    handlers.on_message = [this](peer_link& link, const peer_message& message) {
-      const auto* request = std::get_if<snapshot_request>(&message);
-      if (request == nullptr || !IsReady(state_)) return link.Close();
-      link.Send(MakeSnapshot(state_, *request, clock::now()));
-    };
-    return handlers;
-  }
-
   view_report MakeReport(time_point now) const {
     view_report report;
     report.self = members_.self;
@@ -108,9 +113,9 @@
     return report;
   }
 
-  void Send(const view_report& report, const endpoint& to) {
+  void Send(const peer_message& message, const endpoint& to) {
     failure why;
-    const auto frame = EncodeFrame(report, why);
+    const auto frame = EncodeFrame(message, why);
     if (!frame || frame->size() > kDatagramBytes) return;
     error_code ignored;  // Later reports replace a lost one.
     socket_.send_to(asio::buffer(*frame), ToUdp(to), 0, ignored);
@@ -120,6 +125,8 @@
     if (is_stopped_) return;
     const time_point now = clock::now();
     ExpireMembers(members_, now);
+    state_.has_peers =
+        !FindLiveMembers(members_, members_.self.domain, now).empty();
     SendReports(kTargetsPerReport);
     DiscoverMembers(now);
     report_timer_.expires_after(kReportInterval);
@@ -165,14 +172,21 @@
     if (frame.what != frame_view::status::kComplete) return true;
     failure why;
     const auto message = DecodePayload(frame.payload, why);
-    const auto* report =
-        message ? std::get_if<view_report>(&*message) : nullptr;
-    // The steps are independent of each other, and later reports repeat them.
-    if (report != nullptr)
-      RunGuarded("report", [&] { HandleReport(*report, clock::now()); });
+    // The steps are independent of each other, and later messages repeat them.
+    if (message)
+      RunGuarded("report", [&] { HandleMessage(*message, clock::now()); });
     return true;
   }
 
+  void HandleMessage(const peer_message& message, time_point now) {
+    if (const auto* report = std::get_if<view_report>(&message))
+      return HandleReport(*report, now);
+    const auto* notice = std::get_if<silence_notice>(&message);
+    if (notice == nullptr || notice->sender == members_.self.peer) return;
+    if (const auto reply = ApplySilenceNotice(state_, *notice, now))
+      SendNotice(*reply, notice->sender);
+  }
+
   void HandleReport(const view_report& report, time_point now) {
     if (report.self.peer == members_.self.peer) return;
     RecordMember(members_, report.self, now);
@@ -183,7 +197,8 @@
     ApplyOutcomes(state_, report.outcomes, now);
     const report_effect effect = ApplyReport(state_, report, now);
     if (effect == report_effect::kFetchSnapshot)
-      return FetchSnapshot(report.self.peer);
+      return fetcher_->AddSource(
+          {report.self.peer, report.table_version, report.revision, now});
     const bool confirms_table =
         report.watches_table && report.table_version <= state_.table.version;
     if (confirms_table) table_confirmed_at_ = now;
@@ -208,84 +223,59 @@
     Send(reply, to.peer);
   }
 
-  void FetchSnapshot(const endpoint& peer) {
-    if (fetch_socket_ != nullptr || is_stopped_) return;
-    fetch_socket_ = std::make_shared<asio::ip::tcp::socket>(io_);
-    fetch_timer_.expires_after(kFetchTimeout);
-    fetch_timer_.async_wait([self = shared_from_this()](error_code error) {
-      if (!error) self->EndFetch();
-    });
-    fetch_socket_->async_connect(
-        {asio::ip::address_v4(peer.address), peer.port},
-        [self = shared_from_this(), socket = fetch_socket_,
-         peer](error_code error) {
-          if (socket != self->fetch_socket_) return;
-          if (error) return self->EndFetch();
-          self->RequestSnapshot(peer);
-        });
-  }
-
-  void RequestSnapshot(const endpoint& peer) {
-    link_handlers handlers;
-    handlers.on_message = [weak = weak_from_this(), peer](
-                              peer_link&, const peer_message& message) {
-      const auto self = weak.lock();
-      const auto* snapshot = std::get_if<view_snapshot>(&message);
-      if (self != nullptr && snapshot != nullptr)
-        self->HandleSnapshot(*snapshot, peer);
-    };
-    handlers.on_close = [weak = weak_from_this()](peer_link&, const failure&) {
-      if (const auto self = weak.lock()) self->EndFetch();
-    };
-    fetch_link_ = std::make_shared<peer_link>(std::move(*fetch_socket_),
-                                              std::move(handlers), counters_);
-    fetch_link_->Start();
-    fetch_link_->Send(MakeSnapshotRequest(state_));
-  }
-
-  void HandleSnapshot(const view_snapshot& snapshot, const endpoint& peer) {
+  void HandleSnapshot(const endpoint& peer, const view_snapshot& snapshot) {
     // The table and the list are each applied whole or repeated by the next
     // snapshot.
     RunGuarded("snapshot", [&] {
-      handlers_.on_snapshot(peer,
-                            ApplySnapshot(state_, snapshot, clock::now()));
+      const snapshot_effect effect =
+          ApplySnapshot(state_, snapshot, clock::now());
+      handlers_.on_snapshot(peer, effect);
+      // Others that the source is too busy to serve fetch the table from here.
+      if (effect.table_applied) SendReports(kTargetsPerReport);
     });
-    EndFetch();
   }
 
-  void EndFetch() {
-    fetch_timer_.cancel();
-    if (fetch_link_ != nullptr) fetch_link_->Close();
-    fetch_link_ = nullptr;
-    error_code ignored;
-    if (fetch_socket_ != nullptr) fetch_socket_->close(ignored);
-    fetch_socket_ = nullptr;
+  /// Sends a notice to one balancer.
+  void SendNotice(silence_notice notice, const endpoint& to) {
+    notice.sender = members_.self.peer;
+    Send(notice, to);
+  }
+
+  fetch_handlers MakeFetchHandlers() {
+    return {.make_request = [this] { return MakeSnapshotRequest(state_); },
+            .select =
+                [this](std::vector<view_source>& sources) {
+                  return SelectSource(sources, state_.table.version,
+                                      state_.directory.revision, ++fetch_round_,
+                                      clock::now());
+                },
+            .on_snapshot =
+                [this](const endpoint& peer, const view_snapshot& snapshot) {
+                  HandleSnapshot(peer, snapshot);
+                }};
   }
 
-  asio::io_context& io_;
   forwarding_state& state_;
   exchange_handlers handlers_;
   std::shared_ptr<peer_counters> counters_ = std::make_shared<peer_counters>();
   udp::socket socket_;
   asio::steady_timer report_timer_;
-  asio::steady_timer fetch_timer_;
-  peer_server server_;
+  std::shared_ptr<snapshot_fetcher> fetcher_;
+  snapshot_server server_;
   std::array<uint8_t, kDatagramBytes> receive_buffer_{};
-  /// Null if no fetch is active.
-  std::shared_ptr<asio::ip::tcp::socket> fetch_socket_;
-  std::shared_ptr<peer_link> fetch_link_;  ///< Connection of the active fetch.
   time_point last_discovery_at_{};
   uint64_t discovery_count_ = 0;  ///< Rounds of discovery requests so far.
-  uint64_t round_ = 0;
+  uint64_t round_ = 0;            ///< Rounds of reports so far.
+  uint64_t fetch_round_ = 0;      ///< Fetches so far.
   bool is_stopped_ = false;
 };
 
 peer_exchange::peer_exchange(asio::io_context& io, const endpoint& listen,
                              const view_member& self,
                              const std::vector<endpoint>& seeds,
-                             forwarding_state& state,
+                             uint32_t link_mbps, forwarding_state& state,
                              exchange_handlers handlers)
-    : core_(std::make_shared<core>(io, listen, self, seeds, state,
+    : core_(std::make_shared<core>(io, listen, self, seeds, link_mbps, state,
                                    std::move(handlers))) {}
 
 peer_exchange::~peer_exchange() { core_->Stop(); }
@@ -298,6 +288,10 @@
 
 void peer_exchange::ReportNow() { core_->SendReports(kMaxUrgentTargets); }
 
+void peer_exchange::ReportSilence(upstream_id upstream) {
+  core_->ReportSilence(upstream);
+}
+
 bool peer_exchange::IsRegistryReader(time_point now) const {
   return radishyard::IsRegistryReader(core_->members_, now);
 }
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -30,10 +30,12 @@
   /// balancers receive `self.peer` as the address to use.
   /// \param seeds balancers that receive discovery requests. Some may be
   /// unreachable or no longer exist.
+  /// \param link_mbps capacity of the VM's link in megabits a second.
   /// \param state must outlive the exchange.
   peer_exchange(asio::io_context& io, const endpoint& listen,
                 const view_member& self, const std::vector<endpoint>& seeds,
-                forwarding_state& state, exchange_handlers handlers);
+                uint32_t link_mbps, forwarding_state& state,
+                exchange_handlers handlers);
   ~peer_exchange();
   peer_exchange(const peer_exchange&) = delete;
   peer_exchange& operator=(const peer_exchange&) = delete;
@@ -43,6 +45,9 @@
   /// \brief Sends a report at once, after a read of the platform that changed
   /// the list or the table.
   void ReportNow();
+  /// \brief Tells the other members at once that a caller retransmits data to
+  /// an upstream; see MakeSilenceNotice().
+  void ReportSilence(upstream_id upstream);
   /// \brief True if this balancer is a registry reader of its failure domain.
   bool IsRegistryReader(time_point now) const;
   /// \brief When a member that watches the table last reported no newer version
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "direct/silence.h"
+
 namespace radishyard {
 namespace {
 
@@ -14,6 +16,9 @@
 constexpr double kMinResponseFraction = 0.5;
 /// An upstream in its cold start is slower by this factor.
 constexpr double kColdStartFactor = 1.6;
+/// New flows avoid an upstream that this many other balancers observe silent.
+/// One of them may only have lost packets on its own link.
+constexpr size_t kMinWitnessesToAvoid = 2;
 
 using candidates = std::vector<known_upstream*>;
 
@@ -23,9 +28,10 @@
 preference GetPreference(const known_upstream& u,
                          const placement_request& request, time_point now) {
   if (u.mark == request.avoided_mark) return preference::kAvoided;
-  if (IsFailing(u.stats, now) ||
-      IsSuspect(u.stats, request.opening_timeout, now))
-    return preference::kSuspect;
+  const bool is_suspect = IsFailing(u.stats, now) ||
+                          IsSuspect(u.stats, request.opening_timeout, now) ||
+                          CountWitnesses(u, now) >= kMinWitnessesToAvoid;
+  if (is_suspect) return preference::kSuspect;
   return u.entry.domain == request.domain ? preference::kLocal
                                           : preference::kRemote;
 }
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -27,9 +27,9 @@
 ///
 /// Classes in order of preference:
 /// 1. upstreams of the balancer's own domain that are neither suspect nor
-///    failing;
+///    failing nor silent to two other balancers;
 /// 2. such upstreams of other domains;
-/// 3. suspect or failing upstreams of any domain;
+/// 3. suspect, failing or silent upstreams of any domain;
 /// 4. the upstream that did not respond to this flow (`avoided_mark`).
 ///
 /// Within a class, the upstream with the lowest product of flows per slot and
--- /dev/null
+++ b/src/direct/silence.cc
@@ -0,0 +1,85 @@
+// Makes, applies and evaluates notices of silent upstreams.
+#include "direct/silence.h"
+
+#include <algorithm>
+
+namespace radishyard {
+namespace {
+
+/// Silence that begins this shortly before a sign of life is no contradiction:
+/// the upstream may have failed in between.
+constexpr duration kLifeMargin = 20ms;
+
+uint32_t ToAgeMs(duration age) {
+  return static_cast<uint32_t>(std::clamp<int64_t>(ToMs(age), 0, UINT32_MAX));
+}
+
+void RecordWitness(known_upstream& upstream, const silence_witness& witness,
+                   time_point now) {
+  std::erase_if(upstream.witnesses, [&](const silence_witness& w) {
+    return w.peer == witness.peer || now - w.heard_at > kWitnessRetention;
+  });
+  if (upstream.witnesses.size() < kMaxSilenceWitnesses)
+    upstream.witnesses.push_back(witness);
+}
+
+}  // namespace
+
+std::optional<silence_notice> MakeSilenceNotice(forwarding_state& state,
+                                                upstream_id upstream,
+                                                time_point now) {
+  const auto found = state.directory.upstreams.find(upstream);
+  if (found == state.directory.upstreams.end()) return std::nullopt;
+  known_upstream& known = found->second;
+  const bool is_due = now - known.notice_sent_at >= kNoticeInterval;
+  const bool is_silent = known.stats.max_retransmissions > 0;
+  if (!is_due || !is_silent || IsCallerPathDelayed(state.tracker, now))
+    return std::nullopt;
+  known.notice_sent_at = now;
+  silence_notice notice;
+  notice.silent.push_back(
+      {upstream, ToAgeMs(now - known.stats.unanswered_since)});
+  return notice;
+}
+
+std::optional<silence_notice> ApplySilenceNotice(forwarding_state& state,
+                                                 const silence_notice& notice,
+                                                 time_point now) {
+  auto& upstreams = state.directory.upstreams;
+  for (const upstream_age& alive : notice.alive) {
+    const auto found = upstreams.find(alive.upstream);
+    if (found == upstreams.end()) continue;
+    upstream_stats& stats = found->second.stats;
+    const time_point alive_at = now - milliseconds(alive.age_ms);
+    const bool is_news =
+        stats.unanswered > 0 && alive_at > stats.unanswered_since + kLifeMargin;
+    // Recorded as of now: what callers have retransmitted until now was lost on
+    // the way, so it must not count together with later retransmissions.
+    if (is_news) RecordAlive(stats, now);
+  }
+  silence_notice reply;
+  for (const upstream_age& silent : notice.silent) {
+    const auto found = upstreams.find(silent.upstream);
+    if (found == upstreams.end()) continue;
+    known_upstream& known = found->second;
+    const time_point silent_since = now - milliseconds(silent.age_ms);
+    if (known.stats.last_alive_at > silent_since + kLifeMargin)
+      reply.alive.push_back(
+          {silent.upstream, ToAgeMs(now - known.stats.last_alive_at)});
+    else
+      RecordWitness(known, {notice.sender, silent_since, now}, now);
+  }
+  if (reply.alive.empty()) return std::nullopt;
+  return reply;
+}
+
+size_t CountWitnesses(const known_upstream& upstream, time_point now) {
+  return static_cast<size_t>(std::count_if(
+      upstream.witnesses.begin(), upstream.witnesses.end(),
+      [&](const silence_witness& w) {
+        return now - w.heard_at <= kWitnessRetention &&
+               w.silent_since + kLifeMargin >= upstream.stats.last_alive_at;
+      }));
+}
+
+}  // namespace radishyard
--- a/src/direct/upstream_directory.cc
+++ b/src/direct/upstream_directory.cc
@@ -35,7 +35,10 @@
   const upstream_phase before = known.phase;
   const bool has_restarted =
       !is_new && known.entry.started_unix_ms != entry.started_unix_ms;
-  if (has_restarted) known.stats = {};
+  if (has_restarted) {
+    known.stats = {};
+    known.witnesses.clear();
+  }
   known.mark = ToFlowMark(entry.id);
   UpdateFromEntry(known, entry, now);
   if (is_new) return change::kJoined;
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -22,6 +22,14 @@
   kDeregistered,  ///< Not listed; packets of its flows are still forwarded.
 };
 
+/// \brief Another balancer that observes an upstream silent.
+struct silence_witness {
+  endpoint peer;
+  time_point silent_since{};  ///< When its unanswered data was first forwarded.
+  time_point heard_at{};
+  auto operator<=>(const silence_witness&) const = default;
+};
+
 /// \brief One upstream with its registry entry, state and statistics.
 struct known_upstream {
   upstream_entry entry;
@@ -35,6 +43,8 @@
   /// Not listed, but perhaps only because of an outage of the registry.
   bool is_missing = false;
   upstream_stats stats;
+  std::vector<silence_witness> witnesses;  ///< See silence.h.
+  time_point notice_sent_at{};             ///< Last notice of its silence.
   health_state last_health = health_state::kHealthy;  ///< As last logged.
 };
 
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -55,6 +55,23 @@
   auto operator<=>(const view_report&) const = default;
 };
 
+/// \brief An upstream and the time since an event.
+struct upstream_age {
+  uint64_t upstream = 0;
+  uint32_t age_ms = 0;
+  auto operator<=>(const upstream_age&) const = default;
+};
+
+/// \brief Tells other balancers of upstreams that leave data unanswered, or
+/// contradicts such a notice.
+struct silence_notice {
+  endpoint sender;
+  /// Silent upstreams, since the first unanswered data was forwarded.
+  std::vector<upstream_age> silent;
+  std::vector<upstream_age> alive;  ///< Since the last sign of life.
+  auto operator<=>(const silence_notice&) const = default;
+};
+
 /// \brief Requests a snapshot.
 struct snapshot_request {
   uint64_t table_version = 0;      ///< Version that the sender has; 0 if none.
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -156,6 +156,19 @@
   return snapshot;
 }
 
+size_t EstimateBytes(const view_snapshot& snapshot) {
+  // Numbers, lengths and type bytes of one entry, besides its texts.
+  constexpr size_t kFixedBytes = 32;
+  size_t bytes = kFixedBytes + snapshot.removed.size() * sizeof(uint64_t);
+  for (const view_address& row : snapshot.addresses) {
+    bytes += kFixedBytes;
+    for (const view_share& share : row.shares) bytes += share.service.size();
+  }
+  for (const view_upstream& u : snapshot.upstreams)
+    bytes += kFixedBytes + u.service.size() + u.domain.size();
+  return bytes;
+}
+
 snapshot_effect ApplySnapshot(forwarding_state& state,
                               const view_snapshot& snapshot, time_point now) {
   snapshot_effect effect;
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -27,6 +27,9 @@
 view_snapshot MakeSnapshot(const forwarding_state& state,
                            const snapshot_request& request, time_point now);
 
+/// \brief Estimates the size of an encoded snapshot, in bytes.
+size_t EstimateBytes(const view_snapshot& snapshot);
+
 /// \brief The effect of a received snapshot.
 struct snapshot_effect {
   bool table_applied = false;
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -122,6 +122,14 @@
                   m.revision, m.digest, m.age_ms, m.members, m.outcomes,
                   m.outage_age_ms);
 }
+template <maybe_const<upstream_age> T>
+auto Fields(T& m) {
+  return std::tie(m.upstream, m.age_ms);
+}
+template <maybe_const<silence_notice> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.silent, m.alive);
+}
 template <maybe_const<snapshot_request> T>
 auto Fields(T& m) {
   return std::tie(m.table_version, m.known_list_digest);
