Fewer reads of the platform: confirmations are passed on, and a start asks peers first

Cause, large (295 VMs): every balancer that starts reads list and table itself (four calls and more each), and one that hears no reader for 1.2 s watches the table itself, though a report reaches only 16 of 60 members a second.

Change: a balancer that heard a watcher confirm the table passes the age of that on, once; the timeout is 1.5 s. Sum for a reader that loses the platform: list interval + 0.3 s to notice, 1.5 s confirmation, 0.3 s to read: 4.6 s for an edit bound of 5 s, 5.1 s for 6 s (IsTableRelayAllowed); 3 s stays excluded. A balancer that starts asks its peers and reads itself after 150 ms without an answer, or 600 ms with a fetch in progress; at the first start of all (setting first_start) those that are no readers wait up to 2 s. A view of another failure domain is fetched only if the own one has none or lost the platform.

Ruled out: passing on what was passed on (delays of messages would prolong a confirmation without end; TableConfirmation.IsPassedOnOnce).

--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -2,6 +2,7 @@
 // runs on the thread of the io_context.
 #include "direct/direct_balancer.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -10,6 +11,8 @@
 #include "direct/forwarder.h"
 #include "direct/peer_exchange.h"
 #include "direct/registry_follower.h"
+#include "direct/start_policy.h"
+#include "direct/table_confirmation.h"
 #include "observe/guard.h"
 #include "observe/log.h"
 
@@ -105,8 +108,9 @@
   void Start() {
     Log(severity::kInfo, "started",
         {{"name", config_.name}, {"domain", config_.domain}});
-    follower_.Start();
+    // The others are asked first; the follower reads only what they lack.
     peers_.Start();
+    follower_.Start();
     WaitForPackets();
     RunMaintenance();
   }
@@ -146,14 +150,30 @@
                 [this] { return follower_.IsFollowingTable(clock::now()); }};
   }
 
+  bool AwaitsPeers(time_point now) const {
+    const endpoint self = PublicPeerAddress(config_);
+    const bool has_seeds =
+        std::any_of(config_.peers.begin(), config_.peers.end(),
+                    [&self](const endpoint& seed) { return seed != self; });
+    return AwaitsPeerView({.started_at = started_at_,
+                           .has_seeds = has_seeds,
+                           .is_first_start = config_.is_first_start,
+                           .is_reader = peers_.IsRegistryReader(now),
+                           .has_members = peers_.HasMembers(now),
+                           .is_fetching = peers_.IsFetching()},
+                          now);
+  }
+
   bool NeedsList(time_point now) const {
-    if (!state_.directory.has_list || peers_.IsRegistryReader(now)) return true;
+    if (!state_.directory.has_list) return !AwaitsPeers(now);
+    if (peers_.IsRegistryReader(now)) return true;
     const auto stale = std::chrono::duration_cast<duration>(
         times_.list_interval * kStaleListIntervals);
     return now - state_.directory.read_at > stale;
   }
 
   bool NeedsTable(time_point now) const {
+    if (state_.table.version == 0) return !AwaitsPeers(now);
     return peers_.IsRegistryReader(now) ||
            !IsTableRelayAllowed(times_.list_interval, config_.edit_bound) ||
            now - peers_.table_confirmed_at() > kTableConfirmationTimeout;
@@ -445,6 +465,7 @@
   duration suspended_time_ = MeasureSuspendedTime();
   /// Time of the last packet or maintenance run.
   time_point last_active_at_ = clock::now();
+  time_point started_at_ = clock::now();
   bool was_ready_ = false;
   bool is_stopping_ = false;
   std::array<uint8_t, kDatagramBytes> receive_buffer_{};
--- a/src/direct/direct_settings.cc
+++ b/src/direct/direct_settings.cc
@@ -96,6 +96,14 @@
     value = std::max(1U, static_cast<uint32_t>(mbps));
   }
 
+  void ReadFlag(const char* key, bool& value) const {
+    const json& member = GetField(document, key);
+    if (member.is_null()) return;
+    if (!member.is_boolean())
+      return found.Add(JoinJsonPointer("", key), "is not true or false");
+    value = member.get<bool>();
+  }
+
   void ReadLevel(const char* key, log_level& value) const {
     const json& member = GetField(document, key);
     if (member.is_null()) return;
@@ -125,6 +133,7 @@
   if (document->contains("peer_public"))
     reader.ReadAddress("peer_public", s.peer_public.emplace());
   reader.ReadAddresses("peers", s.peers);
+  reader.ReadFlag("first_start", s.is_first_start);
   reader.ReadAddress("platform", s.platform);
   reader.ReadBound("drain_bound_ms", s.drain_bound);
   reader.ReadBound("edit_bound_ms", s.edit_bound);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -31,6 +31,8 @@
   /// Seeds: other balancers, through which the members of the failure domain
   /// are found, also while the platform is unreachable.
   std::vector<endpoint> peers;
+  /// All balancers start for the first time, and callers come seconds later.
+  bool is_first_start = false;
   endpoint platform;  ///< The platform's object store (HTTP).
   /// Longest time from the start of an upstream's drain to its last new flow.
   duration drain_bound = 3s;
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -10,6 +10,7 @@
 #include "direct/silence.h"
 #include "direct/snapshot_fetcher.h"
 #include "direct/snapshot_server.h"
+#include "direct/table_confirmation.h"
 #include "observe/guard.h"
 #include "peer/peer_codec.h"
 
@@ -95,9 +96,11 @@
       SendNotice(*notice, member.peer);
   }
 
+  bool IsFetching() const { return fetcher_->IsActive(); }
+
   peer_members members_;
   std::vector<endpoint> seeds_;
-  time_point table_confirmed_at_{};
+  table_confirmation table_confirmation_;
 
  private:
   view_report MakeReport(time_point now) const {
@@ -110,6 +113,8 @@
     report.age_ms = static_cast<uint32_t>(
         std::max<int64_t>(0, ToMs(now - state_.directory.read_at)));
     report.outage_age_ms = OutageAgeMs(state_.directory, now);
+    report.table_age_ms =
+        ConfirmationAgeMs(table_confirmation_, report.watches_table, now);
     return report;
   }
 
@@ -196,12 +201,29 @@
     if (report.wants_reply) SendReply(report.self, now);
     ApplyOutcomes(state_, report.outcomes, now);
     const report_effect effect = ApplyReport(state_, report, now);
-    if (effect == report_effect::kFetchSnapshot)
-      return fetcher_->AddSource(
-          {report.self.peer, report.table_version, report.revision, now});
-    const bool confirms_table =
-        report.watches_table && report.table_version <= state_.table.version;
-    if (confirms_table) table_confirmed_at_ = now;
+    if (effect == report_effect::kFetchSnapshot) {
+      if (MayFetchFrom(report, now))
+        fetcher_->AddSource(
+            {report.self.peer, report.table_version, report.revision, now});
+      return;
+    }
+    ApplyConfirmation(table_confirmation_, report, state_.table.version, now);
+  }
+
+  /// True if a snapshot may be fetched from the sender of `report`. Traffic
+  /// between failure domains is scarce, so a member of another one is asked
+  /// only if the own domain has no current view and no member that may have it.
+  bool MayFetchFrom(const view_report& report, time_point now) const {
+    const std::string& domain = members_.self.domain;
+    if (report.self.domain == domain) return true;
+    const bool is_stale =
+        now - state_.directory.read_at > state_.directory.max_list_gap;
+    if (IsReady(state_)) return is_stale;
+    return std::none_of(report.members.begin(), report.members.end(),
+                        [&](const view_member& m) {
+                          return m.domain == domain &&
+                                 m.peer != members_.self.peer;
+                        });
   }
 
   /// Sends a discovery request to a new member that another one has listed, if
@@ -292,12 +314,19 @@
   core_->ReportSilence(upstream);
 }
 
+bool peer_exchange::IsFetching() const { return core_->IsFetching(); }
+
+bool peer_exchange::HasMembers(time_point now) const {
+  return !FindLiveMembers(core_->members_, core_->members_.self.domain, now)
+              .empty();
+}
+
 bool peer_exchange::IsRegistryReader(time_point now) const {
   return radishyard::IsRegistryReader(core_->members_, now);
 }
 
 time_point peer_exchange::table_confirmed_at() const {
-  return core_->table_confirmed_at_;
+  return core_->table_confirmation_.at;
 }
 
 }  // namespace radishyard
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -48,10 +48,14 @@
   /// \brief Tells the other members at once that a caller retransmits data to
   /// an upstream; see MakeSilenceNotice().
   void ReportSilence(upstream_id upstream);
+  /// \brief True while a snapshot is being fetched.
+  bool IsFetching() const;
+  /// \brief True if other members of the failure domain have reported lately.
+  bool HasMembers(time_point now) const;
   /// \brief True if this balancer is a registry reader of its failure domain.
   bool IsRegistryReader(time_point now) const;
-  /// \brief When a member that watches the table last reported no newer version
-  /// than that of this balancer.
+  /// \brief When it was last known that no newer version of the table than that
+  /// of this balancer existed; see table_confirmation.
   time_point table_confirmed_at() const;
 
  private:
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -27,7 +27,7 @@
       table_{"table", asio::steady_timer(io)} {}
 
 void registry_follower::Start() {
-  ReadTable();
+  ReadTableWhenNeeded();
   ReadList();
 }
 
@@ -66,6 +66,11 @@
          now - last_list_at_ <= times_.list_interval + kReadTimeAllowance;
 }
 
+void registry_follower::ReadTableWhenNeeded() {
+  if (!handlers_.needs_table || handlers_.needs_table()) return ReadTable();
+  RunAfter(table_, times_.recheck_interval, [this] { ReadTableWhenNeeded(); });
+}
+
 void registry_follower::ReadTable() {
   source_.ReadTable(
       [this, alive = std::weak_ptr(alive_)](
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -68,6 +68,7 @@
   };
 
   void ReadList();
+  void ReadTableWhenNeeded();
   void ReadTable();
   void WatchTableWhenNeeded(uint64_t revision);
   void WatchTable(uint64_t revision);
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -35,6 +35,9 @@
 /// \brief Value of `outage_age_ms` if there has been no outage lately.
 inline constexpr uint32_t kNoOutage = UINT32_MAX;
 
+/// \brief Value of `table_age_ms` if the table was not confirmed lately.
+inline constexpr uint32_t kNotConfirmed = UINT32_MAX;
+
 /// \brief The report that a balancer sends to others about once a second.
 struct view_report {
   /// Fields that every version of the protocol has; see peer/peer_codec.
@@ -52,6 +55,9 @@
   /// Time since the end of the last outage of the registry, 0 during one;
   /// kNoOutage if its effects are over.
   uint32_t outage_age_ms = kNoOutage;
+  /// Time since a balancer that watches the table confirmed the version of the
+  /// sender; see ConfirmationAgeMs().
+  uint32_t table_age_ms = kNotConfirmed;
   auto operator<=>(const view_report&) const = default;
 };
 
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "direct/registry_follower.h"
+#include "direct/table_confirmation.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -43,11 +43,6 @@
 snapshot_effect ApplySnapshot(forwarding_state& state,
                               const view_snapshot& snapshot, time_point now);
 
-/// \brief A balancer that relies on others for the table reads it itself once
-/// no report has confirmed its version for this long. It is slightly longer
-/// than the interval of reports.
-inline constexpr duration kTableConfirmationTimeout = 1200ms;
-
 /// \brief True if a balancer may rely on the readers of its domain for the
 /// table.
 ///
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -120,7 +120,7 @@
 auto Fields(T& m) {
   return std::tie(m.self, m.wants_reply, m.watches_table, m.table_version,
                   m.revision, m.digest, m.age_ms, m.members, m.outcomes,
-                  m.outage_age_ms);
+                  m.outage_age_ms, m.table_age_ms);
 }
 template <maybe_const<upstream_age> T>
 auto Fields(T& m) {
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -252,6 +252,40 @@
   EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
 }
 
+// Otherwise each VM that is replaced costs the platform several reads.
+TEST_F(balancer_on_loopback, StartsWithoutAReadOfThePlatformIfOthersHaveAView) {
+  std::vector<std::unique_ptr<direct_balancer>> readers;
+  direct_settings config = MakeSettings(FindFreePort());
+  config.capacity_millicores = 500;
+  // With this bound, members rely on the readers for the table.
+  config.edit_bound = config.drain_bound = 5s;
+  const endpoint seed = config.peer;
+  for (int i = 0; i < 2; ++i) {
+    config.peers = {seed};
+    readers.push_back(
+        std::make_unique<direct_balancer>(io_, config, codec_, source_));
+    readers.back()->Start();
+    RunFor(300ms);
+    const direct_settings next = MakeSettings(FindFreePort());
+    config.traffic = next.traffic;
+    config.ready = next.ready;
+    config.metrics = next.metrics;
+    config.peer = next.peer;
+  }
+  RunFor(1s);
+  config.capacity_millicores = 1;
+  fake_registry own(io_);
+  own.list = source_.list;
+  direct_balancer balancer(io_, config, codec_, own);
+  balancer.Start();
+  RunFor(100ms);
+  SendOpening(config.traffic);
+  RunFor(100ms);
+  EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
+  RunFor(1s);
+  EXPECT_EQ(own.list_reads, 0);
+}
+
 TEST_F(balancer_on_loopback, OnlyTwoMembersOfADomainReadThePlatform) {
   std::vector<std::unique_ptr<direct_balancer>> balancers;
   std::vector<std::unique_ptr<fake_registry>> sources;
--- a/test/direct_settings_test.cc
+++ b/test/direct_settings_test.cc
@@ -53,6 +53,22 @@
   EXPECT_EQ(found.list()[0].place, "/peer_public");
 }
 
+TEST(DirectSettings, ReadsOrRejectsTheLinkAndTheFirstStart) {
+  json settings = ValidSettings();
+  findings found;
+  EXPECT_EQ(ParseDirectSettings(settings.dump(), found)->link_mbps, 1000U);
+  settings["link_mbps"] = 0.5;
+  settings["first_start"] = true;
+  const auto s = ParseDirectSettings(settings.dump(), found);
+  ASSERT_TRUE(s) << found.Text();
+  EXPECT_EQ(s->link_mbps, 1U);
+  EXPECT_TRUE(s->is_first_start);
+  settings["link_mbps"] = -1;
+  settings["first_start"] = "yes";
+  EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
+  EXPECT_EQ(found.size(), 2U) << found.Text();
+}
+
 TEST(DirectSettings, ReportsAllFaultsTogether) {
   json settings = ValidSettings();
   settings.erase("name");
--- /dev/null
+++ b/test/start_policy_test.cc
@@ -0,0 +1,86 @@
+// Tests who reads the platform at a start, and how confirmations of the table
+// pass between balancers.
+#include "direct/start_policy.h"
+
+#include <gtest/gtest.h>
+
+#include "direct/table_confirmation.h"
+
+namespace radishyard {
+namespace {
+
+start_state MakeState() {
+  return {.started_at = AtMs(1000), .has_seeds = true};
+}
+
+TEST(StartPolicy, ABalancerWithoutSeedsReadsAtOnce) {
+  EXPECT_FALSE(AwaitsPeerView({.started_at = AtMs(1000)}, AtMs(1000)));
+}
+
+// After a loss of power of all VMs no other balancer has a view either.
+TEST(StartPolicy, ABalancerThatNobodyAnswersReadsSoon) {
+  EXPECT_TRUE(AwaitsPeerView(MakeState(), AtMs(1100)));
+  EXPECT_FALSE(AwaitsPeerView(MakeState(), AtMs(1150)));
+}
+
+TEST(StartPolicy, AFetchInProgressIsAwaitedForABoundedTime) {
+  start_state state = MakeState();
+  state.is_fetching = true;
+  EXPECT_TRUE(AwaitsPeerView(state, AtMs(1500)));
+  EXPECT_FALSE(AwaitsPeerView(state, AtMs(1600)));
+}
+
+// Hundreds of VMs start for the first time, seconds before the callers come.
+TEST(StartPolicy, AtTheFirstStartOnlyReadersReadAndTheOthersWait) {
+  start_state state = MakeState();
+  state.is_first_start = true;
+  state.has_members = true;
+  EXPECT_TRUE(AwaitsPeerView(state, AtMs(2900)));
+  EXPECT_FALSE(AwaitsPeerView(state, AtMs(3000)));
+  state.is_reader = true;
+  EXPECT_FALSE(AwaitsPeerView(state, AtMs(1200)));
+  state.is_reader = false;
+  state.is_first_start = false;
+  EXPECT_FALSE(AwaitsPeerView(state, AtMs(1200)));
+}
+
+view_report MakeReport(uint64_t version, bool watches, uint32_t age_ms) {
+  return {.watches_table = watches,
+          .table_version = version,
+          .table_age_ms = age_ms};
+}
+
+TEST(TableConfirmation, IsPassedOnOnce) {
+  table_confirmation hears_watcher;
+  ApplyConfirmation(hears_watcher, MakeReport(7, true, 0), 7, AtMs(5000));
+  EXPECT_EQ(hears_watcher.at, AtMs(5000));
+  const uint32_t age = ConfirmationAgeMs(hears_watcher, false, AtMs(5400));
+  EXPECT_EQ(age, 400U);
+  table_confirmation hears_other;
+  ApplyConfirmation(hears_other, MakeReport(7, false, age), 7, AtMs(5410));
+  EXPECT_EQ(hears_other.at, AtMs(5010));
+  EXPECT_EQ(ConfirmationAgeMs(hears_other, false, AtMs(5420)), kNotConfirmed);
+}
+
+TEST(TableConfirmation, DoesNotConfirmAnOlderVersion) {
+  table_confirmation confirmation;
+  ApplyConfirmation(confirmation, MakeReport(8, true, 0), 7, AtMs(5000));
+  ApplyConfirmation(confirmation, MakeReport(8, false, 10), 7, AtMs(5000));
+  EXPECT_EQ(confirmation, table_confirmation{});
+}
+
+TEST(TableConfirmation, AWatcherOfAnOlderTableConfirmsANewerOne) {
+  table_confirmation confirmation;
+  ApplyConfirmation(confirmation, MakeReport(6, true, 0), 7, AtMs(5000));
+  EXPECT_EQ(confirmation.at, AtMs(5000));
+}
+
+TEST(TableConfirmation, ExpiresWithItsTimeout) {
+  table_confirmation confirmation;
+  ApplyConfirmation(confirmation, MakeReport(7, true, 0), 7, AtMs(5000));
+  EXPECT_EQ(ConfirmationAgeMs(confirmation, false, AtMs(6501)), kNotConfirmed);
+  EXPECT_EQ(ConfirmationAgeMs(confirmation, true, AtMs(9000)), 0U);
+}
+
+}  // namespace
+}  // namespace radishyard
--- a/test/view_sharing_test.cc
+++ b/test/view_sharing_test.cc
@@ -94,17 +94,22 @@
   report.self = {{1, 2}, kLocalDomain, 3};
   report.revision = 7;
   report.outage_age_ms = 5;
+  report.table_age_ms = 6;
   failure why;
   std::string payload = EncodeFrame(report, why)->substr(kFrameLengthBytes);
-  // The body is a short array; its last element is the one-byte integer 5.
-  payload[2] = static_cast<char>(payload[2] - 1);
-  payload.pop_back();
+  // The body is a short array that ends with the one-byte integers 5 and 6.
+  const auto drop_last_field = [&payload] {
+    payload[2] = static_cast<char>(payload[2] - 1);
+    payload.pop_back();
+  };
+  drop_last_field();
+  drop_last_field();
   const auto decoded = DecodePayload(payload, why);
   ASSERT_TRUE(decoded) << why.text;
   report.outage_age_ms = kNoOutage;
+  report.table_age_ms = kNotConfirmed;
   EXPECT_EQ(std::get<view_report>(*decoded), report);
-  payload[2] = static_cast<char>(payload[2] - 1);
-  payload.pop_back();
+  drop_last_field();
   EXPECT_FALSE(DecodePayload(payload, why));
 }
 
