Repeated responses and messages from a pause are not taken for new ones

- A second copy of a response on a connection that is in use again.
The HTTP client kept a connection whose response was followed by more bytes; a late copy of another object's response, or of a write's, passed for the next one's.
ARepeatedResponseIsNotTakenForAnother failed before.
- A process that was paused acted on what had been confirmed before.

--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -147,7 +147,8 @@
                   HandlePeerSnapshot(peer, effect);
                 },
             .watches_table =
-                [this] { return follower_.IsFollowingTable(clock::now()); }};
+                [this] { return follower_.IsFollowingTable(clock::now()); },
+            .on_activity = [this] { DetectPause(clock::now()); }};
   }
 
   bool AwaitsPeers(time_point now) const {
@@ -415,7 +416,8 @@
   }
 
   /// Detects that this process did not run for a while: RunMaintenance() runs
-  /// several times a second, so a longer gap is a pause.
+  /// several times a second, so a longer gap is a pause. What other balancers
+  /// confirmed meanwhile may no longer hold.
   void DetectPause(time_point now) {
     const duration elapsed = now - last_active_at_;
     last_active_at_ = now;
@@ -423,6 +425,7 @@
     Log(severity::kWarn, "paused",
         {{"ms", static_cast<uint64_t>(ToMs(elapsed))}});
     state_.tracker.resumed_at = now;
+    peers_.DiscardReceived();
   }
 
   /// Detects that the VM was suspended. The steady clock stands still during a
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -78,6 +78,13 @@
     fetcher_->Stop();
   }
 
+  void DiscardReceived() {
+    error_code error;
+    udp::endpoint from;
+    while (error != asio::error::would_block)
+      socket_.receive_from(asio::buffer(receive_buffer_), from, 0, error);
+  }
+
   void SendReports(size_t count) {
     const time_point now = clock::now();
     view_report report = MakeReport(now);
@@ -160,6 +167,8 @@
     socket_.async_wait(udp::socket::wait_read,
                        [self = shared_from_this()](error_code error) {
                          if (error || self->is_stopped_) return;
+                         if (self->handlers_.on_activity)
+                           self->handlers_.on_activity();
                          while (self->ReceiveReport()) {
                          }
                          self->WaitForReports();
@@ -308,6 +317,8 @@
   core_->seeds_ = seeds;
 }
 
+void peer_exchange::DiscardReceived() { core_->DiscardReceived(); }
+
 void peer_exchange::ReportNow() { core_->SendReports(kMaxUrgentTargets); }
 
 void peer_exchange::ReportSilence(upstream_id upstream) {
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -21,6 +21,8 @@
   std::function<void(const endpoint& peer, const snapshot_effect&)> on_snapshot;
   /// Returns true if this balancer watches the table and its reads succeed.
   std::function<bool()> watches_table;
+  /// Called before messages are received. It may call DiscardReceived().
+  std::function<void()> on_activity;
 };
 
 /// \brief Exchanges state with the other balancers of the failure domain.
@@ -42,6 +44,9 @@
 
   void Start();
   void SetSeeds(const std::vector<endpoint>& seeds);
+  /// \brief Drops the messages that have arrived and were not handled. Those
+  /// that arrived during a pause of this process are older than they say.
+  void DiscardReceived();
   /// \brief Sends a report at once, after a read of the platform that changed
   /// the list or the table.
   void ReportNow();
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -115,8 +115,11 @@
   }
 
   /// Returns the connection if it can carry another request, otherwise null.
+  /// Bytes after the response, such as a second copy of it, would be taken for
+  /// the response to the next request.
   stream_ptr TakeStream() {
-    const bool keep = result_.response && parser_.get().keep_alive();
+    const bool keep =
+        result_.response && parser_.get().keep_alive() && buffer_.size() == 0;
     if (!keep) return nullptr;
     stream_->expires_never();
     return std::move(stream_);
--- a/src/store/http_store.cc
+++ b/src/store/http_store.cc
@@ -69,8 +69,14 @@
 
   void Get(const std::string& key,
            store_handler<stored_object> handler) override {
-    SendRead<stored_object>("/v1/objects/" + internal::EncodeUrl(key),
-                            internal::ParseObject, std::move(handler));
+    const auto parse = [key](std::string_view text) {
+      auto object = internal::ParseObject(text);
+      // A late second copy of another object's response is not this object.
+      if (object && object->key != key) object.reset();
+      return object;
+    };
+    SendRead<stored_object>("/v1/objects/" + internal::EncodeUrl(key), parse,
+                            std::move(handler));
   }
 
   void List(const std::string& prefix,
@@ -94,10 +100,13 @@
       request.fields.push_back(
           {"If-Match", '"' + std::to_string(expected_version) + '"'});
     }
-    http_.Send(std::move(request), [handler = std::move(handler)](
-                                       const http_result& result) {
-      CompleteCall(result, call_kind::kWrite, internal::ParseVersion, handler);
-    });
+    // A late second copy of another write's response would pass for this one's.
+    http_.SendOnNewConnection(
+        request, duration{},
+        [handler = std::move(handler)](const http_result& result) {
+          CompleteCall(result, call_kind::kWrite, internal::ParseVersion,
+                       handler);
+        });
   }
 
   void Watch(const std::string& prefix, uint64_t revision, duration wait,
--- a/test/http_store_test.cc
+++ b/test/http_store_test.cc
@@ -157,6 +157,80 @@
   EXPECT_EQ(server.connections_accepted(), 4U);
 }
 
+/// A server that sends every response twice: the second copy at once, or late,
+/// before the response to the next request on the same connection.
+class repeating_server {
+ public:
+  repeating_server(asio::io_context& io, bool is_late)
+      : acceptor_(io, {asio::ip::address_v4::loopback(), 0}),
+        is_late_(is_late) {
+    Accept();
+  }
+  endpoint address() const {
+    return {kLoopback, acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  struct connection {
+    explicit connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
+    asio::ip::tcp::socket socket;
+    std::string received;
+    std::string late_copy;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](error_code error, auto socket) {
+      if (error) return;
+      Read(std::make_shared<connection>(std::move(socket)));
+      Accept();
+    });
+  }
+
+  void Read(const std::shared_ptr<connection>& c) {
+    asio::async_read_until(c->socket, asio::dynamic_buffer(c->received),
+                           "\r\n\r\n",
+                           [this, c](error_code error, size_t size) {
+                             if (error) return;
+                             Respond(*c, c->received.substr(0, size));
+                             c->received.erase(0, size);
+                             Read(c);
+                           });
+  }
+
+  void Respond(connection& c, const std::string& request) const {
+    const size_t begin = std::string("GET /v1/objects/").size();
+    const std::string key = request.substr(begin, 1);
+    const std::string response = OkResponse(
+        R"({"key":")" + key + R"(","value":"of )" + key + R"(","version":1})");
+    const std::string bytes =
+        c.late_copy + response + (is_late_ ? "" : response);
+    if (is_late_) c.late_copy = response;
+    asio::write(c.socket, asio::buffer(bytes));
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  bool is_late_;
+};
+
+// A second copy of a response must not pass for the response to the next
+// request on the same connection.
+TEST(HttpStore, ARepeatedResponseIsNotTakenForAnother) {
+  for (const bool is_late : {false, true}) {
+    asio::io_context io;
+    const repeating_server server(io, is_late);
+    const auto store = MakeHttpStore(io, server.address(), kTimeout);
+    for (const char* key : {"a", "b", "c", "d"}) {
+      bool is_done = false;
+      store->Get(key, [&](const auto& value, const failure&) {
+        is_done = true;
+        EXPECT_TRUE(!value || value->value == std::string("of ") + key);
+      });
+      while (!is_done && io.run_one_for(5s) > 0) {
+      }
+    }
+  }
+}
+
 TEST(HttpStore, CallsNoHandlerAfterItsDestruction) {
   asio::io_context io;
   platform_server server(io, 0);
