Readers read the changes of the upstream list instead of the whole list

Change: after a whole list, the follower asks with each reading for the changes since its revision, one call. The whole list is read again when the store has lost the history or gone back, after 15 s without a reading, and after 16 readings of changes. An entry that becomes unusable counts as removed, as in a list. A store whose watches hear nothing for a second and then drop the history is found at the next reading: 3 s + 3 s interval at worst is within the 6 s bound on the list, since the interval is half of the bound.

--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "direct/list_history.h"
 #include "direct/routing_table.h"
 #include "direct/upstream_entry.h"
 #include "store/object_store.h"
@@ -19,15 +20,26 @@
   auto operator<=>(const table_update&) const = default;
 };
 
+/// \brief The changes of the upstream list since a revision.
+struct upstream_changes {
+  list_delta delta;
+  uint64_t revision = 0;  ///< Of the store, with these changes.
+  auto operator<=>(const upstream_changes&) const = default;
+};
+
 /// \brief Asynchronous access to the registry and the table. Each function
 /// calls its handler exactly once, and only after it has returned.
 ///
-/// A watch fails with kNotFound if the store no longer has the history after
-/// the given revision.
+/// A watch, or a read of changes, fails with kNotFound if the store no longer
+/// has the history after the given revision.
 class registry {
  public:
   virtual ~registry() = default;
   virtual void ListUpstreams(store_handler<upstream_list> handler) = 0;
+  /// \brief Reads the changes after `revision`. It is one call, while a list
+  /// has as many as it has pages.
+  virtual void ReadUpstreamChanges(uint64_t revision,
+                                   store_handler<upstream_changes> handler) = 0;
   virtual void ReadTable(store_handler<table_update> handler) = 0;
   /// \brief Waits up to `wait` for a change of the table after `revision`.
   virtual void WatchTable(uint64_t revision, duration wait,
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -41,26 +41,72 @@
   if (handlers_.needs_list && !handlers_.needs_list())
     return RunAfter(list_, times_.recheck_interval, [this] { ReadList(); });
   list_.is_in_flight = true;
-  const time_point requested_at = clock::now();
+  CanReadChanges(clock::now()) ? ReadListChanges() : ReadWholeList();
+}
+
+bool registry_follower::CanReadChanges(time_point now) const {
+  return base_ && base_->change_reads < kMaxChangeReads &&
+         now - base_->requested_at <= kMaxListBaseAge;
+}
+
+void registry_follower::ReadWholeList() {
   source_.ListUpstreams(
-      [this, requested_at, alive = std::weak_ptr(alive_)](
+      [this, requested_at = clock::now(), alive = std::weak_ptr(alive_)](
           const std::optional<upstream_list>& list, const failure& why) {
         if (alive.expired()) return;
         list_.is_in_flight = false;
         if (!list)
           return HandleFailure(list_, why, &registry_follower::ReadList);
-        HandleSuccess(list_);
-        last_list_at_ = clock::now();
-        // UpdateDirectory() leaves no dangling pointers; the next list repeats
-        // what is missing.
-        RunGuarded("list", [&] { handlers_.on_list(*list, requested_at); });
-        const duration jitter =
-            times_.list_interval / kJitterDivisor *
-            static_cast<int64_t>(++seed_ * 0x9E3779B97F4A7C15 >> 56) / 256;
-        RunAfter(list_, times_.list_interval - jitter, [this] { ReadList(); });
+        base_ = list_base{*list, requested_at};
+        HandleList(*list, requested_at);
+      });
+}
+
+void registry_follower::ReadListChanges() {
+  source_.ReadUpstreamChanges(
+      base_->list.revision,
+      [this, requested_at = clock::now(), alive = std::weak_ptr(alive_)](
+          const std::optional<upstream_changes>& changes, const failure& why) {
+        if (!alive.expired()) HandleChanges(changes, why, requested_at);
       });
 }
 
+void registry_follower::HandleChanges(
+    const std::optional<upstream_changes>& changes, const failure& why,
+    time_point requested_at) {
+  list_.is_in_flight = false;
+  // A store that has gone back in time, or has lost its history: the whole list
+  // is read again.
+  const bool is_usable = changes && changes->revision >= base_->list.revision;
+  if (changes && !is_usable) {
+    base_.reset();
+    return ReadList();
+  }
+  if (!changes) {
+    if (why.kind == failure_kind::kNotFound) base_.reset();
+    return HandleFailure(list_, why, &registry_follower::ReadList);
+  }
+  base_->list.upstreams = ApplyDelta(base_->list, changes->delta,
+                                     requested_at - base_->requested_at);
+  base_->list.revision = changes->revision;
+  base_->requested_at = requested_at;
+  ++base_->change_reads;
+  HandleList(base_->list, requested_at);
+}
+
+void registry_follower::HandleList(const upstream_list& list,
+                                   time_point requested_at) {
+  HandleSuccess(list_);
+  last_list_at_ = clock::now();
+  // UpdateDirectory() leaves no dangling pointers; the next list repeats what
+  // is missing.
+  RunGuarded("list", [&] { handlers_.on_list(list, requested_at); });
+  const duration jitter =
+      times_.list_interval / kJitterDivisor *
+      static_cast<int64_t>(++seed_ * 0x9E3779B97F4A7C15 >> 56) / 256;
+  RunAfter(list_, times_.list_interval - jitter, [this] { ReadList(); });
+}
+
 bool registry_follower::IsFollowingTable(time_point now) const {
   return is_watching_ && table_.failures == 0 && list_.failures == 0 &&
          now - last_list_at_ <= times_.list_interval + kReadTimeAllowance;
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -1,9 +1,10 @@
-// Keeps the upstream list and the table current: reads the list at regular
-// intervals and watches the table, with backoff while the platform is
-// unreachable.
+// Keeps the upstream list and the table current: reads the list, or its
+// changes, at regular intervals and watches the table, with backoff while the
+// platform is unreachable.
 #pragma once
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/asio.h"
@@ -26,6 +27,13 @@
 /// \brief Longest usual duration of a read of the platform.
 inline constexpr duration kReadTimeAllowance = 300ms;
 
+/// \brief The whole list is read again after this many reads of changes, so
+/// that a change that the store has not delivered is noticed.
+inline constexpr unsigned kMaxChangeReads = 16;
+/// \brief Changes are read only from a list that is not older than this; the
+/// store drops its history.
+inline constexpr duration kMaxListBaseAge = 15s;
+
 /// \brief Callbacks of the follower to its owner.
 struct follower_handlers {
   /// Receives a list and the time at which it was current.
@@ -67,7 +75,21 @@
     bool has_lost_history = false;  ///< And no read has succeeded since.
   };
 
+  /// The last upstream list that this balancer has read itself, from which
+  /// changes are read.
+  struct list_base {
+    upstream_list list;
+    time_point requested_at{};
+    unsigned change_reads = 0;  ///< Since the whole list was read.
+  };
+
   void ReadList();
+  void ReadWholeList();
+  void ReadListChanges();
+  void HandleChanges(const std::optional<upstream_changes>& changes,
+                     const failure& why, time_point requested_at);
+  void HandleList(const upstream_list& list, time_point requested_at);
+  bool CanReadChanges(time_point now) const;
   void ReadTableWhenNeeded();
   void ReadTable();
   void WatchTableWhenNeeded(uint64_t revision);
@@ -85,6 +107,7 @@
   uint64_t seed_;
   read_state list_;
   read_state table_;
+  std::optional<list_base> base_;
   bool is_watching_ = false;   ///< A watch is in flight.
   time_point last_list_at_{};  ///< Last successful read of the list.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -68,6 +68,14 @@
       handler(list, {});
     });
   }
+  void ReadUpstreamChanges(uint64_t,
+                           store_handler<upstream_changes> handler) override {
+    ++list_reads;
+    asio::post(io_, [this, handler = std::move(handler)] {
+      if (is_unreachable) return handler(std::nullopt, Unreachable());
+      handler(upstream_changes{.revision = list.revision}, {});
+    });
+  }
   void ReadTable(store_handler<table_update> handler) override {
     asio::post(io_, [this, handler = std::move(handler)] {
       if (is_unreachable) return handler(std::nullopt, Unreachable());
@@ -85,7 +93,7 @@
 
   upstream_list list;
   bool is_unreachable = false;
-  int list_reads = 0;
+  int list_reads = 0;  ///< Of the list or its changes.
 
  private:
   static failure Unreachable() {
--- a/test/registry_follower_test.cc
+++ b/test/registry_follower_test.cc
@@ -23,6 +23,17 @@
       handler(upstream_list{.revision = 1}, {});
     });
   }
+  void ReadUpstreamChanges(uint64_t revision,
+                           store_handler<upstream_changes> handler) override {
+    ++change_reads;
+    last_base_revision = revision;
+    if (ignores_list_reads) return;
+    asio::post(io_, [this, handler = std::move(handler)] {
+      if (read_failure) return handler(std::nullopt, *read_failure);
+      if (change_failure) return handler(std::nullopt, *change_failure);
+      handler(changes, {});
+    });
+  }
   void ReadTable(store_handler<table_update> handler) override {
     ++table_reads;
     asio::post(io_, [this, handler = std::move(handler)] {
@@ -42,8 +53,11 @@
 
   std::optional<failure> read_failure;
   std::optional<failure> watch_failure;
+  std::optional<failure> change_failure;
+  upstream_changes changes{.revision = 1};
+  uint64_t last_base_revision = 0;
   bool ignores_list_reads = false;
-  int list_reads = 0, table_reads = 0, table_watches = 0;
+  int change_reads = 0, list_reads = 0, table_reads = 0, table_watches = 0;
 
  private:
   asio::io_context& io_;
@@ -53,7 +67,9 @@
  protected:
   void Start(const follower_times& times) {
     follower_handlers handlers;
-    handlers.on_list = [](const upstream_list&, time_point) {};
+    handlers.on_list = [this](const upstream_list& list, time_point) {
+      last_list_ = list;
+    };
     handlers.on_table = [](const routing_table&) {};
     handlers.on_platform_state = [this](const std::string& name,
                                         const std::string& reason) {
@@ -69,6 +85,7 @@
   scripted_registry source_{io_};
   std::optional<registry_follower> follower_;
   std::vector<std::string> state_changes_;
+  upstream_list last_list_;
   bool must_read_ = true;
 };
 
@@ -80,8 +97,10 @@
 TEST_F(registry_following, ReadsTheListAtIntervalsAndWatchesTheTable) {
   Start(kShortIntervals);
   io_.run_for(500ms);
-  EXPECT_GE(source_.list_reads, 8);
-  EXPECT_LE(source_.list_reads, 13);
+  const int reads = source_.list_reads + source_.change_reads;
+  EXPECT_GE(reads, 8);
+  EXPECT_LE(reads, 13);
+  EXPECT_EQ(source_.list_reads, 1);
   EXPECT_EQ(source_.table_reads, 1);
   EXPECT_GE(source_.table_watches, 4);
   EXPECT_TRUE(state_changes_.empty());
@@ -91,13 +110,69 @@
   source_.read_failure = failure{failure_kind::kUnavailable, "unreachable"};
   Start(kShortIntervals);
   io_.run_for(400ms);
-  EXPECT_LE(source_.list_reads, 25);
+  EXPECT_LE(source_.list_reads + source_.change_reads, 25);
   EXPECT_EQ(state_changes_.size(), 2U);
   source_.read_failure.reset();
   io_.run_for(100ms);
   EXPECT_EQ(state_changes_.size(), 4U);
 }
 
+upstream_entry MakeUpstream(upstream_id id) {
+  return {.id = id, .service = "s", .address = {1, 1}, .domain = "d"};
+}
+
+// A list of hundreds of upstreams takes a dozen calls, its changes take one.
+TEST_F(registry_following, ReadsChangesAfterTheWholeList) {
+  source_.changes = {.delta = {{MakeUpstream(5), MakeUpstream(6)}, {}},
+                     .revision = 9};
+  Start(kShortIntervals);
+  io_.run_for(80ms);
+  EXPECT_EQ(source_.list_reads, 1);
+  EXPECT_EQ(last_list_.revision, 9U);
+  EXPECT_EQ(last_list_.upstreams.size(), 2U);
+  source_.changes = {.delta = {{}, {5}}, .revision = 11};
+  io_.run_for(60ms);
+  EXPECT_GE(source_.last_base_revision, 9U);
+  EXPECT_EQ(last_list_.revision, 11U);
+  EXPECT_EQ(last_list_.upstreams,
+            (std::vector<upstream_entry>{MakeUpstream(6)}));
+}
+
+TEST_F(registry_following, ReadsTheWholeListAgainAfterLostHistory) {
+  Start(kShortIntervals);
+  io_.run_for(20ms);
+  source_.change_failure = failure{failure_kind::kNotFound, "410"};
+  io_.run_for(60ms);
+  EXPECT_EQ(source_.list_reads, 2);
+  EXPECT_EQ(source_.change_reads, 1);
+  EXPECT_TRUE(state_changes_.empty());
+}
+
+TEST_F(registry_following, ReadsTheWholeListAgainIfTheStoreHasGoneBack) {
+  Start(kShortIntervals);
+  io_.run_for(20ms);
+  source_.changes = {.revision = 0};
+  io_.run_for(60ms);
+  EXPECT_EQ(source_.list_reads, 2);
+}
+
+TEST_F(registry_following, ReadsTheWholeListFromTimeToTime) {
+  Start({.list_interval = 5ms, .watch_wait = 10s});
+  io_.run_for(400ms);
+  EXPECT_GE(source_.list_reads, 2);
+  EXPECT_GE(source_.change_reads,
+            (source_.list_reads - 1) * static_cast<int>(kMaxChangeReads));
+}
+
+TEST_F(registry_following, AFailedReadOfChangesIsAnOutage) {
+  Start(kShortIntervals);
+  io_.run_for(20ms);
+  source_.change_failure = failure{failure_kind::kUnavailable, "503"};
+  io_.run_for(100ms);
+  EXPECT_EQ(state_changes_, (std::vector<std::string>{"upstreams lost"}));
+  EXPECT_EQ(source_.list_reads, 1);
+}
+
 TEST_F(registry_following, ReadsTheTableAgainAtOnceAfterLostHistory) {
   Start(kShortIntervals);
   source_.watch_failure = failure{failure_kind::kNotFound, "410"};
@@ -110,7 +185,7 @@
   must_read_ = false;
   Start(kShortIntervals);
   io_.run_for(300ms);
-  EXPECT_EQ(source_.list_reads, 0);
+  EXPECT_EQ(source_.list_reads + source_.change_reads, 0);
   EXPECT_EQ(source_.table_watches, 0);
   must_read_ = true;
   io_.run_for(100ms);
