--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -24,6 +24,10 @@
 struct upstream_changes {
   list_delta delta;
   uint64_t revision = 0;  ///< Of the store, with these changes.
+  /// Revision of the last of these changes; 0 if there are none. The next read
+  /// starts here and not at `revision`: a change that the store has not
+  /// delivered yet then follows, or the history is found lost.
+  uint64_t last_change = 0;
   auto operator<=>(const upstream_changes&) const = default;
 };
 
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -1,6 +1,7 @@
 // Reads the upstream list, watches the table and retries both after failures.
 #include "direct/registry_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "observe/guard.h"
@@ -57,14 +58,14 @@
         list_.is_in_flight = false;
         if (!list)
           return HandleFailure(list_, why, &registry_follower::ReadList);
-        base_ = list_base{*list, requested_at};
+        base_ = list_base{*list, requested_at, list->revision};
         HandleList(*list, requested_at);
       });
 }
 
 void registry_follower::ReadListChanges() {
   source_.ReadUpstreamChanges(
-      base_->list.revision,
+      base_->last_change,
       [this, requested_at = clock::now(), alive = std::weak_ptr(alive_)](
           const std::optional<upstream_changes>& changes, const failure& why) {
         if (!alive.expired()) HandleChanges(changes, why, requested_at);
@@ -89,6 +90,7 @@
   base_->list.upstreams = ApplyDelta(base_->list, changes->delta,
                                      requested_at - base_->requested_at);
   base_->list.revision = changes->revision;
+  base_->last_change = std::max(base_->last_change, changes->last_change);
   base_->requested_at = requested_at;
   ++base_->change_reads;
   HandleList(base_->list, requested_at);
--- a/test/registry_follower_test.cc
+++ b/test/registry_follower_test.cc
@@ -124,7 +124,8 @@
 // A list of hundreds of upstreams takes a dozen calls, its changes take one.
 TEST_F(registry_following, ReadsChangesAfterTheWholeList) {
   source_.changes = {.delta = {{MakeUpstream(5), MakeUpstream(6)}, {}},
-                     .revision = 9};
+                     .revision = 9,
+                     .last_change = 8};
   Start(kShortIntervals);
   io_.run_for(80ms);
   EXPECT_EQ(source_.list_reads, 1);
@@ -132,12 +133,24 @@
   EXPECT_EQ(last_list_.upstreams.size(), 2U);
   source_.changes = {.delta = {{}, {5}}, .revision = 11};
   io_.run_for(60ms);
-  EXPECT_GE(source_.last_base_revision, 9U);
+  EXPECT_EQ(source_.last_base_revision, 8U);
   EXPECT_EQ(last_list_.revision, 11U);
   EXPECT_EQ(last_list_.upstreams,
             (std::vector<upstream_entry>{MakeUpstream(6)}));
 }
 
+// A store may deliver no events for a second while changes are made, and then
+// drop its history. Read from the revision that it returned meanwhile, the
+// changes would be missed for good.
+TEST_F(registry_following, ReadsChangesFromTheLastOneDelivered) {
+  source_.changes = {.revision = 40};
+  Start(kShortIntervals);
+  io_.run_for(120ms);
+  EXPECT_GT(source_.change_reads, 1);
+  EXPECT_EQ(last_list_.revision, 40U);
+  EXPECT_EQ(source_.last_base_revision, 1U);
+}
+
 TEST_F(registry_following, ReadsTheWholeListAgainAfterLostHistory) {
   Start(kShortIntervals);
   io_.run_for(20ms);
