--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -59,6 +59,15 @@
   AddCounter(page, "radishyard_platform_losses_total",
              "Times that a reading of the platform began to fail.",
              counters.platform_losses);
+  AddCounter(page, "radishyard_silence_notices_sent_total",
+             "Notices that an upstream leaves data unanswered.",
+             state.silences.sent);
+  AddCounter(page, "radishyard_silence_notices_received_total",
+             "Upstreams that other balancers called silent.",
+             state.silences.received);
+  AddCounter(page, "radishyard_silence_notices_contradicted_total",
+             "Of these, upstreams that had answered here since.",
+             state.silences.contradicted);
   AddGauge(page, "radishyard_table_version", "Version of the table in force.",
            static_cast<double>(state.table.version));
   AddGauge(
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -58,6 +58,14 @@
   auto operator<=>(const verdict&) const = default;
 };
 
+/// \brief Notices of silent upstreams, counted since the start; see silence.h.
+struct silence_counters {
+  uint64_t sent = 0;          ///< Notices made here.
+  uint64_t received = 0;      ///< Upstreams that others called silent.
+  uint64_t contradicted = 0;  ///< Of these, alive by what is known here.
+  auto operator<=>(const silence_counters&) const = default;
+};
+
 /// \brief The state on which a balancer bases its forwarding decisions.
 struct forwarding_state {
   std::string domain;  ///< Failure domain of this balancer.
@@ -70,6 +78,7 @@
   /// Other balancers of the failure domain are alive. They are asked before a
   /// flow is reset.
   bool has_peers = false;
+  silence_counters silences;
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
--- a/src/direct/silence.cc
+++ b/src/direct/silence.cc
@@ -36,6 +36,7 @@
   if (!is_due || !is_silent || IsCallerPathDelayed(state.tracker, now))
     return std::nullopt;
   known.notice_sent_at = now;
+  ++state.silences.sent;
   silence_notice notice;
   notice.silent.push_back(
       {upstream, ToAgeMs(now - known.stats.unanswered_since)});
@@ -58,6 +59,7 @@
     if (is_news) RecordAlive(stats, now);
   }
   silence_notice reply;
+  state.silences.received += notice.silent.size();
   for (const upstream_age& silent : notice.silent) {
     const auto found = upstreams.find(silent.upstream);
     if (found == upstreams.end()) continue;
@@ -70,6 +72,7 @@
       RecordWitness(known, {notice.sender, silent_since, now}, now);
   }
   if (reply.alive.empty()) return std::nullopt;
+  state.silences.contradicted += reply.alive.size();
   return reply;
 }
 
--- a/src/direct/snapshot_server.cc
+++ b/src/direct/snapshot_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "direct/view_sharing.h"
+#include "observe/log.h"
 
 namespace radishyard {
 namespace {
@@ -42,7 +43,11 @@
   if (!snapshot) return link.Close();
   const auto wait = ReserveTurn(pacing_, EstimateBytes(*snapshot),
                                 std::chrono::steady_clock::now());
-  if (!wait) return link.Close();
+  if (!wait) {
+    Log(severity::kInfo, "snapshot_refused",
+        {{"bytes", uint64_t{EstimateBytes(*snapshot)}}});
+    return link.Close();
+  }
   if (*wait <= duration{}) {
     link.Send(*snapshot);
     return;
--- a/test/silence_test.cc
+++ b/test/silence_test.cc
@@ -96,6 +96,9 @@
   other.SendPacket(5, placed.mark, 100, 50, 1, AtMs(1100));
   const auto reply = ApplySilenceNotice(other.state, *notice, AtMs(1202));
   ASSERT_TRUE(reply);
+  EXPECT_EQ(other.state.silences,
+            (silence_counters{.received = 1, .contradicted = 1}));
+  EXPECT_EQ(accuser.state.silences, (silence_counters{.sent = 1}));
   ApplySilenceNotice(accuser.state, *reply, AtMs(1204));
   EXPECT_EQ(accuser.Upstream(1).stats.max_retransmissions, 0U);
   ApplySilenceNotice(accuser.state, MakeNotice(kPeer, 100), AtMs(1500));
