--- a/test/json_scan_test.cc
+++ b/test/json_scan_test.cc
@@ -108,8 +108,11 @@
             R"(","version":4})",
         std::string("{\"key\":\"\xff\",\"value\":\"\",\"version\":1}"),
         std::string(R"({"key":"b","value":"v","version":-1})")}) {
-    const auto batch = internal::ParseBatch(
-        R"({"revision":9,"objects":[)" + good + "," + odd + "," + good + "]}");
+    std::string body = R"({"revision":9,"objects":[)";
+    for (const std::string& part : {good, odd, good})
+      body.append(body.back() == '[' ? "" : ",").append(part);
+    body += "]}";
+    const auto batch = internal::ParseBatch(body);
     ASSERT_TRUE(batch) << odd.substr(0, 40);
     EXPECT_EQ(batch->objects.size(), 2U) << odd.substr(0, 40);
     EXPECT_EQ(batch->rejected, 1U);
