--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -211,14 +211,11 @@
       if (!members_.known.contains(m.peer)) ContactMember(m, now);
     if (report.wants_reply) SendReply(report.self, now);
     ApplyOutcomes(state_, report.outcomes, now);
-    const report_effect effect = ApplyReport(state_, report, now);
-    if (effect == report_effect::kFetchSnapshot) {
-      if (MayFetchFrom(report, now))
-        fetcher_->AddSource(
-            {report.self.peer, report.table_version, report.revision, now});
-      return;
-    }
     ApplyConfirmation(table_confirmation_, report, state_.table.version, now);
+    const report_effect effect = ApplyReport(state_, report, now);
+    if (effect == report_effect::kFetchSnapshot && MayFetchFrom(report, now))
+      fetcher_->AddSource(
+          {report.self.peer, report.table_version, report.revision, now});
   }
 
   /// True if a snapshot may be fetched from the sender of `report`. Traffic
@@ -262,6 +259,7 @@
     RunGuarded("snapshot", [&] {
       const snapshot_effect effect =
           ApplySnapshot(state_, snapshot, clock::now());
+      ConfirmFetchedTable(table_confirmation_, state_.table.version);
       handlers_.on_snapshot(peer, effect);
       // Others that the source is too busy to serve fetch the table from here.
       if (effect.table_applied) SendReports(kTargetsPerReport);
--- a/src/direct/table_confirmation.h
+++ b/src/direct/table_confirmation.h
@@ -18,6 +18,11 @@
 struct table_confirmation {
   time_point direct_at{};  ///< By a balancer that watches the table.
   time_point at{};         ///< By it, or through one other balancer.
+  /// The newest version that others have reported, while it is being fetched,
+  /// and the confirmations of it.
+  uint64_t fetched_version = 0;
+  time_point fetched_direct_at{};
+  time_point fetched_at{};
   auto operator<=>(const table_confirmation&) const = default;
 };
 
@@ -27,6 +32,11 @@
                        const view_report& report, uint64_t own_version,
                        time_point now);
 
+/// \brief Takes over what reports have confirmed of a newer version once it is
+/// the own one.
+void ConfirmFetchedTable(table_confirmation& confirmation,
+                         uint64_t own_version);
+
 /// \brief The age of the confirmation that a balancer may pass on.
 /// \returns 0 if it watches the table itself; kNotConfirmed if it has heard no
 /// direct confirmation lately. What it heard through others does not count, or
