--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -40,7 +40,7 @@
 void registry_follower::ReadList() {
   if (list_.is_in_flight) return;
   if (handlers_.needs_list && !handlers_.needs_list())
-    return RunAfter(list_, times_.recheck_interval, [this] { ReadList(); });
+    return Recheck(list_, [this] { ReadList(); });
   list_.is_in_flight = true;
   CanReadChanges(clock::now()) ? ReadListChanges() : ReadWholeList();
 }
@@ -116,7 +116,7 @@
 
 void registry_follower::ReadTableWhenNeeded() {
   if (!handlers_.needs_table || handlers_.needs_table()) return ReadTable();
-  RunAfter(table_, times_.recheck_interval, [this] { ReadTableWhenNeeded(); });
+  Recheck(table_, [this] { ReadTableWhenNeeded(); });
 }
 
 void registry_follower::ReadTable() {
@@ -130,8 +130,7 @@
 void registry_follower::WatchTableWhenNeeded(uint64_t revision) {
   if (!handlers_.needs_table || handlers_.needs_table())
     return WatchTable(revision);
-  RunAfter(table_, times_.recheck_interval,
-           [this, revision] { WatchTableWhenNeeded(revision); });
+  Recheck(table_, [this, revision] { WatchTableWhenNeeded(revision); });
 }
 
 void registry_follower::WatchTable(uint64_t revision) {
@@ -175,6 +174,15 @@
   RunAfter(state, wait, [this, next] { (this->*next)(); });
 }
 
+void registry_follower::Recheck(read_state& state, std::function<void()> next) {
+  const bool is_at_start = times_.start_recheck_interval * state.rechecks++ <
+                           times_.recheck_interval;
+  RunAfter(
+      state,
+      is_at_start ? times_.start_recheck_interval : times_.recheck_interval,
+      std::move(next));
+}
+
 void registry_follower::RunAfter(read_state& state, duration wait,
                                  std::function<void()> next) {
   state.timer.expires_after(wait);
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -20,6 +20,8 @@
   duration watch_wait = 10s;          ///< Longest wait of one watch.
   duration recheck_interval = 150ms;  ///< Between two calls of needs_list
                                       ///< or needs_table.
+  /// The same during the first recheck_interval, when others may have no view.
+  duration start_recheck_interval = 20ms;
   backoff_policy backoff{.first = 100ms, .longest = 800ms};
   auto operator<=>(const follower_times&) const = default;
 };
@@ -71,6 +73,7 @@
     std::string name;
     asio::steady_timer timer;
     unsigned failures = 0;
+    unsigned rechecks = 0;          ///< Times that no read was needed.
     bool is_in_flight = false;      ///< A read is in flight.
     bool has_lost_history = false;  ///< And no read has succeeded since.
   };
@@ -100,6 +103,7 @@
   void HandleSuccess(read_state& state);
   void HandleFailure(read_state& state, const failure& why,
                      void (registry_follower::*next)());
+  void Recheck(read_state& state, std::function<void()> next);
   void RunAfter(read_state& state, duration wait, std::function<void()> next);
 
   registry& source_;
--- a/src/direct/start_policy.h
+++ b/src/direct/start_policy.h
@@ -10,7 +10,7 @@
 
 /// \brief Time in which another balancer answers a discovery request and its
 /// view is fetched.
-inline constexpr duration kDiscoveryTime = 150ms;
+inline constexpr duration kDiscoveryTime = 40ms;
 /// \brief Longest wait for a fetch in progress.
 inline constexpr duration kMaxFetchWait = 600ms;
 /// \brief Longest wait for the readers at the first start of all balancers,
--- a/test/start_policy_test.cc
+++ b/test/start_policy_test.cc
@@ -19,8 +19,8 @@
 
 // After a loss of power of all VMs no other balancer has a view either.
 TEST(StartPolicy, ABalancerThatNobodyAnswersReadsSoon) {
-  EXPECT_TRUE(AwaitsPeerView(MakeState(), AtMs(1100)));
-  EXPECT_FALSE(AwaitsPeerView(MakeState(), AtMs(1150)));
+  EXPECT_TRUE(AwaitsPeerView(MakeState(), AtMs(1030)));
+  EXPECT_FALSE(AwaitsPeerView(MakeState(), AtMs(1040)));
 }
 
 TEST(StartPolicy, AFetchInProgressIsAwaitedForABoundedTime) {
