--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -130,7 +130,9 @@
     failure why;
     const auto frame = EncodeFrame(message, why);
     if (!frame || frame->size() > kDatagramBytes) return;
-    error_code ignored;  // Later reports replace a lost one.
+    // Later reports replace a lost one, and each further retransmission of a
+    // caller leads to another notice.
+    error_code ignored;
     socket_.send_to(asio::buffer(*frame), ToUdp(to), 0, ignored);
   }
 
--- a/test/registry_follower_test.cc
+++ b/test/registry_follower_test.cc
@@ -97,6 +97,7 @@
 TEST_F(registry_following, ReadsTheListAtIntervalsAndWatchesTheTable) {
   Start(kShortIntervals);
   io_.run_for(500ms);
+  // After the first read, changes are read instead of the whole list.
   const int reads = source_.list_reads + source_.change_reads;
   EXPECT_GE(reads, 8);
   EXPECT_LE(reads, 13);
