Review case 1: one odd entry ends all readings of the list of endpoints

Another writer's entry of almost 1 MB, whose finalizers take more than 64 KB, is the last of its page, and its name cannot be read. From then on every reading of the whole list fails: running balancers know of no drain after at most 15 s more (DRAIN), and balancers that are killed and start again never become ready (RECOVER).

--- a/review/standins/review_scene.cpp
+++ b/review/standins/review_scene.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <stdexcept>
 
+#include "review_store.h"
 #include "soak_world.h"
 #include "store_stand_in.h"
 #include "support/process.h"
@@ -30,10 +31,11 @@
 constexpr uint32_t kServiceAddress = 0xC6336401;  // 198.51.100.1
 constexpr uint16_t kServicePort = 7000;
 constexpr duration kHeartbeatInterval = 1200ms;
-constexpr duration kStartTimeout = 10s;
+constexpr duration kStartTimeout = 10s, kRecordInterval = 1s;
 /// The bounds of the users' small deployments.
 constexpr duration kStableWindow = 4000ms, kEditBound = 3000ms,
-                   kDrainBound = 3000ms, kStopGrace = 6000ms;
+                   kDrainBound = 3000ms, kStopGrace = 6000ms,
+                   kRecoveryBound = 12s;
 constexpr const char* kDomain = "rennes";
 constexpr const char* kFirstService = "survey-link";
 constexpr const char* kSecondService = "drawing-archive";
@@ -48,10 +50,11 @@
         record_(record_file),
         network_(0x7F000000 | (static_cast<uint32_t>(getpid()) % 0x7F00 + 0x100)
                                   << 8),
-        store_(io_, 0) {
+        store_(io_) {
     EditTable(3, kFirstService);
     upstreams_.push_back(MakeUpstream(0, 0x7f3a91c2, kFirstService));
     upstreams_.push_back(MakeUpstream(1, 0x5d2c9b4a, kSecondService));
+    upstreams_.push_back(MakeUpstream(2, 0x6e81d0f7, kFirstService));
     SendHeartbeats();
     signals_.async_wait([](error_code error, int) {
       if (!error) throw std::runtime_error("stopped by a signal");
@@ -60,9 +63,9 @@
 
   /// Starts the balancers, waits until they are ready, and starts the callers.
   void Start() {
-    for (int i = 0; i < kBalancerCount; ++i) StartBalancer(i);
+    for (int i = 0; i < kBalancerCount; ++i) StartBalancer(i, true);
     const time_point until = steady_clock::now() + kStartTimeout;
-    while (!AreBalancersReady()) {
+    while (CountReadyBalancers() < kBalancerCount) {
       if (steady_clock::now() > until)
         throw std::runtime_error("a balancer did not become ready");
       RunFor(100ms);
@@ -73,7 +76,12 @@
 
   /// Runs the stand-ins for a while.
   void RunFor(duration wait) {
-    io_.run_for(wait);
+    const time_point until = steady_clock::now() + wait;
+    while (steady_clock::now() < until) {
+      io_.run_until(std::min(until, steady_clock::now() + kRecordInterval));
+      Record("requests answered so far " + std::to_string(served()) +
+             ", given up " + std::to_string(failed()));
+    }
     for (const auto& balancer : balancers_)
       if (balancer->Wait(0ms)) throw std::runtime_error("a balancer has ended");
   }
@@ -92,13 +100,40 @@
   /// Lets the store answer no request that it receives, or answer again.
   void SetStoreSilent(bool is_silent) {
     is_store_silent_ = is_silent;
-    store_.SetFault({.is_unresponsive = is_silent});
+    store_.SetSilent(is_silent);
     Record(is_silent ? "store falls silent" : "store answers again");
   }
 
-  void PutForeignEntry(const std::string& name, const json& spec) {
-    store_.Put("servers", name, spec);
-    Record("another writer puts servers/" + name + " " + spec.dump());
+  void PutForeignEntry(const std::string& name, const json& spec,
+                       const json& finalizers = json::array()) {
+    store_.Put("servers", name, spec, finalizers);
+    Record("another writer puts servers/" + name + ", spec of " +
+           std::to_string(spec.dump().size()) +
+           " bytes: " + spec.dump().substr(0, 200) + ", finalizers of " +
+           std::to_string(finalizers.dump().size()) + " bytes");
+  }
+
+  /// Lets an upstream say that it leaves.
+  void DrainUpstream(size_t index) {
+    upstreams_.at(index)->is_draining = true;
+    PutEntry(*upstreams_.at(index));
+    Record("store accepts that " + ToHex(upstreams_.at(index)->id) +
+           " is draining");
+  }
+
+  /// Kills the processes of all balancers and starts them again.
+  void RestartBalancers() {
+    Record("all balancers are killed");
+    balancers_.clear();
+    for (int i = 0; i < kBalancerCount; ++i) StartBalancer(i, false);
+    Record("all balancers are started again");
+  }
+
+  int CountReadyBalancers() const {
+    int count = 0;
+    for (const auto& balancer : balancers_)
+      if (balancer->Output().find("event=ready") != std::string::npos) ++count;
+    return count;
   }
 
   void Record(const std::string& text) {
@@ -149,15 +184,19 @@
       on_opening(receiver, text, first_sent_at_[packet.flow.caller]);
   }
 
+  void PutEntry(const soak::simulated_upstream& upstream) {
+    json spec = platform::MakeUpstreamSpec(
+        upstream.service, ToString(upstream.address), upstream.domain,
+        upstream.is_draining ? "draining" : "ready");
+    spec["sequence"] = heartbeat_count_;
+    store_.Put("servers", "i-" + ToHex(upstream.id), spec);
+  }
+
   /// The upstreams write their entries, unless the store is silent.
   void SendHeartbeats() {
     ++heartbeat_count_;
     for (const auto& u : upstreams_) {
-      if (is_store_silent_) break;
-      json spec = platform::MakeUpstreamSpec(u->service, ToString(u->address),
-                                             u->domain);
-      spec["sequence"] = heartbeat_count_;
-      store_.Put("servers", "i-" + ToHex(u->id), spec);
+      if (!is_store_silent_) PutEntry(*u);
     }
     heartbeat_timer_.expires_after(kHeartbeatInterval);
     heartbeat_timer_.async_wait([this](error_code error) {
@@ -165,7 +204,7 @@
     });
   }
 
-  void StartBalancer(int index) {
+  void StartBalancer(int index, bool is_first_start) {
     const auto own = [&](uint16_t port) {
       return ToString(endpoint{AddressOf(0, index), port});
     };
@@ -182,7 +221,7 @@
         {"metrics", own(kMetricsPort)},
         {"peer", own(kPeerPort)},
         {"peers", peers},
-        {"first_start", true},
+        {"first_start", is_first_start},
         {"platform", "127.0.0.1:" + std::to_string(store_.port())},
         {"drain_bound_ms", ToMs(kDrainBound)},
         {"edit_bound_ms", ToMs(kEditBound)},
@@ -194,19 +233,16 @@
         edge_program_, std::vector<std::string>{}, file + ".log"));
   }
 
-  bool AreBalancersReady() const {
-    for (const auto& balancer : balancers_)
-      if (balancer->Output().find("event=ready") == std::string::npos)
-        return false;
-    return true;
-  }
-
   /// The routers: a flow's packets go to the balancer that its ports select.
   void SendToBalancer(const std::vector<uint8_t>& bytes,
                       const endpoint& source) {
-    first_sent_at_.try_emplace(source, steady_clock::now());
+    const bool is_new =
+        first_sent_at_.try_emplace(source, steady_clock::now()).second;
     const endpoint to{AddressOf(0, source.port % kBalancerCount),
                       soak::kTrafficPort};
+    if (is_new)
+      Record("opening of " + ToString(source) + " sent to " +
+             ToDottedAddress(to.address));
     error_code ignored;
     sender_.send_to(
         asio::buffer(bytes),
@@ -238,7 +274,7 @@
   asio::steady_timer heartbeat_timer_{io_};
   asio::ip::udp::socket sender_{
       io_, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0)};
-  platform::store_stand_in store_;
+  review_store store_;
   bool is_store_silent_ = false;
   uint64_t heartbeat_count_ = 0;
   soak::run_observations observations_;
@@ -295,19 +331,63 @@
   return broken;
 }
 
+/// RECOVER, and DRAIN before it: another writer's entry of almost 1 MB, whose
+/// list of finalizers is longer than 64 KB.
+int OddEntry(deployment& d, bool is_disrupted) {
+  int broken = 0;
+  time_point drained_at = time_point::max();
+  d.on_opening = [&](const soak::simulated_upstream& receiver,
+                     const std::string& text, time_point) {
+    const time_point now = steady_clock::now();
+    if (!receiver.is_draining || now < drained_at + kDrainBound) return;
+    ++broken;
+    d.Record("BROKEN (DRAIN), " + std::to_string(ToMs(now - drained_at)) +
+             " ms after the store accepted its drain: " + text);
+  };
+  d.RunFor(2s);
+  constexpr int kFinalizers = 5000, kSpecBytes = 930'000;
+  json finalizers = json::array();
+  for (int i = 0; i < kFinalizers; ++i)
+    finalizers.push_back("inventory/" + std::to_string(i));
+  if (is_disrupted)
+    d.PutForeignEntry("asset-17", std::string(kSpecBytes, 'x'), finalizers);
+  d.RunFor(26s);
+  d.DrainUpstream(0);
+  drained_at = steady_clock::now();
+  d.RunFor(8s);
+  const uint64_t served_before = d.served();
+  drained_at = time_point::max();
+  d.RestartBalancers();
+  d.RunFor(kRecoveryBound);
+  const uint64_t served_until_bound = d.served(), failed = d.failed();
+  d.RunFor(8s);
+  const uint64_t served_after = d.served() - served_until_bound;
+  const uint64_t failed_after = d.failed() - failed;
+  d.Record("served before the kill: " + std::to_string(served_before) +
+           "; from 12 s after the restart on: served " +
+           std::to_string(served_after) + ", failed " +
+           std::to_string(failed_after) +
+           "; balancers ready: " + std::to_string(d.CountReadyBalancers()));
+  const bool is_recovered =
+      served_after * 4 >= served_after + failed_after && served_after > 0;
+  if (is_recovered) return broken;
+  d.Record("BROKEN (RECOVER), less than a quarter is served");
+  return broken + 1;
+}
+
 int Main(const std::vector<std::string>& arguments) {
   if (arguments.size() != 4) return kExitNotRun;
   const char* const trouble = std::getenv("TROUBLE");
   const bool is_disrupted = trouble == nullptr || std::string(trouble) != "0";
   deployment d(arguments[1], arguments[2], arguments[3]);
   d.Start();
-  const int broken = arguments[0] == "edit-after-silence"
-                         ? EditAfterSilence(d, is_disrupted)
-                         : ForeignEntry(d, is_disrupted);
+  const auto run = arguments[0] == "edit-after-silence" ? EditAfterSilence
+                   : arguments[0] == "foreign-entry"    ? ForeignEntry
+                                                        : OddEntry;
+  const int broken = run(d, is_disrupted);
   const std::string result = "requests served " + std::to_string(d.served()) +
                              ", failed " + std::to_string(d.failed()) +
-                             ", openings that break the rule " +
-                             std::to_string(broken);
+                             ", breaks of the rule " + std::to_string(broken);
   d.Record(result);
   std::cout << result << "\n";
   if (d.served() == 0) return kExitNotRun;
