--- a/review/standins/review_scene.cpp
+++ b/review/standins/review_scene.cpp
@@ -35,7 +35,7 @@
 /// The bounds of the users' small deployments.
 constexpr duration kStableWindow = 4000ms, kEditBound = 3000ms,
                    kDrainBound = 3000ms, kStopGrace = 6000ms,
-                   kRecoveryBound = 12s;
+                   kRecoveryBound = 12s, kMeasuredTime = 16s;
 constexpr const char* kDomain = "rennes";
 constexpr const char* kFirstService = "survey-link";
 constexpr const char* kSecondService = "drawing-archive";
@@ -113,6 +113,13 @@
            std::to_string(finalizers.dump().size()) + " bytes");
   }
 
+  /// Lets another writer follow each heartbeat of the first service's upstreams
+  /// with an unreadable entry of its own, whose name ends in the upstream's id.
+  void StartSecondWriter() {
+    has_second_writer_ = true;
+    Record("another writer starts to write unreadable entries, named old-i-ID");
+  }
+
   /// Lets an upstream say that it leaves.
   void DrainUpstream(size_t index) {
     upstreams_.at(index)->is_draining = true;
@@ -196,7 +203,10 @@
   void SendHeartbeats() {
     ++heartbeat_count_;
     for (const auto& u : upstreams_) {
-      if (!is_store_silent_) PutEntry(*u);
+      if (is_store_silent_) break;
+      PutEntry(*u);
+      if (has_second_writer_ && u->service == kFirstService)
+        store_.Put("servers", "old-i-" + ToHex(u->id), "unreadable");
     }
     heartbeat_timer_.expires_after(kHeartbeatInterval);
     heartbeat_timer_.async_wait([this](error_code error) {
@@ -276,6 +286,7 @@
       io_, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0)};
   review_store store_;
   bool is_store_silent_ = false;
+  bool has_second_writer_ = false;
   uint64_t heartbeat_count_ = 0;
   soak::run_observations observations_;
   std::vector<std::unique_ptr<soak::simulated_upstream>> upstreams_;
@@ -331,6 +342,26 @@
   return broken;
 }
 
+/// Kills all balancers, starts them again, and checks RECOVER.
+bool IsRecovered(deployment& d) {
+  d.Record("before the kill: served " + std::to_string(d.served()) +
+           ", failed " + std::to_string(d.failed()));
+  d.RestartBalancers();
+  d.RunFor(kRecoveryBound);
+  const uint64_t served_until_bound = d.served();
+  const uint64_t failed_until_bound = d.failed();
+  d.RunFor(kMeasuredTime);
+  const uint64_t served = d.served() - served_until_bound;
+  const uint64_t failed = d.failed() - failed_until_bound;
+  d.Record("from 12 s after the restart on: served " + std::to_string(served) +
+           ", failed " + std::to_string(failed) +
+           "; balancers ready: " + std::to_string(d.CountReadyBalancers()));
+  const bool is_recovered = served > 0 && served * 4 >= served + failed;
+  if (!is_recovered)
+    d.Record("BROKEN (RECOVER), less than a quarter is served");
+  return is_recovered;
+}
+
 /// RECOVER, and DRAIN before it: another writer's entry of almost 1 MB, whose
 /// list of finalizers is longer than 64 KB.
 int OddEntry(deployment& d, bool is_disrupted) {
@@ -355,24 +386,16 @@
   d.DrainUpstream(0);
   drained_at = steady_clock::now();
   d.RunFor(8s);
-  const uint64_t served_before = d.served();
   drained_at = time_point::max();
-  d.RestartBalancers();
-  d.RunFor(kRecoveryBound);
-  const uint64_t served_until_bound = d.served(), failed = d.failed();
-  d.RunFor(8s);
-  const uint64_t served_after = d.served() - served_until_bound;
-  const uint64_t failed_after = d.failed() - failed;
-  d.Record("served before the kill: " + std::to_string(served_before) +
-           "; from 12 s after the restart on: served " +
-           std::to_string(served_after) + ", failed " +
-           std::to_string(failed_after) +
-           "; balancers ready: " + std::to_string(d.CountReadyBalancers()));
-  const bool is_recovered =
-      served_after * 4 >= served_after + failed_after && served_after > 0;
-  if (is_recovered) return broken;
-  d.Record("BROKEN (RECOVER), less than a quarter is served");
-  return broken + 1;
+  return broken + (IsRecovered(d) ? 0 : 1);
+}
+
+/// RECOVER: another writer's unreadable entries, each named after the id of an
+/// upstream, and written as often as the upstreams write theirs.
+int UnreadableEntries(deployment& d, bool is_disrupted) {
+  d.RunFor(6s);
+  if (is_disrupted) d.StartSecondWriter();
+  return IsRecovered(d) ? 0 : 1;
 }
 
 int Main(const std::vector<std::string>& arguments) {
@@ -383,6 +406,7 @@
   d.Start();
   const auto run = arguments[0] == "edit-after-silence" ? EditAfterSilence
                    : arguments[0] == "foreign-entry"    ? ForeignEntry
+                   : arguments[0] == "unreadable"       ? UnreadableEntries
                                                         : OddEntry;
   const int broken = run(d, is_disrupted);
   const std::string result = "requests served " + std::to_string(d.served()) +
