Review case 5: a malformed answer of the store ends the process

A list whose header announces a body of 10^12 bytes makes the HTTP client throw std::bad_alloc, which nothing catches: the balancer ends with 1.

--- a/review/standins/review_scene.cpp
+++ b/review/standins/review_scene.cpp
@@ -82,9 +82,16 @@
       Record("requests answered so far " + std::to_string(served()) +
              ", given up " + std::to_string(failed()));
     }
-    for (const auto& balancer : balancers_)
-      if (balancer->Wait(0ms)) throw std::runtime_error("a balancer has ended");
+    for (size_t i = 0; i < balancers_.size(); ++i) HandleEnd(i);
+  }
+
+  /// Lets the store answer the next lists with a malformed header.
+  void MalformLists(int count) {
+    store_.MalformLists(count);
+    Record("store malforms its next " + std::to_string(count) + " lists");
   }
+  int malformed_lists_left() const { return store_.malformed_lists_left(); }
+  int ends(size_t index) const { return ends_.at(index); }
 
   /// Writes a version of the table that sends the service address to `service`.
   void EditTable(uint64_t version, const std::string& service) {
@@ -214,7 +221,24 @@
     });
   }
 
+  /// The platform starts a process again that has ended by itself.
+  void HandleEnd(size_t index) {
+    const auto exit_code = balancers_.at(index)->Wait(0ms);
+    if (!exit_code) return;
+    ++ends_.at(index);
+    const std::string output = balancers_.at(index)->Output();
+    const size_t last = output.rfind("event=", output.size());
+    Record("balancer " + std::to_string(index + 1) + " has ended with " +
+           std::to_string(*exit_code) + ": " +
+           output.substr(std::min(last, output.size()), 60));
+    balancers_.at(index) = MakeBalancer(static_cast<int>(index), false);
+  }
+
   void StartBalancer(int index, bool is_first_start) {
+    balancers_.push_back(MakeBalancer(index, is_first_start));
+  }
+
+  std::unique_ptr<process> MakeBalancer(int index, bool is_first_start) {
     const auto own = [&](uint16_t port) {
       return ToString(endpoint{AddressOf(0, index), port});
     };
@@ -239,8 +263,8 @@
     const std::string file = folder_ + "/edge" + std::to_string(index);
     std::ofstream(file + ".json") << settings.dump(2) << "\n";
     setenv("RADISHYARD_SETTINGS", (file + ".json").c_str(), 1);
-    balancers_.push_back(std::make_unique<process>(
-        edge_program_, std::vector<std::string>{}, file + ".log"));
+    return std::make_unique<process>(edge_program_, std::vector<std::string>{},
+                                     file + ".log");
   }
 
   /// The routers: a flow's packets go to the balancer that its ports select.
@@ -292,6 +316,7 @@
   std::vector<std::unique_ptr<soak::simulated_upstream>> upstreams_;
   std::vector<std::shared_ptr<soak::simulated_caller>> callers_;
   std::vector<std::unique_ptr<process>> balancers_;
+  std::vector<int> ends_ = std::vector<int>(kBalancerCount);
   std::map<endpoint, time_point> first_sent_at_;
 };
 
@@ -398,6 +423,22 @@
   return IsRecovered(d) ? 0 : 1;
 }
 
+/// Fault: lists whose header announces a body that is too long.
+int MalformedLists(deployment& d, bool is_disrupted) {
+  constexpr int kLists = 12, kEndsAllowed = 2;
+  d.RunFor(3s);
+  if (is_disrupted) d.MalformLists(kLists);
+  for (int i = 0; i < 40 && (i < 10 || d.malformed_lists_left() > 0); ++i)
+    d.RunFor(1s);
+  int broken = 0;
+  for (size_t i = 0; i < kBalancerCount; ++i) {
+    d.Record("balancer " + std::to_string(i + 1) + " has ended by itself " +
+             std::to_string(d.ends(i)) + " times");
+    if (d.ends(i) > kEndsAllowed) ++broken;
+  }
+  return broken == kBalancerCount ? broken : 0;
+}
+
 int Main(const std::vector<std::string>& arguments) {
   if (arguments.size() != 4) return kExitNotRun;
   const char* const trouble = std::getenv("TROUBLE");
@@ -407,6 +448,7 @@
   const auto run = arguments[0] == "edit-after-silence" ? EditAfterSilence
                    : arguments[0] == "foreign-entry"    ? ForeignEntry
                    : arguments[0] == "unreadable"       ? UnreadableEntries
+                   : arguments[0] == "malformed-lists"  ? MalformedLists
                                                         : OddEntry;
   const int broken = run(d, is_disrupted);
   const std::string result = "requests served " + std::to_string(d.served()) +
--- a/review/standins/review_store.cpp
+++ b/review/standins/review_store.cpp
@@ -97,6 +97,9 @@
    private:
     void HandleRequest() {
       if (server_->is_silent_) return KeepOpen();
+      const bool is_list = request_.target() == "/objects/servers";
+      if (is_list && server_->malformed_lists_left_ > 0)
+        return RespondMalformed();
       const std::string target(request_.target());
       const std::string prefix = "/objects/";
       if (target.rfind(prefix, 0) != 0) return Respond(kNotFound, {});
@@ -115,6 +118,15 @@
       RespondToWatch(false);
     }
 
+    void RespondMalformed() {
+      --server_->malformed_lists_left_;
+      malformed_ = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n{}";
+      asio::async_write(stream_, asio::buffer(malformed_),
+                        [self = shared_from_this()](error_code, size_t) {
+                          self->KeepOpen();
+                        });
+    }
+
     /// Returns nothing further on this connection until the client closes it.
     void KeepOpen() {
       stream_.async_read_some(
@@ -144,6 +156,7 @@
     std::array<char, 4096> ignored_bytes_{};
     http::request<http::string_body> request_;
     http::response<http::string_body> response_;
+    std::string malformed_;
     std::string kind_;
     uint64_t watch_revision_ = 0;
   };
@@ -177,6 +190,7 @@
   std::vector<change> history_;
   uint64_t revision_ = 1;
   bool is_silent_ = false;
+  int malformed_lists_left_ = 0;
   std::set<std::shared_ptr<session>> watches_;
 };
 
@@ -199,4 +213,12 @@
 
 void review_store::SetSilent(bool is_silent) { core_->is_silent_ = is_silent; }
 
+void review_store::MalformLists(int count) {
+  core_->malformed_lists_left_ = count;
+}
+
+int review_store::malformed_lists_left() const {
+  return core_->malformed_lists_left_;
+}
+
 }  // namespace radishyard::review
--- a/review/standins/review_store.h
+++ b/review/standins/review_store.h
@@ -26,6 +26,10 @@
   /// \brief While silent, the store never answers a request that it receives.
   /// Watches that it has received before are still answered.
   void SetSilent(bool is_silent);
+  /// \brief Gives the next `count` lists of endpoints a header that announces a
+  /// body of 10^12 bytes, and no such body.
+  void MalformLists(int count);
+  int malformed_lists_left() const;
 
  private:
   class core;
