--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -28,9 +28,6 @@
 /// Packets handled in one turn before other handlers of the io_context run.
 constexpr int kMaxPacketsPerTurn = 64;
 constexpr int kReceiveBufferBytes = 1 << 20;
-/// Reads of the upstream list within one drain bound: if one read fails, there
-/// is time for another.
-constexpr int kReadsPerDrainBound = 2;
 /// A stopping balancer exits this long before the grace period ends.
 constexpr duration kStopMargin = 700ms;
 /// Least time from Stop() to exit: routers need about a second to take a
@@ -55,12 +52,6 @@
   return {asio::ip::address_v4(e.address), e.port};
 }
 
-follower_times ToFollowerTimes(const direct_settings& config) {
-  follower_times times;
-  times.list_interval = config.drain_bound / kReadsPerDrainBound;
-  return times;
-}
-
 /// Total time that this VM has been suspended since it booted.
 duration MeasureSuspendedTime() {
   timespec since_boot{};
@@ -86,7 +77,7 @@
                {PublicPeerAddress(config), config.domain,
                 config.capacity_millicores},
                config.peers, config.link_mbps, state_, MakeExchangeHandlers()),
-        times_(ToFollowerTimes(config)),
+        times_(MakeFollowerTimes(config.drain_bound, config.edit_bound)),
         follower_(io, source, times_, MakeFollowerHandlers(),
                   std::hash<std::string>()(config.name)) {
     state_.domain = config.domain;
@@ -141,6 +132,7 @@
                 },
             .watches_table =
                 [this] { return follower_.IsFollowingTable(clock::now()); },
+            .table_read_at = [this] { return follower_.table_read_at(); },
             .on_activity = [this] { DetectPause(clock::now()); }};
   }
 
@@ -169,8 +161,9 @@
   bool NeedsTable(time_point now) const {
     if (state_.table.version == 0) return !AwaitsPeers(now);
     return peers_.IsRegistryReader(now) ||
-           !IsTableRelayAllowed(times_.list_interval, config_.edit_bound) ||
-           now - peers_.table_confirmed_at() > kTableConfirmationTimeout;
+           !IsTableRelayAllowed(times_.watch_wait, config_.edit_bound) ||
+           !IsTableConfirmed(peers_.confirmation(),
+                             TableConfirmationTimeout(config_.edit_bound), now);
   }
 
   void HandlePeerSnapshot(const endpoint& peer, const snapshot_effect& effect) {
@@ -192,12 +185,17 @@
             {"/readiness", [this] { return MakeReadinessPage(); }}});
     metrics_server_.emplace(
         io_, config_.metrics,
-        admin_server::page_map{{"/metrics", [this] {
-                                  return admin_page{
-                                      "text/plain",
-                                      RenderMetricsPage(counters_, state_,
-                                                        clock::now())};
-                                }}});
+        admin_server::page_map{
+            {"/metrics", [this] {
+               counters_.table_confirmed_at = LastTableConfirmation();
+               return admin_page{
+                   "text/plain",
+                   RenderMetricsPage(counters_, state_, clock::now())};
+             }}});
+  }
+
+  time_point LastTableConfirmation() const {
+    return std::max(peers_.confirmation().at, follower_.table_read_at());
   }
 
   admin_page MakeReadinessPage() const {
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -70,6 +70,10 @@
              state.silences.contradicted);
   AddGauge(page, "radishyard_table_version", "Version of the table in force.",
            static_cast<double>(state.table.version));
+  AddGauge(
+      page, "radishyard_table_age_seconds",
+      "Time since the table was last known to be the current one.",
+      std::chrono::duration<double>(now - counters.table_confirmed_at).count());
   AddGauge(
       page, "radishyard_registry_age_seconds",
       "Age of what is known of the upstreams.",
--- a/src/direct/direct_counters.h
+++ b/src/direct/direct_counters.h
@@ -8,7 +8,8 @@
 
 namespace radishyard {
 
-/// \brief Counters since the start of the process.
+/// \brief Counters since the start of the process, and the time of the last
+/// confirmation of the table.
 struct direct_counters {
   /// Packets, by verdict_reason.
   std::array<uint64_t, kVerdictReasonCount> verdicts{};
@@ -21,6 +22,9 @@
   uint64_t tables_applied = 0;  ///< Table versions applied.
   /// Unusable registry entries and table rows, added up over all reads.
   uint64_t invalid_entries = 0;
+  /// Last time at which the table was known to be the current one, by an answer
+  /// of the platform to this balancer or to others.
+  time_point table_confirmed_at{};
 };
 
 /// \brief Renders the counters and the gauges derived from `state` as the text
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -11,7 +11,6 @@
 #include "direct/silence.h"
 #include "direct/snapshot_fetcher.h"
 #include "direct/snapshot_server.h"
-#include "direct/table_confirmation.h"
 #include "observe/guard.h"
 #include "peer/peer_codec.h"
 
@@ -21,7 +20,6 @@
 using clock = std::chrono::steady_clock;
 using udp = asio::ip::udp;
 
-constexpr duration kReportInterval = 1s;
 /// Members that receive the report of one interval. It is high enough for all
 /// members to receive the outcomes of failed requests soon.
 constexpr size_t kTargetsPerReport = 16;
@@ -122,7 +120,7 @@
         std::max<int64_t>(0, ToMs(now - state_.directory.read_at)));
     report.outage_age_ms = OutageAgeMs(state_.directory, now);
     report.table_age_ms =
-        ConfirmationAgeMs(table_confirmation_, report.watches_table, now);
+        ConfirmationAgeMs(table_confirmation_, handlers_.table_read_at(), now);
     return report;
   }
 
@@ -338,8 +336,8 @@
   return radishyard::IsRegistryReader(core_->members_, now);
 }
 
-time_point peer_exchange::table_confirmed_at() const {
-  return core_->table_confirmation_.at;
+const table_confirmation& peer_exchange::confirmation() const {
+  return core_->table_confirmation_;
 }
 
 }  // namespace radishyard
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -10,17 +10,24 @@
 #include "base/asio.h"
 #include "direct/forwarder.h"
 #include "direct/peer_members.h"
+#include "direct/table_confirmation.h"
 #include "direct/view_message.h"
 #include "direct/view_sharing.h"
 
 namespace radishyard {
 
+/// \brief Interval of the reports to other balancers.
+inline constexpr duration kReportInterval = 1s;
+
 /// \brief Callbacks of the exchange to its owner.
 struct exchange_handlers {
   /// A snapshot from `peer` has been applied with the given effect.
   std::function<void(const endpoint& peer, const snapshot_effect&)> on_snapshot;
   /// Returns true if this balancer watches the table and its reads succeed.
   std::function<bool()> watches_table;
+  /// Returns when an answer of the platform last confirmed the table to this
+  /// balancer.
+  std::function<time_point()> table_read_at;
   /// Called before messages are received. It may call DiscardReceived().
   std::function<void()> on_activity;
 };
@@ -59,9 +66,8 @@
   bool HasMembers(time_point now) const;
   /// \brief True if this balancer is a registry reader of its failure domain.
   bool IsRegistryReader(time_point now) const;
-  /// \brief When it was last known that no newer version of the table than that
-  /// of this balancer existed; see table_confirmation.
-  time_point table_confirmed_at() const;
+  /// \brief What other balancers have confirmed of this balancer's table.
+  const table_confirmation& confirmation() const;
 
  private:
   class core;
--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -13,10 +13,17 @@
 
 namespace radishyard {
 
+/// \brief A call that is not answered fails after this time; a watch, after its
+/// wait and this time.
+inline constexpr duration kRegistryTimeout = 1s;
+
 /// \brief The result of a read or a watch of the table.
 struct table_update {
   std::optional<routing_table> table;  ///< Nothing if it has not changed.
-  uint64_t revision = 0;  ///< Of the store; the next watch starts here.
+  /// The next watch starts here. Of the store if the table was read, of the
+  /// last change delivered if it was watched, and 0 if there was none: the
+  /// store may deliver a change later than its revision suggests.
+  uint64_t revision = 0;
   auto operator<=>(const table_update&) const = default;
 };
 
@@ -32,7 +39,8 @@
 };
 
 /// \brief Asynchronous access to the registry and the table. Each function
-/// calls its handler exactly once, and only after it has returned.
+/// calls its handler exactly once, and only after it has returned. A call that
+/// the store has lost fails as kRegistryTimeout says.
 ///
 /// A watch, or a read of changes, fails with kNotFound if the store no longer
 /// has the history after the given revision.
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -11,12 +11,23 @@
 
 using clock = std::chrono::steady_clock;
 
-/// List intervals are shortened by up to 1/kJitterDivisor, so that balancers do
-/// not read at the same time.
+/// Intervals are shortened by up to 1/kJitterDivisor, so that balancers do not
+/// read at the same time.
 constexpr int64_t kJitterDivisor = 8;
+/// Longest wait of a watch, however late a change of the table may be known.
+/// Network devices drop connections that carry nothing for long.
+constexpr duration kMaxWatchWait = 10s;
 
 }  // namespace
 
+follower_times MakeFollowerTimes(duration drain_bound, duration edit_bound) {
+  follower_times times;
+  times.list_interval = MaxAnswerInterval(drain_bound, kRegistryTiming);
+  times.watch_wait =
+      std::min(kMaxWatchWait, MaxAnswerInterval(edit_bound, kRegistryTiming));
+  return times;
+}
+
 registry_follower::registry_follower(asio::io_context& io, registry& source,
                                      follower_times times,
                                      follower_handlers handlers, uint64_t seed)
@@ -47,7 +58,7 @@
 
 bool registry_follower::CanReadChanges(time_point now) const {
   return base_ && base_->change_reads < kMaxChangeReads &&
-         now - base_->requested_at <= kMaxListBaseAge;
+         now - base_->requested_at <= kMaxBaseAge;
 }
 
 void registry_follower::ReadWholeList() {
@@ -103,14 +114,22 @@
   // UpdateDirectory() leaves no dangling pointers; the next list repeats what
   // is missing.
   RunGuarded("list", [&] { handlers_.on_list(list, requested_at); });
+  RunAfter(list_, SubtractJitter(times_.list_interval), [this] { ReadList(); });
+}
+
+duration registry_follower::SubtractJitter(duration interval) {
   const duration jitter =
-      times_.list_interval / kJitterDivisor *
+      interval / kJitterDivisor *
       static_cast<int64_t>(++seed_ * 0x9E3779B97F4A7C15 >> 56) / 256;
-  RunAfter(list_, times_.list_interval - jitter, [this] { ReadList(); });
+  return interval - jitter;
 }
 
 bool registry_follower::IsFollowingTable(time_point now) const {
+  // WatchResultTime() is up to one allowance before an answer, and the next
+  // answer arrives within another one after the wait.
+  const duration longest_age = times_.watch_wait + 2 * kReadTimeAllowance;
   return is_watching_ && table_.failures == 0 && list_.failures == 0 &&
+         now - table_read_at_ <= longest_age &&
          now - last_list_at_ <= times_.list_interval + kReadTimeAllowance;
 }
 
@@ -121,38 +140,46 @@
 
 void registry_follower::ReadTable() {
   source_.ReadTable(
-      [this, alive = std::weak_ptr(alive_)](
+      [this, requested_at = clock::now(), alive = std::weak_ptr(alive_)](
           const std::optional<table_update>& result, const failure& why) {
-        if (!alive.expired()) HandleTable(result, why);
+        if (alive.expired()) return;
+        if (result) {
+          whole_table_at_ = requested_at;
+          watched_revision_ = result->revision;
+        }
+        HandleTable(result, why, requested_at);
       });
 }
 
-void registry_follower::WatchTableWhenNeeded(uint64_t revision) {
-  if (!handlers_.needs_table || handlers_.needs_table())
-    return WatchTable(revision);
-  Recheck(table_, [this, revision] { WatchTableWhenNeeded(revision); });
+void registry_follower::FollowTableWhenNeeded() {
+  if (handlers_.needs_table && !handlers_.needs_table())
+    return Recheck(table_, [this] { FollowTableWhenNeeded(); });
+  const bool is_base_old = clock::now() - whole_table_at_ > kMaxBaseAge;
+  is_base_old ? ReadTable() : WatchTable();
 }
 
-void registry_follower::WatchTable(uint64_t revision) {
+void registry_follower::WatchTable() {
   is_watching_ = true;
   source_.WatchTable(
-      revision, times_.watch_wait,
-      [this, alive = std::weak_ptr(alive_)](
+      watched_revision_, SubtractJitter(times_.watch_wait),
+      [this, requested_at = clock::now(), alive = std::weak_ptr(alive_)](
           const std::optional<table_update>& result, const failure& why) {
         if (alive.expired()) return;
         is_watching_ = false;
-        HandleTable(result, why);
+        HandleTable(result, why, WatchResultTime(requested_at, clock::now()));
       });
 }
 
 void registry_follower::HandleTable(const std::optional<table_update>& result,
-                                    const failure& why) {
+                                    const failure& why, time_point current_at) {
   if (!result) return HandleFailure(table_, why, &registry_follower::ReadTable);
   HandleSuccess(table_);
+  table_read_at_ = current_at;
   // A table is applied whole or not at all.
   if (result->table)
     RunGuarded("table", [&] { handlers_.on_table(*result->table); });
-  WatchTableWhenNeeded(result->revision);
+  watched_revision_ = std::max(watched_revision_, result->revision);
+  FollowTableWhenNeeded();
 }
 
 void registry_follower::HandleSuccess(read_state& state) {
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -11,13 +11,14 @@
 #include "base/time.h"
 #include "direct/registry.h"
 #include "peer/backoff.h"
+#include "store/answer_timing.h"
 
 namespace radishyard {
 
 /// \brief Intervals and timeouts of the follower.
 struct follower_times {
   duration list_interval = 1200ms;    ///< Between two reads of the list.
-  duration watch_wait = 10s;          ///< Longest wait of one watch.
+  duration watch_wait = 1500ms;       ///< Longest wait of one watch.
   duration recheck_interval = 150ms;  ///< Between two calls of needs_list
                                       ///< or needs_table.
   /// The same during the first recheck_interval, when others may have no view.
@@ -26,15 +27,22 @@
   auto operator<=>(const follower_times&) const = default;
 };
 
-/// \brief Longest usual duration of a read of the platform.
-inline constexpr duration kReadTimeAllowance = 300ms;
+/// \brief A watch or a regular read that is lost is the first to fail, so the
+/// first delay of the backoff follows it.
+inline constexpr answer_timing kRegistryTiming{kRegistryTimeout,
+                                               follower_times{}.backoff.first};
+
+/// \brief Times with which a change of the list is known within `drain_bound`
+/// and a change of the table within `edit_bound`, even if the platform has lost
+/// a read or a watch; see MaxAnswerInterval().
+follower_times MakeFollowerTimes(duration drain_bound, duration edit_bound);
 
 /// \brief The whole list is read again after this many reads of changes, so
 /// that a change that the store has not delivered is noticed.
 inline constexpr unsigned kMaxChangeReads = 16;
-/// \brief Changes are read only from a list that is not older than this; the
-/// store drops its history.
-inline constexpr duration kMaxListBaseAge = 15s;
+/// \brief Changes are read or watched only from a list, or a table, that was
+/// read as a whole no longer ago than this; the store drops its history.
+inline constexpr duration kMaxBaseAge = 15s;
 
 /// \brief Callbacks of the follower to its owner.
 struct follower_handlers {
@@ -62,10 +70,13 @@
   void Start();
   /// \brief Reads the list at once if it is needed and no read is in flight.
   void ReadListNow();
-  /// \brief True while a watch of the table is in flight and reads of the list
-  /// succeed. A watch alone would take seconds to show that the platform is
-  /// unreachable.
+  /// \brief True while a watch of the table is in flight, the one before it was
+  /// answered, and reads of the list succeed. The watch alone would take
+  /// seconds to show that the platform is unreachable.
   bool IsFollowingTable(time_point now) const;
+  /// \brief The last time at which an answer of the platform has shown that
+  /// there was no newer table than the one delivered.
+  time_point table_read_at() const { return table_read_at_; }
 
  private:
   /// State of the reads of the list or of the table.
@@ -96,10 +107,11 @@
   bool CanReadChanges(time_point now) const;
   void ReadTableWhenNeeded();
   void ReadTable();
-  void WatchTableWhenNeeded(uint64_t revision);
-  void WatchTable(uint64_t revision);
+  void FollowTableWhenNeeded();
+  void WatchTable();
   void HandleTable(const std::optional<table_update>& result,
-                   const failure& why);
+                   const failure& why, time_point current_at);
+  duration SubtractJitter(duration interval);
   void HandleSuccess(read_state& state);
   void HandleFailure(read_state& state, const failure& why,
                      void (registry_follower::*next)());
@@ -113,8 +125,12 @@
   read_state list_;
   read_state table_;
   std::optional<list_base> base_;
-  bool is_watching_ = false;   ///< A watch is in flight.
-  time_point last_list_at_{};  ///< Last successful read of the list.
+  uint64_t watched_revision_ = 0;  ///< From which the table is watched.
+  time_point whole_table_at_{};    ///< Last successful read, without watches.
+  bool is_watching_ = false;       ///< A watch is in flight.
+  time_point last_list_at_{};      ///< Last successful read of the list.
+  /// A watch that waits does not advance it.
+  time_point table_read_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/direct/snapshot_fetcher.cc
+++ b/src/direct/snapshot_fetcher.cc
@@ -4,14 +4,6 @@
 #include <utility>
 
 namespace radishyard {
-namespace {
-
-/// A fetch that takes longer is abandoned.
-constexpr duration kFetchTimeout = 600ms;
-/// Delay before another source is asked.
-constexpr duration kRetryDelay = 100ms;
-
-}  // namespace
 
 snapshot_fetcher::snapshot_fetcher(asio::io_context& io,
                                    fetch_handlers handlers,
@@ -86,7 +78,7 @@
 void snapshot_fetcher::EndAndRetry() {
   End();
   if (is_stopped_) return;
-  retry_timer_.expires_after(kRetryDelay);
+  retry_timer_.expires_after(kFetchRetryDelay);
   retry_timer_.async_wait([self = shared_from_this()](error_code error) {
     if (!error) self->Fetch();
   });
--- a/src/direct/snapshot_fetcher.h
+++ b/src/direct/snapshot_fetcher.h
@@ -9,9 +9,19 @@
 #include "direct/view_message.h"
 #include "direct/view_sources.h"
 #include "peer/peer_link.h"
+#include "store/answer_timing.h"
 
 namespace radishyard {
 
+/// \brief A fetch that takes longer is abandoned.
+inline constexpr duration kFetchTimeout = 600ms;
+/// \brief Delay before another source is asked.
+inline constexpr duration kFetchRetryDelay = 100ms;
+/// \brief Time in which a newer view has been fetched even if the first source
+/// does not answer: kFetchTimeout + kFetchRetryDelay + a read.
+inline constexpr duration kMaxFetchTime =
+    kFetchTimeout + kFetchRetryDelay + kReadTimeAllowance;
+
 /// \brief Callbacks of the fetcher to its owner.
 struct fetch_handlers {
   /// Returns the request for what this balancer lacks.
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -44,7 +44,7 @@
   static constexpr size_t kRequiredFields = 9;
   view_member self;
   bool wants_reply = false;    ///< The sender requests members of its domain.
-  bool watches_table = false;  ///< It watches the table and its reads succeed.
+  bool watches_table = false;  ///< It watches the table and is answered.
   uint64_t table_version = 0;
   uint64_t revision = 0;  ///< Of the sender's upstream list.
   uint64_t digest = 0;    ///< ListDigest() of that list.
@@ -55,8 +55,9 @@
   /// Time since the end of the last outage of the registry, 0 during one;
   /// kNoOutage if its effects are over.
   uint32_t outage_age_ms = kNoOutage;
-  /// Time since a balancer that watches the table confirmed the version of the
-  /// sender; see ConfirmationAgeMs().
+  /// Time since an answer of the platform, to the sender or to a balancer that
+  /// reported to it, confirmed the version of the sender; see
+  /// ConfirmationAgeMs().
   uint32_t table_age_ms = kNotConfirmed;
   auto operator<=>(const view_report&) const = default;
 };
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -5,9 +5,6 @@
 
 #include <algorithm>
 
-#include "direct/registry_follower.h"
-#include "direct/table_confirmation.h"
-
 namespace radishyard {
 namespace {
 
@@ -188,12 +185,6 @@
   return effect;
 }
 
-bool IsTableRelayAllowed(duration list_interval, duration edit_bound) {
-  const duration detection_time = list_interval + kReadTimeAllowance;
-  const duration read_time = kReadTimeAllowance;
-  return detection_time + kTableConfirmationTimeout + read_time <= edit_bound;
-}
-
 report_effect ApplyReport(forwarding_state& state, const view_report& report,
                           time_point now) {
   ApplyOutageAge(state, report.outage_age_ms, now);
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -43,15 +43,6 @@
 snapshot_effect ApplySnapshot(forwarding_state& state,
                               const view_snapshot& snapshot, time_point now);
 
-/// \brief True if a balancer may rely on the readers of its domain for the
-/// table.
-///
-/// If the readers lose the platform, the balancer reads the table itself only
-/// after they have detected that, its own confirmation has timed out and its
-/// read has returned. An edit must take effect within `edit_bound` even then.
-/// \param list_interval interval at which readers read the upstream list.
-bool IsTableRelayAllowed(duration list_interval, duration edit_bound);
-
 /// \brief The effect of a received report.
 enum class report_effect : uint8_t {
   kNone,
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -56,7 +56,8 @@
   }
 };
 
-/// A registry with a list set by the test; it fails while it is unreachable.
+/// A registry with a list and a table set by the test. Its reads fail while it
+/// is unreachable. It never answers the watches that it loses.
 class fake_registry : public registry {
  public:
   explicit fake_registry(asio::io_context& io) : io_(io) {}
@@ -79,20 +80,26 @@
   void ReadTable(store_handler<table_update> handler) override {
     asio::post(io_, [this, handler = std::move(handler)] {
       if (is_unreachable) return handler(std::nullopt, Unreachable());
-      handler(table_update{MakeRoutingTable(), 1}, {});
+      handler(table_update{table, 1}, {});
     });
   }
   void WatchTable(uint64_t revision, duration wait,
                   store_handler<table_update> handler) override {
-    const auto timer = std::make_shared<asio::steady_timer>(io_, wait);
-    timer->async_wait(
-        [timer, revision, handler = std::move(handler)](error_code error) {
-          if (!error) handler(table_update{std::nullopt, revision}, {});
-        });
+    const bool is_lost = loses_watches;
+    const auto timer = std::make_shared<asio::steady_timer>(
+        io_, is_lost ? wait + kRegistryTimeout : wait);
+    timer->async_wait([timer, revision, is_lost,
+                       handler = std::move(handler)](error_code error) {
+      if (error) return;
+      if (is_lost) return handler(std::nullopt, Unreachable());
+      handler(table_update{std::nullopt, revision}, {});
+    });
   }
 
   upstream_list list;
+  routing_table table = MakeRoutingTable();
   bool is_unreachable = false;
+  bool loses_watches = false;
   int list_reads = 0;  ///< Of the list or its changes.
 
  private:
@@ -212,6 +219,26 @@
   EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
 }
 
+// A store that was silent for a second loses the watches that it received then
+// and answers everything else. Callers were sent to upstreams of the table
+// before the edit until the watches failed.
+TEST_F(balancer_on_loopback, TakesAnEditInTimeAlthoughTheWatchWasLost) {
+  const direct_settings config = MakeSettings(FindFreePort());
+  source_.loses_watches = true;
+  direct_balancer balancer(io_, config, codec_, source_);
+  balancer.Start();
+  RunFor(300ms);
+  source_.loses_watches = false;
+  published_address added = source_.table.addresses.back();
+  ++added.address.port;
+  source_.table.addresses.push_back(added);
+  ++source_.table.version;
+  RunFor(config.edit_bound);
+  SendOpening(config.traffic, added.address.port);
+  RunFor(100ms);
+  EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
+}
+
 TEST_F(balancer_on_loopback, StopsOncePacketsCeaseToArrive) {
   direct_balancer balancer(io_, MakeSettings(FindFreePort()), codec_, source_);
   balancer.Start();
--- a/test/peer_exchange_test.cc
+++ b/test/peer_exchange_test.cc
@@ -47,6 +47,7 @@
       world_.state,
       {.on_snapshot = [](const endpoint&, const snapshot_effect&) {},
        .watches_table = [] { return false; },
+       .table_read_at = [] { return time_point{}; },
        .on_activity =
            [this] {
              if (std::exchange(was_paused_, false)) exchange_.DiscardReceived();
@@ -62,11 +63,11 @@
   was_paused_ = true;
   io_.run_for(50ms);
   EXPECT_FALSE(HasMembers());
-  EXPECT_EQ(exchange_.table_confirmed_at(), time_point{});
+  EXPECT_EQ(exchange_.confirmation().at, time_point{});
   SendReport();
   io_.run_for(50ms);
   EXPECT_TRUE(HasMembers());
-  EXPECT_NE(exchange_.table_confirmed_at(), time_point{});
+  EXPECT_NE(exchange_.confirmation().at, time_point{});
 }
 
 // One datagram of another program, or of a later release, must not stop the
--- a/test/registry_follower_test.cc
+++ b/test/registry_follower_test.cc
@@ -10,7 +10,7 @@
 using clock = std::chrono::steady_clock;
 
 /// A registry whose results the test sets. A watch returns only at the end of
-/// its waiting time.
+/// its waiting time, or fails later if it is lost.
 class scripted_registry : public registry {
  public:
   explicit scripted_registry(asio::io_context& io) : io_(io) {}
@@ -41,13 +41,17 @@
       handler(table_update{routing_table{.version = 1}, 1}, {});
     });
   }
-  void WatchTable(uint64_t, duration wait,
+  void WatchTable(uint64_t revision, duration wait,
                   store_handler<table_update> handler) override {
     ++table_watches;
-    const auto timer = std::make_shared<asio::steady_timer>(io_, wait);
+    last_watched_revision = revision;
+    const auto timer = std::make_shared<asio::steady_timer>(
+        io_, loses_watches ? wait + kRegistryTimeout : wait);
     timer->async_wait([this, timer, handler = std::move(handler)](error_code) {
+      if (loses_watches)
+        return handler(std::nullopt, failure{failure_kind::kUnavailable, ""});
       if (watch_failure) return handler(std::nullopt, *watch_failure);
-      handler(table_update{std::nullopt, 1}, {});
+      handler(table_update{std::nullopt, watch_revision}, {});
     });
   }
 
@@ -56,7 +60,10 @@
   std::optional<failure> change_failure;
   upstream_changes changes{.revision = 1};
   uint64_t last_base_revision = 0;
+  uint64_t last_watched_revision = 0;
+  uint64_t watch_revision = 0;  ///< Returned by watches.
   bool ignores_list_reads = false;
+  bool loses_watches = false;
   int change_reads = 0, list_reads = 0, table_reads = 0, table_watches = 0;
 
  private:
@@ -187,6 +194,16 @@
   EXPECT_EQ(source_.list_reads, 1);
 }
 
+TEST_F(registry_following, WatchesTheTableFromTheLastChangeDelivered) {
+  Start(kShortIntervals);
+  io_.run_for(150ms);
+  EXPECT_GT(source_.table_watches, 1);
+  EXPECT_EQ(source_.last_watched_revision, 1U);
+  source_.watch_revision = 5;
+  io_.run_for(250ms);
+  EXPECT_EQ(source_.last_watched_revision, 5U);
+}
+
 TEST_F(registry_following, ReadsTheTableAgainAtOnceAfterLostHistory) {
   Start(kShortIntervals);
   source_.watch_failure = failure{failure_kind::kNotFound, "410"};
@@ -217,5 +234,43 @@
   EXPECT_FALSE(follower_->IsFollowingTable(clock::now()));
 }
 
+// A store that has lost a watch goes on to answer the reads of the list. Others
+// that rely on this balancer must not take the waiting watch for a
+// confirmation.
+TEST_F(registry_following, AWatchWithoutAnAnswerConfirmsNothing) {
+  source_.loses_watches = true;
+  Start({.list_interval = 50ms, .watch_wait = 100ms});
+  io_.run_for(50ms);
+  const time_point confirmed_at = follower_->table_read_at();
+  EXPECT_TRUE(follower_->IsFollowingTable(clock::now()));
+  io_.run_for(100ms + 2 * kReadTimeAllowance + 100ms);
+  EXPECT_FALSE(follower_->IsFollowingTable(clock::now()));
+  EXPECT_EQ(follower_->table_read_at(), confirmed_at);
+}
+
+// The bounds of the users' deployments, and one that is longer.
+TEST(FollowerTimes, AChangeIsKnownInTimeAlthoughAnAnswerIsLost) {
+  for (const duration bound : {2000ms, 3000ms, 5000ms, 6000ms, 60000ms}) {
+    const follower_times times = MakeFollowerTimes(bound, bound);
+    for (const duration interval : {times.list_interval, times.watch_wait}) {
+      EXPECT_LE(interval + kRegistryTimeout + times.backoff.first +
+                    kReadTimeAllowance,
+                bound);
+      EXPECT_LE(2 * interval, bound);
+    }
+  }
+}
+
+// A read that has failed before is repeated after the longest delay. If the
+// store loses it too, no watch was waiting.
+TEST(FollowerTimes, ALostRepetitionTakesNoLongerThanALostWatch) {
+  const follower_times times = MakeFollowerTimes(3s, 3s);
+  EXPECT_LE(times.backoff.longest, times.watch_wait + times.backoff.first);
+}
+
+TEST(FollowerTimes, AWatchWaitsForNoLongerThanTheStoreAllows) {
+  EXPECT_LE(MakeFollowerTimes(3s, 600s).watch_wait, 30s);
+}
+
 }  // namespace
 }  // namespace radishyard
--- a/test/start_policy_test.cc
+++ b/test/start_policy_test.cc
@@ -54,12 +54,12 @@
   table_confirmation hears_watcher;
   ApplyConfirmation(hears_watcher, MakeReport(7, true, 0), 7, AtMs(5000));
   EXPECT_EQ(hears_watcher.at, AtMs(5000));
-  const uint32_t age = ConfirmationAgeMs(hears_watcher, false, AtMs(5400));
+  const uint32_t age = ConfirmationAgeMs(hears_watcher, {}, AtMs(5400));
   EXPECT_EQ(age, 400U);
   table_confirmation hears_other;
   ApplyConfirmation(hears_other, MakeReport(7, false, age), 7, AtMs(5410));
   EXPECT_EQ(hears_other.at, AtMs(5010));
-  EXPECT_EQ(ConfirmationAgeMs(hears_other, false, AtMs(5420)), kNotConfirmed);
+  EXPECT_EQ(ConfirmationAgeMs(hears_other, {}, AtMs(5420)), kNotConfirmed);
 }
 
 TEST(TableConfirmation, DoesNotConfirmAnOlderVersion) {
@@ -88,14 +88,42 @@
   EXPECT_EQ(confirmation.at, time_point{}) << "an older version was fetched";
   ConfirmFetchedTable(confirmation, 7);
   EXPECT_EQ(confirmation.at, AtMs(5000));
-  EXPECT_EQ(ConfirmationAgeMs(confirmation, false, AtMs(5300)), 300U);
+  EXPECT_EQ(ConfirmationAgeMs(confirmation, {}, AtMs(5300)), 300U);
 }
 
 TEST(TableConfirmation, ExpiresWithItsTimeout) {
   table_confirmation confirmation;
   ApplyConfirmation(confirmation, MakeReport(7, true, 0), 7, AtMs(5000));
-  EXPECT_EQ(ConfirmationAgeMs(confirmation, false, AtMs(6501)), kNotConfirmed);
-  EXPECT_EQ(ConfirmationAgeMs(confirmation, true, AtMs(9000)), 0U);
+  const time_point expired = AtMs(5001) + kMaxPassedOnAge;
+  EXPECT_EQ(ConfirmationAgeMs(confirmation, {}, expired), kNotConfirmed);
+  EXPECT_EQ(ConfirmationAgeMs(confirmation, expired, expired), 0U);
+}
+
+// A balancer whose watch waits says how long ago the store has answered it. The
+// store may have lost the watch since.
+TEST(TableConfirmation, CountsFromTheAnswerToTheWatcher) {
+  table_confirmation confirmation;
+  ApplyConfirmation(confirmation, MakeReport(7, true, 1800), 7, AtMs(15000));
+  EXPECT_EQ(confirmation.at, AtMs(13200));
+  EXPECT_EQ(ConfirmationAgeMs(confirmation, {}, AtMs(15100)), 1900U);
+  ApplyConfirmation(confirmation, MakeReport(7, true, 2500), 7, AtMs(15200));
+  EXPECT_EQ(confirmation.at, AtMs(13200))
+      << "a later report of an earlier time";
+}
+
+// The monotonic clock begins when the VM boots.
+TEST(TableConfirmation, NothingIsConfirmedBeforeTheFirstAnswer) {
+  EXPECT_EQ(ConfirmationAgeMs({}, {}, AtMs(100)), kNotConfirmed);
+  EXPECT_FALSE(IsTableConfirmed({}, 3s, AtMs(100)));
+  EXPECT_TRUE(IsTableConfirmed({.at = AtMs(100)}, 3s, AtMs(3100)));
+  EXPECT_FALSE(IsTableConfirmed({.at = AtMs(100)}, 3s, AtMs(3101)));
+}
+
+TEST(TableConfirmation, OfAnEarlierReleaseCountsFromItsArrival) {
+  table_confirmation confirmation;
+  ApplyConfirmation(confirmation, MakeReport(7, true, kNotConfirmed), 7,
+                    AtMs(15000));
+  EXPECT_EQ(confirmation.at, AtMs(15000));
 }
 
 }  // namespace
--- a/test/view_sharing_test.cc
+++ b/test/view_sharing_test.cc
@@ -242,11 +242,21 @@
   EXPECT_EQ(world.state.directory.read_at, AtMs(1500));
 }
 
-// Readers that have lost the platform appear to follow the table until their
-// next read of the list fails. An edit may have to take effect before that.
+// A reader whose watch the platform has lost learns of an edit late, and so do
+// those that rely on it. An edit may have to take effect before that.
 TEST(ViewSharing, ReliesOnOthersForTheTableOnlyIfTheEditBoundAllows) {
   EXPECT_FALSE(IsTableRelayAllowed(1500ms, 3s));
   EXPECT_TRUE(IsTableRelayAllowed(2500ms, 5s));
+  EXPECT_FALSE(IsTableRelayAllowed(10s, 5s));
+}
+
+// The readers are gone: a balancer that relies on them reads the table in time.
+TEST(ViewSharing, ReadsTheTableInTimeOnceNobodyConfirmsIt) {
+  for (const duration bound : {5000ms, 6000ms}) {
+    EXPECT_LE(TableConfirmationTimeout(bound) +
+                  follower_times{}.recheck_interval + kReadTimeAllowance,
+              bound);
+  }
 }
 
 TEST(ViewSharing, DigestCoversWhatPlacementDependsOn) {
