One lost response ends the use of all idle connections

Connections may go silent for good, all at once. After a request had timed out, the next one took another idle connection and waited for its timeout too. So the read that replaces a lost one could be lost again, which the sum of store/answer_timing.h does not allow for.

Change: a request without a response closes the idle connections of its client. OneLostResponseEndsTheUseOfAllIdleConnections failed without it.

--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -189,6 +189,7 @@
             const std::shared_ptr<http_exchange>& ended,
             const http_result& result) {
           self->running_exchanges_.erase(ended);
+          self->DropDoubtfulStreams(result);
           handler(result);
         });
     running_exchanges_.insert(exchange);
@@ -241,12 +242,20 @@
                       const http_result& result, const http_handler& handler) {
     --active_exchanges_;
     running_exchanges_.erase(ended);
+    DropDoubtfulStreams(result);
     if (stream_ptr stream = ended->TakeStream())
       idle_streams_.push_back(std::move(stream));
     StartQueuedRequests();
     handler(result);
   }
 
+  /// Closes the idle connections after a request without a response. What has
+  /// silenced its connection may have silenced them too, and the next request
+  /// would wait for its timeout to find out.
+  void DropDoubtfulStreams(const http_result& result) {
+    if (!result.response) idle_streams_.clear();
+  }
+
   /// Returns an idle connection that is still usable, or null.
   stream_ptr TakeIdleStream() {
     while (!idle_streams_.empty()) {
--- a/test/http_store_test.cc
+++ b/test/http_store_test.cc
@@ -231,6 +231,83 @@
   }
 }
 
+/// A server that answers each request with an object, until Silence(): after
+/// that, only on connections that were opened later.
+class silenced_server {
+ public:
+  explicit silenced_server(asio::io_context& io)
+      : acceptor_(io, {asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+  endpoint address() const {
+    return {kLoopback, acceptor_.local_endpoint().port()};
+  }
+  void Silence() { first_answered_ = accepted_; }
+  int accepted() const { return accepted_; }
+
+ private:
+  struct session {
+    asio::ip::tcp::socket socket;
+    int number;
+    std::string received;
+    std::string response;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](error_code error, auto socket) {
+      if (error) return;
+      Receive(std::make_shared<session>(std::move(socket), accepted_++));
+      Accept();
+    });
+  }
+
+  void Receive(const std::shared_ptr<session>& s) {
+    asio::async_read_until(s->socket, asio::dynamic_buffer(s->received),
+                           "\r\n\r\n",
+                           [this, s](error_code error, size_t size) {
+                             if (error) return;
+                             s->received.erase(0, size);
+                             if (s->number >= first_answered_) Answer(s);
+                             Receive(s);
+                           });
+  }
+
+  static void Answer(const std::shared_ptr<session>& s) {
+    s->response = OkResponse(R"({"key":"a","value":"1","version":1})");
+    asio::async_write(s->socket, asio::buffer(s->response),
+                      [s](error_code, size_t) {});
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  int accepted_ = 0;
+  int first_answered_ = 0;
+};
+
+// Connections may go silent for good without a reset, all at once. Each of them
+// would cost another timeout.
+TEST(HttpStore, OneLostResponseEndsTheUseOfAllIdleConnections) {
+  asio::io_context io;
+  silenced_server server(io);
+  const auto store = MakeHttpStore(io, server.address(), kTimeout);
+  int answered = 0;
+  int failed = 0;
+  const auto count = [&](const auto& value, const failure&) {
+    value ? ++answered : ++failed;
+  };
+  store->Get("a", count);
+  store->Get("a", count);
+  io.run_for(50ms);
+  ASSERT_EQ(answered, 2);
+  ASSERT_EQ(server.accepted(), 2);
+  server.Silence();
+  store->Get("a", count);
+  io.run_for(kTimeout + 50ms);
+  ASSERT_EQ(failed, 1);
+  store->Get("a", count);
+  io.run_for(50ms);
+  EXPECT_EQ(answered, 3);
+}
+
 TEST(HttpStore, CallsNoHandlerAfterItsDestruction) {
   asio::io_context io;
   platform_server server(io, 0);
