radishyardd learns of edits within seconds although the store has lost a watch

If the store had lost it, an edit stayed unknown to the domain for half a minute; the aim is 7 s.

Change: the wait follows from the bound: 2.7 s + 2 s timeout + 500 ms retry + 300 ms read = 5.5 s, 1.5 s are left for the way through the peers.

Looked at besides: reads and writes of the store (2 s timeout each), handover chunks (sent again after 250 ms), fetches of views (600 ms), radishyardctl (--timeout for each call): bounded, unchanged.

--- a/src/control/store_follower.cc
+++ b/src/control/store_follower.cc
@@ -2,12 +2,16 @@
 #include "control/store_follower.h"
 
 #include "observe/log.h"
+#include "store/answer_timing.h"
 
 namespace radishyard {
 namespace {
 
-constexpr duration kWatchWait = 30s;
 constexpr duration kRetryDelay = 500ms;
+/// kWatchWait + kStoreTimeout + kRetryDelay + kReadTimeAllowance <=
+/// kStoreChangeBound.
+constexpr duration kWatchWait = MaxAnswerInterval(
+    kStoreChangeBound, answer_timing{kStoreTimeout, kRetryDelay});
 const std::string kAllKeys;  // The empty prefix.
 
 }  // namespace
--- a/src/control/store_follower.h
+++ b/src/control/store_follower.h
@@ -9,13 +9,19 @@
 
 namespace radishyard {
 
+/// \brief A change in the store is delivered within this time, even if the
+/// store has lost a watch. The rest of the 7 s in which an edit takes effect on
+/// all balancers is for its way through the peers.
+inline constexpr duration kStoreChangeBound = 5500ms;
+
 /// \brief Calls a handler for every object in the replies of the store, old or
 /// new.
 ///
-/// A single pending watch covers all kinds of objects. After a failure, or a
-/// reply with an older revision or a repeated event, the follower lists all
-/// objects again. The handler has to decide which version of an object is
-/// newer, because a reply may be stale.
+/// A single pending watch covers all kinds of objects. Its wait is short,
+/// because a watch that the store has lost looks like one without changes.
+/// After a failure, or a reply with an older revision or a repeated event, the
+/// follower lists all objects again. The handler has to decide which version of
+/// an object is newer, because a reply may be stale.
 class store_follower {
  public:
   using object_handler = std::function<void(const stored_object&)>;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -10,8 +10,6 @@
 namespace radishyard {
 namespace {
 
-constexpr duration kStoreTimeout = 2s;
-
 using json = nlohmann::json;
 
 json ServicesToJson(const service_table& table) {
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -13,6 +13,10 @@
 
 namespace radishyard {
 
+/// \brief A call of a balancer that is not answered fails after this time; a
+/// watch, after its wait and this time.
+inline constexpr duration kStoreTimeout = 2s;
+
 /// \brief One object of the store.
 struct stored_object {
   std::string key;       ///< For example "services/survey-link".
--- a/test/support/fake_store.cc
+++ b/test/support/fake_store.cc
@@ -118,6 +118,8 @@
   if (ConsumeFault(fault_mode::kStaleWatch))
     return Reply<object_batch>(handler,
                                platform_.ChangedAfter(prefix, 0, true));
+  if (ConsumeFault(fault_mode::kLostWatch))
+    return LoseWatch(wait, std::move(handler));
   object_batch changed = platform_.ChangedAfter(prefix, revision, false);
   if (!changed.objects.empty())
     return Reply<object_batch>(handler, std::move(changed));
@@ -131,6 +133,15 @@
       });
 }
 
+void fake_store::LoseWatch(duration wait, store_handler<object_batch> handler) {
+  const auto timer =
+      std::make_shared<asio::steady_timer>(io_, wait + kStoreTimeout);
+  timer->async_wait([timer, handler = std::move(handler),
+                     alive = std::weak_ptr<bool>(alive_)](error_code error) {
+    if (!error && !alive.expired()) handler(std::nullopt, kPlatformDown);
+  });
+}
+
 void fake_store::ListVms(store_handler<std::vector<vm_entry>> handler) {
   ++calls_.vms;
   if (ConsumeFault(fault_mode::kOutage))
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -20,6 +20,7 @@
   kLostResponse,  ///< Writes take effect, their response is lost.
   kStaleRead,     ///< Get and List return the previous version.
   kStaleWatch,    ///< Watches return the previous versions.
+  kLostWatch,     ///< Watches are never answered; they fail at their timeout.
 };
 
 /// \brief A fault that affects the next `count` calls of its kind; 0 means no
@@ -119,6 +120,7 @@
   void Reply(const store_handler<T>& handler, std::optional<T> value,
              failure why = {});
   void NotifyWatches();
+  void LoseWatch(duration wait, store_handler<object_batch> handler);
   void CompleteWatch(const std::shared_ptr<pending_watch>& watch,
                      std::optional<object_batch> batch);
 
