--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -105,7 +105,7 @@
                       [self = shared_from_this()](error_code error, size_t n) {
                         self->result_.sent = n > 0;
                         if (error) return self->Fail(error);
-                        self->Read();
+                        self->ReadHeader();
                       });
   }
 
@@ -126,7 +126,19 @@
   }
 
  private:
-  void Read() {
+  /// The parser checks the announced length of the body against its limit only
+  /// at the end of the header. Read in one operation, a body whose first bytes
+  /// are there is reserved before.
+  void ReadHeader() {
+    http::async_read_header(
+        *stream_, buffer_, parser_,
+        [self = shared_from_this()](error_code error, size_t) {
+          if (error) return self->Fail(error);
+          self->ReadBody();
+        });
+  }
+
+  void ReadBody() {
     http::async_read(*stream_, buffer_, parser_,
                      [self = shared_from_this()](error_code error, size_t) {
                        if (error) return self->Fail(error);
--- a/test/http_store_test.cc
+++ b/test/http_store_test.cc
@@ -118,6 +118,19 @@
   }
 }
 
+// A body that is announced as huge, and has begun, must not be reserved: the
+// process ended for want of memory.
+TEST(HttpStore, RefusesAnAnnouncedLengthBeyondTheLimit) {
+  for (const char* length : {"1000000000000", "18446744073709551615"}) {
+    asio::io_context io;
+    const scripted_server server(
+        io, std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length +
+                "\r\n\r\n{}");
+    EXPECT_EQ(CallGetAndPut(io, server.address()),
+              (call_failures{failure_kind::kInvalid, failure_kind::kUnknown}));
+  }
+}
+
 TEST(HttpStore, TimesOutOnALateResponse) {
   asio::io_context io;
   platform_server server(io, 0);
