--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -220,6 +220,8 @@
     const uint64_t version = table.version;
     const uint64_t addresses = table.addresses.size();
     counters_.invalid_entries += table.invalid_entries;
+    // The table in force, read as a whole again.
+    if (version == state_.table.version) return;
     const bool taken = ApplyTable(state_, std::move(table));
     if (taken) ++counters_.tables_applied;
     Log(severity::kInfo, taken ? "table_taken" : "table_older",
@@ -370,7 +372,8 @@
     Log(severity::kWarn, "suspended",
         {{"ms", static_cast<uint64_t>(ToMs(elapsed))}});
     state_.directory.read_at -= elapsed;
-    follower_.ReadListNow();
+    peers_.RecordSuspension(elapsed);
+    follower_.RecordSuspension(elapsed);
   }
 
   void MaintainState(time_point now) {
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -319,6 +319,11 @@
 
 void peer_exchange::DiscardReceived() { core_->DiscardReceived(); }
 
+void peer_exchange::RecordSuspension(duration elapsed) {
+  core_->DiscardReceived();
+  radishyard::RecordSuspension(core_->table_confirmation_, elapsed);
+}
+
 void peer_exchange::ReportNow() { core_->SendReports(kMaxUrgentTargets); }
 
 void peer_exchange::ReportSilence(upstream_id upstream) {
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -54,6 +54,9 @@
   /// \brief Drops the messages that have arrived and were not handled. Those
   /// that arrived during a pause of this process are older than they say.
   void DiscardReceived();
+  /// \brief Drops what has arrived, and ages the confirmations of the table,
+  /// after the VM was suspended for `elapsed`.
+  void RecordSuspension(duration elapsed);
   /// \brief Sends a report at once, after a read of the platform that changed
   /// the list or the table.
   void ReportNow();
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -43,7 +43,10 @@
   ReadList();
 }
 
-void registry_follower::ReadListNow() {
+void registry_follower::RecordSuspension(duration elapsed) {
+  if (table_read_at_ != time_point{}) table_read_at_ -= elapsed;
+  whole_table_at_ -= elapsed;
+  if (base_) base_->requested_at -= elapsed;
   list_.timer.cancel();
   ReadList();
 }
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -68,8 +68,10 @@
                     uint64_t seed);
 
   void Start();
-  /// \brief Reads the list at once if it is needed and no read is in flight.
-  void ReadListNow();
+  /// \brief Takes into account that the VM was suspended for `elapsed`, which
+  /// the monotonic clock does not count. Reads the list at once if it is needed
+  /// and no read is in flight.
+  void RecordSuspension(duration elapsed);
   /// \brief True while a watch of the table is in flight, the one before it was
   /// answered, and reads of the list succeed. The watch alone would take
   /// seconds to show that the platform is unreachable.
--- a/src/direct/table_confirmation.cc
+++ b/src/direct/table_confirmation.cc
@@ -52,6 +52,14 @@
   at = std::max(at, *confirmed_at);
 }
 
+void RecordSuspension(table_confirmation& confirmation, duration elapsed) {
+  for (time_point* at :
+       {&confirmation.direct_at, &confirmation.at,
+        &confirmation.fetched_direct_at, &confirmation.fetched_at}) {
+    if (*at != time_point{}) *at -= elapsed;
+  }
+}
+
 void ConfirmFetchedTable(table_confirmation& confirmation,
                          uint64_t own_version) {
   if (confirmation.fetched_version > own_version) return;
--- a/src/direct/table_confirmation.h
+++ b/src/direct/table_confirmation.h
@@ -48,11 +48,16 @@
 
 /// \brief Applies the confirmation in a report, if it has one: at that time the
 /// current version was not newer than `own_version`. An earlier release reports
-/// no age if it watches the table; its report counts from its arrival.
+/// no age, or 0, while it watches the table; its report counts from its
+/// arrival.
 void ApplyConfirmation(table_confirmation& confirmation,
                        const view_report& report, uint64_t own_version,
                        time_point now);
 
+/// \brief Takes into account that the VM was suspended for `elapsed`, which the
+/// monotonic clock does not count.
+void RecordSuspension(table_confirmation& confirmation, duration elapsed);
+
 /// \brief Takes over what reports have confirmed of a newer version once it is
 /// the own one.
 void ConfirmFetchedTable(table_confirmation& confirmation,
--- a/test/start_policy_test.cc
+++ b/test/start_policy_test.cc
@@ -119,6 +119,14 @@
   EXPECT_FALSE(IsTableConfirmed({.at = AtMs(100)}, 3s, AtMs(3101)));
 }
 
+// The monotonic clock stands still while the VM is suspended.
+TEST(TableConfirmation, IsOlderAfterASuspension) {
+  table_confirmation confirmation{.at = AtMs(5000)};
+  RecordSuspension(confirmation, 4s);
+  EXPECT_FALSE(IsTableConfirmed(confirmation, 3s, AtMs(5001)));
+  EXPECT_EQ(confirmation.direct_at, time_point{});
+}
+
 TEST(TableConfirmation, OfAnEarlierReleaseCountsFromItsArrival) {
   table_confirmation confirmation;
   ApplyConfirmation(confirmation, MakeReport(7, true, kNotConfirmed), 7,
