--- a/test/http_store_test.cc
+++ b/test/http_store_test.cc
@@ -260,8 +260,10 @@
 
  private:
   struct session {
+    session(asio::ip::tcp::socket accepted, int n)
+        : socket(std::move(accepted)), number(n) {}
     asio::ip::tcp::socket socket;
-    int number;
+    int number;  ///< In the order of acceptance.
     std::string received;
     std::string response;
   };
