A balancer goes on watching the store for 30 s after it was listed

Cause, as far as it is shown: a balancer that is listed and no delegate stops following the store once its pending watch has returned. That watch waited for 30 s, so all balancers of the test in fact watched throughout. With a watch of 2.7 s they rely on their peers at once.

Change: what the long watch did by chance is said: the store is watched for 30 s after the balancer was listed or ceased to be a delegate. ABalancerGoesOnWatchingTheStoreOnceItIsListed checks it.

--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -14,6 +14,10 @@
 // A leaving balancer that owns no pool any more still forwards the packets that
 // the fabric sends to it for this time.
 constexpr duration kDepartureDelay = 2s;
+/// A balancer goes on watching the store for this long after its roster has
+/// listed it, or others have become the delegates. The roster changes several
+/// times while balancers are replaced one after the other.
+constexpr duration kWatchAfterListing = 30s;
 
 member MakeSelf(const settings& config, uint64_t incarnation) {
   member self;
@@ -70,7 +74,7 @@
 void controller::Tick(time_point now) {
   UpdateLiveness(now);
   UpdateLinks();
-  UpdateStoreWatch();
+  UpdateStoreWatch(now);
   PollVms(now);
   ProposeRosterIfDue(now);
   PublishIfChanged();
@@ -119,14 +123,14 @@
 }
 
 // Only the delegates of a domain, and balancers that its roster does not list
-// yet, watch the store. The other balancers receive the objects from peers.
-void controller::UpdateStoreWatch() {
+// yet or has listed lately, watch the store. The other balancers receive the
+// objects from peers.
+void controller::UpdateStoreWatch(time_point now) {
   if (IsDelegate() ||
       FindMember(rosters_.Latest(config_.domain).value, self_.id) == nullptr) {
-    follower_.Start();
-  } else {
-    follower_.Stop();
+    watch_until_ = now + kWatchAfterListing;
   }
+  now < watch_until_ ? follower_.Start() : follower_.Stop();
 }
 
 void controller::PublishIfChanged() {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -77,7 +77,7 @@
   void ApplyServiceRecord(const std::string& value, uint64_t version,
                           bool forward);
   void OnStoreReachability(bool reachable);
-  void UpdateStoreWatch();
+  void UpdateStoreWatch(time_point now);
   void PublishIfChanged();
   void InheritCounts(const routing_view& view);
   void PublishGrants(time_point now, std::function<void()> done = {});
@@ -153,6 +153,7 @@
   std::map<member_id, time_point> digest_sent_at_;
   vm_list_history vm_history_;
   bool store_reachable_ = false;
+  time_point watch_until_{};    // See UpdateStoreWatch().
   bool links_outdated_ = true;  // Rosters or liveness have changed.
   bool view_outdated_ = false;  // An input of the routing view has changed.
   std::optional<time_point> change_due_since_;
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -82,6 +82,19 @@
   EXPECT_TRUE(world.RunUntil([&] { return AllHaveVersion(version); }, 3s));
 }
 
+// Balancers that are listed but no delegates rely on their peers. While many
+// are replaced, rosters follow each other faster than the peers pass them on,
+// and callers' requests were lost.
+TEST_F(control_test, ABalancerGoesOnWatchingTheStoreOnceItIsListed) {
+  StartAll();
+  std::map<std::string, uint64_t> watches;
+  for (const auto& [name, node] : world.nodes)
+    watches[name] = node->store.calls().watches;
+  EXPECT_FALSE(world.RunUntil([] { return false; }, 6s));
+  for (const auto& [name, node] : world.nodes)
+    EXPECT_GT(node->store.calls().watches, watches[name]) << name;
+}
+
 TEST_F(control_test, SuccessorTakesOverFromAnUnresponsiveOwner) {
   StartAll();
   const std::string owner = *world.FindPlacer(kRennesPool);
