--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -6,6 +6,7 @@
 
 #include "base/asio.h"
 #include "support/direct_world.h"
+#include "support/free_port.h"
 #include "support/http_client.h"
 
 namespace radishyard {
@@ -109,13 +110,6 @@
   asio::io_context& io_;
 };
 
-uint16_t FindFreePort() {
-  asio::io_context io;
-  const asio::ip::tcp::acceptor acceptor(io,
-                                         {asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint().port();
-}
-
 class balancer_on_loopback : public testing::Test {
  protected:
   balancer_on_loopback() {
