--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -83,8 +83,7 @@
 }
 
 // Balancers that are listed but no delegates rely on their peers. While many
-// are replaced, rosters follow each other faster than the peers pass them on,
-// and callers' requests were lost.
+// are replaced, the rosters change several times in a few seconds.
 TEST_F(control_test, ABalancerGoesOnWatchingTheStoreOnceItIsListed) {
   StartAll();
   std::map<std::string, uint64_t> watches;
