--- a/include/radishyard/direct.h
+++ b/include/radishyard/direct.h
@@ -11,6 +11,8 @@
 #include "direct/direct_counters.h"
 #include "direct/direct_packet.h"
 #include "direct/direct_settings.h"
+#include "direct/evacuation.h"
+#include "direct/evacuation_follower.h"
 #include "direct/flow_mark.h"
 #include "direct/flow_tracker.h"
 #include "direct/forwarder.h"
--- a/src/direct/decision_log.cc
+++ b/src/direct/decision_log.cc
@@ -76,6 +76,17 @@
   }
 }
 
+void LogEvacuations(const std::string& source,
+                    const evacuation_set& evacuations) {
+  std::string domains;
+  for (const std::string& domain : evacuations.list.domains)
+    domains += (domains.empty() ? "" : ",") + domain;
+  Log(severity::kInfo, "evacuations",
+      {{"source", source},
+       {"revision", evacuations.list.revision},
+       {"domains", domains.empty() ? "none" : domains}});
+}
+
 void LogNotice(const silence_notice& notice, bool is_contradicted) {
   for (const upstream_age& silent : notice.silent)
     Log(severity::kInfo, "silence_heard",
--- a/src/direct/decision_log.h
+++ b/src/direct/decision_log.h
@@ -24,6 +24,11 @@
 void LogDirectoryChanges(const std::vector<directory_change>& changes,
                          uint64_t revision);
 
+/// \brief Logs which domains are evacuated now, and whether the platform or
+/// which balancer said so.
+void LogEvacuations(const std::string& source,
+                    const evacuation_set& evacuations);
+
 /// \brief Logs changes of health states, with the statistics that led to them.
 void LogHealthChanges(const std::vector<health_change>& changes,
                       const upstream_directory& directory);
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -9,6 +9,7 @@
 #include "admin/admin_server.h"
 #include "direct/decision_log.h"
 #include "direct/direct_counters.h"
+#include "direct/evacuation_follower.h"
 #include "direct/forwarder.h"
 #include "direct/peer_exchange.h"
 #include "direct/registry_follower.h"
@@ -81,6 +82,7 @@
         follower_(io, source, times_, MakeFollowerHandlers(),
                   std::hash<std::string>()(config.name)) {
     state_.domain = config.domain;
+    if (config.evacuation_bound) FollowEvacuations(io, source);
     state_.directory.max_list_gap = times_.list_interval + kReadTimeAllowance;
     socket_.non_blocking(true);
     error_code ignored;  // A smaller buffer only drops packets earlier.
@@ -95,6 +97,7 @@
     // The others are asked first; the follower reads only what they lack.
     peers_.Start();
     follower_.Start();
+    if (evacuation_follower_) evacuation_follower_->Start();
     WaitForPackets();
     RunMaintenance();
   }
@@ -130,6 +133,10 @@
                 [this](const endpoint& peer, const snapshot_effect& effect) {
                   HandlePeerSnapshot(peer, effect);
                 },
+            .on_evacuations =
+                [this](const endpoint& peer) {
+                  LogEvacuations(ToString(peer), state_.evacuations);
+                },
             .watches_table =
                 [this] { return follower_.IsFollowingTable(clock::now()); },
             .table_read_at = [this] { return follower_.table_read_at(); },
@@ -166,6 +173,46 @@
                              TableConfirmationTimeout(config_.edit_bound), now);
   }
 
+  void FollowEvacuations(asio::io_context& io, registry& source) {
+    state_.honours_evacuations = true;
+    evacuation_times_ = MakeEvacuationTimes(
+        *config_.evacuation_bound, kRegistryTiming, kEvacuationRecheckInterval);
+    evacuation_follower_.emplace(
+        io, source, evacuation_times_.read_interval,
+        evacuation_handlers{
+            .on_list = [this](const evacuation_list& list,
+                              time_point at) { HandleEvacuations(list, at); },
+            .on_platform_state =
+                [this](const std::string& reason) {
+                  HandlePlatformState("evacuations", reason);
+                },
+            .needs_list = [this] { return NeedsEvacuations(clock::now()); },
+            .has_list =
+                [this] { return state_.evacuations.list.revision != 0; }},
+        std::hash<std::string>()(config_.name));
+  }
+
+  bool NeedsEvacuations(time_point now) const {
+    if (state_.evacuations.list.revision == 0) return !AwaitsPeers(now);
+    if (!evacuation_times_.is_relayed || peers_.IsRegistryReader(now))
+      return true;
+    return now - state_.evacuations.confirmed_at >
+           evacuation_times_.confirmation_timeout;
+  }
+
+  void HandleEvacuations(evacuation_list list, time_point at) {
+    ++counters_.evacuation_reads;
+    if (!LimitDomains(list, ListDomains(state_.directory)))
+      Log(severity::kWarn, "evacuations_limited",
+          {{"domains", uint64_t{list.domains.size()}}});
+    const bool is_changed = ApplyEvacuations(state_, std::move(list), at) ==
+                            evacuation_effect::kChanged;
+    CheckReady();
+    if (!is_changed) return;
+    LogEvacuations("platform", state_.evacuations);
+    peers_.ReportNow();
+  }
+
   void HandlePeerSnapshot(const endpoint& peer, const snapshot_effect& effect) {
     Log(severity::kInfo, "peer_view",
         {{"peer", ToString(peer)},
@@ -175,6 +222,8 @@
          {"table_taken", effect.table_applied ? "yes" : "no"},
          {"list_taken", effect.list_applied ? "yes" : "no"}});
     LogDirectoryChanges(effect.changes, state_.directory.revision);
+    if (effect.evacuations_changed)
+      LogEvacuations(ToString(peer), state_.evacuations);
     CheckReady();
   }
 
@@ -372,6 +421,7 @@
     Log(severity::kWarn, "suspended",
         {{"ms", static_cast<uint64_t>(ToMs(elapsed))}});
     state_.directory.read_at -= elapsed;
+    RecordSuspension(state_.evacuations, elapsed);
     peers_.RecordSuspension(elapsed);
     follower_.RecordSuspension(elapsed);
   }
@@ -418,6 +468,8 @@
   peer_exchange peers_;
   follower_times times_;
   registry_follower follower_;
+  evacuation_times evacuation_times_;
+  std::optional<evacuation_follower> evacuation_follower_;
 };
 
 direct_balancer::direct_balancer(asio::io_context& io,
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -31,6 +31,21 @@
   }
 }
 
+/// Adds which domains are evacuated, if evacuations are honoured.
+void AddEvacuations(metrics_page& page, const direct_counters& counters,
+                    const evacuation_set& evacuations, time_point now) {
+  AddCounter(page, "radishyard_evacuation_reads_total",
+             "Reads of the evacuation requests.", counters.evacuation_reads);
+  AddGauge(
+      page, "radishyard_evacuations_age_seconds",
+      "Time since the evacuation requests were last confirmed.",
+      std::chrono::duration<double>(now - evacuations.confirmed_at).count());
+  page.BeginMetric(metric_kind::kGauge, "radishyard_evacuated",
+                   "Failure domains whose upstreams get no new flows.");
+  for (const std::string& domain : evacuations.list.domains)
+    page.AddSample({{"domain", domain}}, 1);
+}
+
 }  // namespace
 
 std::string RenderMetricsPage(const direct_counters& counters,
@@ -100,6 +115,8 @@
   AddUpstreamGauge(page, state, "radishyard_upstream_unanswered",
                    "Openings and repeated data since the last sign of life.",
                    [](const known_upstream& u) { return u.stats.unanswered; });
+  if (state.honours_evacuations)
+    AddEvacuations(page, counters, state.evacuations, now);
   return page.Text();
 }
 
--- a/src/direct/direct_settings.cc
+++ b/src/direct/direct_settings.cc
@@ -137,6 +137,8 @@
   reader.ReadAddress("platform", s.platform);
   reader.ReadBound("drain_bound_ms", s.drain_bound);
   reader.ReadBound("edit_bound_ms", s.edit_bound);
+  if (document->contains("evacuation_bound_ms"))
+    reader.ReadBound("evacuation_bound_ms", s.evacuation_bound.emplace());
   reader.ReadBound("stop_grace_ms", s.stop_grace);
   reader.ReadLinkCapacity("link_mbps", s.link_mbps);
   reader.ReadLevel("log_level", s.level);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -38,6 +38,9 @@
   duration drain_bound = 3s;
   /// Longest time from an edit of the routing table to its effect.
   duration edit_bound = 3s;
+  /// Longest time from the request to evacuate a failure domain to the last new
+  /// flow there. Nothing if requests are not to be honoured.
+  std::optional<duration> evacuation_bound;
   /// Time from SIGTERM to SIGKILL.
   duration stop_grace = 6s;
   /// Capacity of the VM's network link in megabits a second.
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -14,8 +14,8 @@
 
 /// Names of verdict_reason in logs and metrics, in the order of its values.
 constexpr std::array<std::string_view, kVerdictReasonCount> kReasonNames{
-    "placed",      "marked",       "no_table",       "unknown_address",
-    "no_upstream", "unknown_mark", "silent_upstream"};
+    "placed",      "marked",       "no_table",        "unknown_address",
+    "no_upstream", "unknown_mark", "silent_upstream", "evacuated"};
 
 verdict ForwardTo(const known_upstream& upstream, verdict_reason reason) {
   return {verdict_action::kForward, reason, upstream.entry.id,
@@ -38,7 +38,8 @@
 
 /// Returns the upstream of a flow whose opening arrives again although the
 /// first one did not go unanswered: the network has duplicated it, or later
-/// packets of the flow have overtaken it. Returns null for any other opening.
+/// packets of the flow have overtaken it. Returns null for any other opening,
+/// and if the domain has been evacuated before the flow was open.
 known_upstream* FindPreviousPlacement(const forwarding_state& state,
                                       const direct_packet& packet) {
   const auto known = state.tracker.flows.find(packet.flow);
@@ -46,7 +47,18 @@
   const bool is_unconfirmed =
       packet.retransmission_count > 0 && !known->second.is_confirmed;
   if (is_unconfirmed) return nullptr;
-  return FindByMark(state.directory, known->second.mark);
+  known_upstream* const upstream =
+      FindByMark(state.directory, known->second.mark);
+  const bool must_move = upstream != nullptr && !known->second.is_confirmed &&
+                         IsEvacuated(state.directory, *upstream);
+  return must_move ? nullptr : upstream;
+}
+
+verdict_reason ReasonWithoutUpstream(const forwarding_state& state,
+                                     const std::string& service) {
+  return HasEvacuatedUpstream(state.directory, service)
+             ? verdict_reason::kEvacuated
+             : verdict_reason::kNoUpstream;
 }
 
 verdict PlaceOpening(forwarding_state& state, const direct_packet& packet,
@@ -66,7 +78,8 @@
       .opening_timeout = OpeningTimeout(state.tracker)};
   known_upstream* const upstream =
       ChooseUpstream(state.directory, request, now);
-  if (upstream == nullptr) return Refuse(verdict_reason::kNoUpstream);
+  if (upstream == nullptr)
+    return Refuse(ReasonWithoutUpstream(state, request.service));
   TrackOpening(state.tracker, state.directory, packet, *upstream, now);
   return ForwardTo(*upstream, verdict_reason::kPlaced);
 }
@@ -138,6 +151,26 @@
   return changes;
 }
 
+evacuation_effect ApplyEvacuations(forwarding_state& state,
+                                   evacuation_list list, time_point read_at) {
+  const evacuation_effect effect =
+      ApplyEvacuations(state.evacuations, std::move(list), read_at);
+  if (effect == evacuation_effect::kChanged)
+    SetEvacuatedDomains(state.directory, state.evacuations.list.domains);
+  return effect;
+}
+
+evacuation_effect ApplyEvacuationReport(forwarding_state& state,
+                                        const evacuation_report& report,
+                                        time_point now) {
+  if (!state.honours_evacuations) return evacuation_effect::kOlder;
+  const evacuation_effect effect =
+      ApplyEvacuationReport(state.evacuations, report, now);
+  if (effect == evacuation_effect::kChanged)
+    SetEvacuatedDomains(state.directory, state.evacuations.list.domains);
+  return effect;
+}
+
 std::vector<health_change> UpdateHealthStates(forwarding_state& state,
                                               time_point now) {
   std::vector<health_change> changes;
@@ -152,7 +185,10 @@
 }
 
 bool IsReady(const forwarding_state& state) {
-  return state.table.version != 0 && state.directory.has_list;
+  const bool knows_evacuations =
+      !state.honours_evacuations || state.evacuations.list.revision != 0;
+  return state.table.version != 0 && state.directory.has_list &&
+         knows_evacuations;
 }
 
 }  // namespace radishyard
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "direct/direct_packet.h"
+#include "direct/evacuation.h"
 #include "direct/flow_tracker.h"
 #include "direct/list_history.h"
 #include "direct/routing_table.h"
@@ -36,10 +37,13 @@
   /// The flow's upstream is unresponsive, also to another balancer if there is
   /// one, and the caller may retry its request on another flow.
   kUnresponsiveUpstream,
+  /// All upstreams of the service that could take new flows are in evacuated
+  /// domains.
+  kEvacuated,
 };
 
 /// \brief Size of an array that is indexed by verdict_reason.
-inline constexpr size_t kVerdictReasonCount = 7;
+inline constexpr size_t kVerdictReasonCount = 8;
 
 /// \brief The name of the reason in logs and metrics.
 std::string_view ToName(verdict_reason reason);
@@ -78,6 +82,9 @@
   /// Other balancers of the failure domain are alive. They are asked before a
   /// flow is reset.
   bool has_peers = false;
+  /// The evacuated domains must be known before openings are placed.
+  bool honours_evacuations = false;
+  evacuation_set evacuations;
   silence_counters silences;
 };
 
@@ -98,6 +105,16 @@
                                                 time_point read_at,
                                                 time_point now);
 
+/// \brief Applies a list of evacuation requests that was current at `read_at`.
+evacuation_effect ApplyEvacuations(forwarding_state& state,
+                                   evacuation_list list, time_point read_at);
+
+/// \brief Applies what another balancer has reported of evacuations. Has no
+/// effect unless `state.honours_evacuations`.
+evacuation_effect ApplyEvacuationReport(forwarding_state& state,
+                                        const evacuation_report& report,
+                                        time_point now);
+
 /// \brief A change that UpdateHealthStates() found.
 struct health_change {
   upstream_id upstream = 0;
@@ -111,8 +128,9 @@
 std::vector<health_change> UpdateHealthStates(forwarding_state& state,
                                               time_point now);
 
-/// \brief True once a routing table and an upstream list have been applied.
-/// Before, no opening can be placed.
+/// \brief True once a routing table, an upstream list and, if they are to be
+/// honoured, the evacuation requests have been applied. Before, no opening can
+/// be placed.
 bool IsReady(const forwarding_state& state);
 
 }  // namespace radishyard
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -121,6 +121,7 @@
     report.outage_age_ms = OutageAgeMs(state_.directory, now);
     report.table_age_ms =
         ConfirmationAgeMs(table_confirmation_, handlers_.table_read_at(), now);
+    report.evacuations = MakeEvacuationReport(state_.evacuations, now);
     return report;
   }
 
@@ -212,6 +213,10 @@
     if (report.wants_reply) SendReply(report.self, now);
     ApplyOutcomes(state_, report.outcomes, now);
     ApplyConfirmation(table_confirmation_, report, state_.table.version, now);
+    const bool has_new_evacuations =
+        ApplyEvacuationReport(state_, report.evacuations, now) ==
+        evacuation_effect::kChanged;
+    if (has_new_evacuations) handlers_.on_evacuations(report.self.peer);
     const report_effect effect = ApplyReport(state_, report, now);
     if (effect == report_effect::kFetchSnapshot && MayFetchFrom(report, now))
       fetcher_->AddSource(
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -23,6 +23,8 @@
 struct exchange_handlers {
   /// A snapshot from `peer` has been applied with the given effect.
   std::function<void(const endpoint& peer, const snapshot_effect&)> on_snapshot;
+  /// The evacuated domains have changed by a report of `peer`.
+  std::function<void(const endpoint& peer)> on_evacuations;
   /// Returns true if this balancer watches the table and its reads succeed.
   std::function<bool()> watches_table;
   /// Returns when an answer of the platform last confirmed the table to this
--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "direct/evacuation.h"
 #include "direct/list_history.h"
 #include "direct/routing_table.h"
 #include "direct/upstream_entry.h"
@@ -56,6 +57,8 @@
   /// \brief Waits up to `wait` for a change of the table after `revision`.
   virtual void WatchTable(uint64_t revision, duration wait,
                           store_handler<table_update> handler) = 0;
+  /// \brief Reads all evacuation requests.
+  virtual void ListEvacuations(store_handler<evacuation_list> handler) = 0;
 };
 
 }  // namespace radishyard
--- a/src/direct/upstream_directory.cc
+++ b/src/direct/upstream_directory.cc
@@ -1,6 +1,7 @@
 // Applies upstream lists to the directory.
 #include "direct/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace radishyard {
@@ -93,10 +94,14 @@
   }
 }
 
+bool IsReadyOwner(const known_upstream& known) {
+  return known.phase == upstream_phase::kReady && known.owns_mark;
+}
+
 /// Fills `ready_by_service`, which must be empty.
 void IndexReady(upstream_directory& directory) {
   for (auto& [id, known] : directory.upstreams) {
-    if (known.phase == upstream_phase::kReady && known.owns_mark)
+    if (IsReadyOwner(known) && !IsEvacuated(directory, known))
       directory.ready_by_service[known.entry.service].push_back(&known);
   }
 }
@@ -167,6 +172,37 @@
     directory.peer_outage_ended_at = ended_at;
 }
 
+void SetEvacuatedDomains(upstream_directory& directory,
+                         std::vector<std::string> domains) {
+  directory.evacuated_domains = std::move(domains);
+  directory.ready_by_service.clear();
+  IndexReady(directory);
+}
+
+std::vector<std::string> ListDomains(const upstream_directory& directory) {
+  std::set<std::string> domains;
+  for (const auto& [id, known] : directory.upstreams)
+    domains.insert(known.entry.domain);
+  return {domains.begin(), domains.end()};
+}
+
+bool IsEvacuated(const upstream_directory& directory,
+                 const known_upstream& upstream) {
+  return std::binary_search(directory.evacuated_domains.begin(),
+                            directory.evacuated_domains.end(),
+                            upstream.entry.domain);
+}
+
+bool HasEvacuatedUpstream(const upstream_directory& directory,
+                          const std::string& service) {
+  return std::any_of(directory.upstreams.begin(), directory.upstreams.end(),
+                     [&](const auto& item) {
+                       return IsReadyOwner(item.second) &&
+                              item.second.entry.service == service &&
+                              IsEvacuated(directory, item.second);
+                     });
+}
+
 known_upstream* FindByMark(const upstream_directory& directory, uint32_t mark) {
   const auto found = directory.by_mark.find(mark);
   return found == directory.by_mark.end() ? nullptr : found->second;
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -64,7 +64,8 @@
 };
 
 /// \brief All upstreams. Invariants: `by_mark` contains exactly the owners of
-/// marks; `ready_by_service` contains each ready owner once, under its service.
+/// marks; `ready_by_service` contains each ready owner outside the evacuated
+/// domains once, under its service.
 struct upstream_directory {
   uint64_t revision = 0;  ///< Of the list last applied.
   bool has_list = false;  ///< A list has been applied.
@@ -76,6 +77,8 @@
   /// End of the last outage that another balancer has reported. It is not
   /// reported further, or delays of messages would prolong it.
   std::optional<time_point> peer_outage_ended_at;
+  /// Domains whose upstreams get no new flows; sorted.
+  std::vector<std::string> evacuated_domains;
   std::map<upstream_id, known_upstream> upstreams;
   absl::flat_hash_map<uint32_t, known_upstream*> by_mark;
   std::map<std::string, std::vector<known_upstream*>> ready_by_service;
@@ -113,6 +116,23 @@
 void RecordPeerOutage(upstream_directory& directory, duration age,
                       time_point now);
 
+/// \brief Replaces the domains whose upstreams get no new flows. Open flows
+/// stay where they are.
+/// \param domains sorted.
+void SetEvacuatedDomains(upstream_directory& directory,
+                         std::vector<std::string> domains);
+
+/// \brief The failure domains of the upstreams, sorted.
+std::vector<std::string> ListDomains(const upstream_directory& directory);
+
+/// \brief True if the upstream is in an evacuated domain.
+bool IsEvacuated(const upstream_directory& directory,
+                 const known_upstream& upstream);
+
+/// \brief True if the service has ready upstreams in evacuated domains.
+bool HasEvacuatedUpstream(const upstream_directory& directory,
+                          const std::string& service);
+
 /// \brief Returns the upstream that owns `mark`, or null if it is unknown.
 known_upstream* FindByMark(const upstream_directory& directory, uint32_t mark);
 
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -38,6 +38,18 @@
 /// \brief Value of `table_age_ms` if the table was not confirmed lately.
 inline constexpr uint32_t kNotConfirmed = UINT32_MAX;
 
+/// \brief The evacuated failure domains as a balancer knows them; see
+/// evacuation.h.
+struct evacuation_report {
+  uint64_t revision = 0;  ///< Of the store; 0 if nothing is known.
+  /// Time since the platform confirmed the domains to the sender, or to a
+  /// balancer that reported to it; kNotConfirmed if neither has been the case.
+  uint32_t age_ms = kNotConfirmed;
+  bool is_read_by_sender = false;  ///< `age_ms` is of a read of the sender.
+  std::vector<std::string> domains;
+  auto operator<=>(const evacuation_report&) const = default;
+};
+
 /// \brief The report that a balancer sends to others about once a second.
 struct view_report {
   /// Fields that every version of the protocol has; see peer/peer_codec.
@@ -59,6 +71,7 @@
   /// reported to it, confirmed the version of the sender; see
   /// ConfirmationAgeMs().
   uint32_t table_age_ms = kNotConfirmed;
+  evacuation_report evacuations;
   auto operator<=>(const view_report&) const = default;
 };
 
@@ -134,6 +147,7 @@
   std::vector<view_upstream> upstreams;
   std::vector<uint64_t> removed;       ///< Ids; empty for a whole list.
   uint32_t outage_age_ms = kNoOutage;  ///< As in view_report.
+  evacuation_report evacuations;
   auto operator<=>(const view_snapshot&) const = default;
 };
 
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -136,7 +136,8 @@
       .revision = state.applied_list.revision,
       .age_ms = ToClampedMs(now - state.directory.read_at),
       .digest = state.digest,
-      .outage_age_ms = OutageAgeMs(state.directory, now)};
+      .outage_age_ms = OutageAgeMs(state.directory, now),
+      .evacuations = MakeEvacuationReport(state.evacuations, now)};
   if (request.table_version < state.table.version)
     for (const published_address& row : state.table.addresses)
       snapshot.addresses.push_back(ToMessage(row));
@@ -170,6 +171,11 @@
 snapshot_effect ApplySnapshot(forwarding_state& state,
                               const view_snapshot& snapshot, time_point now) {
   snapshot_effect effect;
+  // Before the list, so that no flow is placed on an evacuated domain that the
+  // list adds.
+  effect.evacuations_changed =
+      ApplyEvacuationReport(state, snapshot.evacuations, now) ==
+      evacuation_effect::kChanged;
   if (snapshot.table_version > state.table.version &&
       !snapshot.addresses.empty())
     effect.table_applied = ApplyTable(state, ToRoutingTable(snapshot));
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -34,6 +34,7 @@
 struct snapshot_effect {
   bool table_applied = false;
   bool list_applied = false;
+  bool evacuations_changed = false;
   std::vector<directory_change> changes;
 };
 
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -116,11 +116,15 @@
 auto Fields(T& m) {
   return std::tie(m.upstream, m.responses, m.mean_response_us, m.failures);
 }
+template <maybe_const<evacuation_report> T>
+auto Fields(T& m) {
+  return std::tie(m.revision, m.age_ms, m.is_read_by_sender, m.domains);
+}
 template <maybe_const<view_report> T>
 auto Fields(T& m) {
   return std::tie(m.self, m.wants_reply, m.watches_table, m.table_version,
                   m.revision, m.digest, m.age_ms, m.members, m.outcomes,
-                  m.outage_age_ms, m.table_age_ms);
+                  m.outage_age_ms, m.table_age_ms, m.evacuations);
 }
 template <maybe_const<upstream_age> T>
 auto Fields(T& m) {
@@ -152,7 +156,7 @@
 auto Fields(T& m) {
   return std::tie(m.table_version, m.idle_timeout_ms, m.addresses, m.revision,
                   m.age_ms, m.digest, m.base_digest, m.upstreams, m.removed,
-                  m.outage_age_ms);
+                  m.outage_age_ms, m.evacuations);
 }
 
 void Write(packer& to, bool value) { to.pack(value); }
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -97,6 +97,16 @@
     });
   }
 
+  void ListEvacuations(store_handler<evacuation_list> handler) override {
+    ++evacuation_reads;
+    asio::post(io_, [this, handler = std::move(handler)] {
+      if (is_unreachable) return handler(std::nullopt, Unreachable());
+      handler(evacuations, {});
+    });
+  }
+
+  evacuation_list evacuations{.revision = 1};
+  int evacuation_reads = 0;
   upstream_list list;
   routing_table table = MakeRoutingTable();
   bool is_unreachable = false;
@@ -281,6 +291,90 @@
   EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
 }
 
+/// Balancers of one domain, the first two of which are its readers. All honour
+/// evacuations within 5 s.
+class evacuating_balancers : public balancer_on_loopback {
+ protected:
+  evacuating_balancers() {
+    for (int i = 0; i < 3; ++i) {
+      settings_.push_back(MakeSettings(FindFreePort()));
+      settings_[i].name = std::to_string(i);
+      settings_[i].peers = {settings_.front().peer};
+      settings_[i].capacity_millicores = i < 2 ? 500 : 1;
+      settings_[i].edit_bound = settings_[i].drain_bound = 5s;
+      settings_[i].evacuation_bound = 5s;
+      sources_.push_back(std::make_unique<fake_registry>(io_));
+      sources_[i]->list = source_.list;
+    }
+    for (int i = 0; i < 3; ++i) Start(i);
+  }
+
+  void Start(int i) {
+    balancers_[i] = std::make_unique<direct_balancer>(io_, settings_[i], codec_,
+                                                      *sources_[i]);
+    balancers_[i]->Start();
+    RunFor(i < 2 ? 300ms : 700ms);
+  }
+
+  void RequestEvacuation(std::vector<std::string> domains) {
+    ++revision_;
+    for (const auto& source : sources_)
+      source->evacuations = {revision_, domains};
+  }
+
+  /// True if the member that is no reader places an opening.
+  bool DoesMemberPlace() {
+    SendOpening(settings_.back().traffic);
+    RunFor(60ms);
+    return ReceiveDatagram(upstream_, bytes_) > 0;
+  }
+
+  uint64_t revision_ = 1;
+  std::vector<direct_settings> settings_;
+  std::vector<std::unique_ptr<fake_registry>> sources_;
+  std::array<std::unique_ptr<direct_balancer>, 3> balancers_;
+};
+
+// Otherwise each of hundreds of VMs reads the requests from the platform.
+TEST_F(evacuating_balancers, AMemberHearsOfRequestsFromItsReaders) {
+  ASSERT_TRUE(DoesMemberPlace());
+  sources_[2]->evacuation_reads = 0;
+  RequestEvacuation({kLocalDomain});
+  RunFor(3s);
+  EXPECT_FALSE(DoesMemberPlace());
+  RequestEvacuation({});
+  RunFor(3s);
+  EXPECT_TRUE(DoesMemberPlace());
+  EXPECT_EQ(sources_[2]->evacuation_reads, 0);
+}
+
+TEST_F(evacuating_balancers, AMemberReadsByItselfOnceItsReadersAreGone) {
+  balancers_[0].reset();
+  balancers_[1].reset();
+  RequestEvacuation({kLocalDomain});
+  RunFor(5s);
+  EXPECT_FALSE(DoesMemberPlace());
+}
+
+// After a restart without the platform, a peer's word must keep the domain
+// evacuated.
+TEST_F(evacuating_balancers, ARestartedMemberTakesTheRequestsFromAPeer) {
+  RequestEvacuation({kLocalDomain});
+  RunFor(3s);
+  balancers_[2].reset();
+  sources_[2]->is_unreachable = true;
+  Start(2);
+  EXPECT_FALSE(DoesMemberPlace());
+}
+
+TEST_F(evacuating_balancers, RequestsStayInForceWhileThePlatformIsAway) {
+  RequestEvacuation({kLocalDomain});
+  RunFor(3s);
+  for (const auto& source : sources_) source->is_unreachable = true;
+  RunFor(6s);
+  EXPECT_FALSE(DoesMemberPlace());
+}
+
 // Otherwise each VM that is replaced costs the platform several reads.
 TEST_F(balancer_on_loopback, StartsWithoutAReadOfThePlatformIfOthersHaveAView) {
   std::vector<std::unique_ptr<direct_balancer>> readers;
--- a/test/registry_follower_test.cc
+++ b/test/registry_follower_test.cc
@@ -55,6 +55,8 @@
     });
   }
 
+  void ListEvacuations(store_handler<evacuation_list>) override {}
+
   std::optional<failure> read_failure;
   std::optional<failure> watch_failure;
   std::optional<failure> change_failure;
