--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -362,6 +362,7 @@
   RequestEvacuation({kLocalDomain});
   RunFor(3s);
   balancers_[2].reset();
+  RunFor(100ms);  // Closes its sockets.
   sources_[2]->is_unreachable = true;
   Start(2);
   EXPECT_FALSE(DoesMemberPlace());
