--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -187,6 +187,8 @@
                   HandlePlatformState("evacuations", reason);
                 },
             .needs_list = [this] { return NeedsEvacuations(clock::now()); },
+            .is_reader =
+                [this] { return peers_.IsRegistryReader(clock::now()); },
             .has_list =
                 [this] { return state_.evacuations.list.revision != 0; }},
         std::hash<std::string>()(config_.name));
--- a/src/direct/evacuation_follower.cc
+++ b/src/direct/evacuation_follower.cc
@@ -41,8 +41,10 @@
     time_point requested_at) {
   if (!list) {
     if (failures_ == 0) handlers_.on_platform_state(why.text);
-    return RunAfter(
-        ComputeBackoffDelay(kEvacuationBackoff, failures_++, seed_));
+    const backoff_policy& policy = handlers_.is_reader()
+                                       ? kEvacuationReaderBackoff
+                                       : kEvacuationMemberBackoff;
+    return RunAfter(ComputeBackoffDelay(policy, failures_++, seed_));
   }
   if (failures_ > 0) handlers_.on_platform_state("");
   failures_ = 0;
--- a/src/direct/evacuation_follower.h
+++ b/src/direct/evacuation_follower.h
@@ -17,9 +17,14 @@
 inline constexpr duration kEvacuationRecheckInterval = 150ms;
 /// \brief The same at the start, until requests are known.
 inline constexpr duration kEvacuationStartInterval = 20ms;
-/// \brief Delays after failed reads.
-inline constexpr backoff_policy kEvacuationBackoff{.first = 100ms,
-                                                   .longest = 800ms};
+/// \brief Delays after failed reads of a reader, which reads for its domain.
+inline constexpr backoff_policy kEvacuationReaderBackoff{.first = 100ms,
+                                                         .longest = 800ms};
+/// \brief The same for a member that hears nothing from its readers. Hundreds
+/// of members would otherwise call a platform that is down, while the first
+/// answer to a reader reaches them as soon.
+inline constexpr backoff_policy kEvacuationMemberBackoff{.first = 100ms,
+                                                         .longest = 3200ms};
 
 /// \brief Callbacks of the follower to its owner.
 struct evacuation_handlers {
@@ -30,6 +35,8 @@
   std::function<void(const std::string&)> on_platform_state;
   /// Returns true if this balancer must read the requests itself.
   std::function<bool()> needs_list;
+  /// Returns true if the other members of the domain rely on this balancer.
+  std::function<bool()> is_reader;
   /// Returns true once requests are known, here or from others.
   std::function<bool()> has_list;
 };
--- a/test/evacuation_test.cc
+++ b/test/evacuation_test.cc
@@ -257,6 +257,7 @@
                                                                    : "lost");
                                 },
                             .needs_list = [this] { return is_needed_; },
+                            .is_reader = [this] { return is_reader_; },
                             .has_list = [this] { return last_.revision != 0; }},
         1);
     follower_->Start();
@@ -268,6 +269,7 @@
   evacuation_list last_;
   std::vector<std::string> states_;
   bool is_needed_ = true;
+  bool is_reader_ = true;
 };
 
 TEST_F(evacuation_reads, FollowsTheStoreAtTheInterval) {
@@ -295,6 +297,16 @@
   EXPECT_EQ(states_, (std::vector<std::string>{"lost", "regained"}));
 }
 
+// Hundreds of members that hear nothing during an outage would call the
+// platform more often than their readers do.
+TEST_F(evacuation_reads, AMemberBacksOffFurtherThanAReader) {
+  is_reader_ = false;
+  store_.is_refusing = true;
+  Start();
+  io_.run_for(3000ms);
+  EXPECT_LE(store_.reads, 6);
+}
+
 TEST_F(evacuation_reads, ReadsNothingWhileOthersRead) {
   is_needed_ = false;
   Start();
