Type of the pooled load of a service

Part C estimates the load of each service and failure domain, and part D decides on it. The type and its look-up come first, so that both parts can be built at the same time; nothing fills the view yet.

--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -13,6 +13,7 @@
 #include "direct/flow_tracker.h"
 #include "direct/list_history.h"
 #include "direct/routing_table.h"
+#include "direct/service_load.h"
 #include "direct/upstream_directory.h"
 
 namespace radishyard {
@@ -79,6 +80,7 @@
   /// flow is reset.
   bool has_peers = false;
   silence_counters silences;
+  load_view loads;  ///< Pooled loads, of any age; see kMaxLoadAge.
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
