Spill-over between failure domains: measure, pool, decide, place

A balancer placed all flows in its own domain while an upstream there was neither suspect nor failing, so callers of one domain could overload it beside idle ones, and balancers with few flows each took the same fastest upstream.

Balancers now measure their load for each service and domain of upstreams, readers pool it and exchange the sums, and shares of new flows follow from demand and slots. Within a domain the better of two is chosen by pooled flows. The part is on by the setting spill_over.

--- a/src/direct/decision_log.cc
+++ b/src/direct/decision_log.cc
@@ -1,7 +1,9 @@
 // Writes the log lines of decisions.
 #include "direct/decision_log.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <string_view>
 
 #include "observe/log.h"
@@ -76,6 +78,32 @@
   }
 }
 
+void LogShareChanges(const std::vector<service_shares>& changes) {
+  constexpr double kPercent = 100;
+  const auto to_count = [](double value) {
+    return static_cast<uint64_t>(std::lround(value));
+  };
+  for (const service_shares& s : changes) {
+    for (const spill_input& input : s.inputs) {
+      const auto at =
+          std::ranges::find(s.shares, input.domain, &domain_share::domain);
+      if (at == s.shares.end()) continue;
+      Log(severity::kInfo, "share_changed",
+          {{"service", s.service},
+           {"domain", input.domain},
+           {"share_percent", to_count(kPercent * at->share)},
+           {"slots", to_count(input.slots)},
+           {"demand", to_count(input.demand)},
+           {"busy", to_count(input.busy)},
+           {"failure_percent", to_count(kPercent * input.failure_share)},
+           {"age_ms",
+            static_cast<uint64_t>(std::max<int64_t>(0, ToMs(input.age)))},
+           {"known", input.is_known ? "yes" : "no"},
+           {"silent", input.is_silent ? "yes" : "no"}});
+    }
+  }
+}
+
 void LogNotice(const silence_notice& notice, bool is_contradicted) {
   for (const upstream_age& silent : notice.silent)
     Log(severity::kInfo, "silence_heard",
--- a/src/direct/decision_log.h
+++ b/src/direct/decision_log.h
@@ -28,6 +28,10 @@
 void LogHealthChanges(const std::vector<health_change>& changes,
                       const upstream_directory& directory);
 
+/// \brief Logs changed shares, one line for each domain with what the decision
+/// was based on.
+void LogShareChanges(const std::vector<service_shares>& changes);
+
 /// \brief Logs a notice of another balancer.
 /// \param is_contradicted an upstream that it calls silent is alive.
 void LogNotice(const silence_notice& notice, bool is_contradicted);
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -81,6 +81,7 @@
         follower_(io, source, times_, MakeFollowerHandlers(),
                   std::hash<std::string>()(config.name)) {
     state_.domain = config.domain;
+    state_.spill.is_enabled = config.spill_over;
     state_.directory.max_list_gap = times_.list_interval + kReadTimeAllowance;
     socket_.non_blocking(true);
     error_code ignored;  // A smaller buffer only drops packets earlier.
@@ -380,6 +381,7 @@
     DetectPause(now);
     FailOverdueRequests(state_.tracker, state_.directory, now);
     LogHealthChanges(UpdateHealthStates(state_, now), state_.directory);
+    LogShareChanges(UpdateLoads(state_, now));
     ExpireIdleFlows(state_.tracker, state_.directory, state_.table.idle_timeout,
                     now);
   }
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -1,6 +1,7 @@
 // Renders the metrics page of a balancer with direct server return.
 #include "direct/direct_counters.h"
 
+#include "direct/spill_over_metrics.h"
 #include "observe/metrics.h"
 
 namespace radishyard {
@@ -100,6 +101,7 @@
   AddUpstreamGauge(page, state, "radishyard_upstream_unanswered",
                    "Openings and repeated data since the last sign of life.",
                    [](const known_upstream& u) { return u.stats.unanswered; });
+  AddSpillOverMetrics(page, state, now);
   return page.Text();
 }
 
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -58,16 +58,22 @@
   const published_address* const row =
       FindAddress(state.table, packet.flow.service);
   if (row == nullptr) return Refuse(verdict_reason::kUnknownAddress);
+  const std::string& service = SelectService(*row, packet.flow);
+  const uint64_t flow_hash = StableHash(packet.flow);
+  const duration opening_timeout = OpeningTimeout(state.tracker);
   const placement_request request{
-      .service = SelectService(*row, packet.flow),
-      .domain = state.domain,
+      .service = service,
+      .domain = SelectDomain(state.spill, state.directory, service,
+                             state.domain, flow_hash, opening_timeout, now),
       .avoided_mark = FindPreviousMark(state.tracker, packet.flow),
-      .flow_hash = StableHash(packet.flow),
-      .opening_timeout = OpeningTimeout(state.tracker)};
+      .flow_hash = flow_hash,
+      .opening_timeout = opening_timeout,
+      .has_peer_flows = HasPeerFlows(state.spill, now)};
   known_upstream* const upstream =
       ChooseUpstream(state.directory, request, now);
   if (upstream == nullptr) return Refuse(verdict_reason::kNoUpstream);
   TrackOpening(state.tracker, state.directory, packet, *upstream, now);
+  if (state.spill.is_enabled) CountOpening(state.spill.meter, upstream->entry);
   return ForwardTo(*upstream, verdict_reason::kPlaced);
 }
 
@@ -151,6 +157,17 @@
   return changes;
 }
 
+std::vector<service_shares> UpdateLoads(forwarding_state& state,
+                                        time_point now) {
+  if (!state.spill.is_enabled) return {};
+  const duration opening_timeout = OpeningTimeout(state.tracker);
+  SampleLoad(state.spill.meter, state.directory, opening_timeout, now);
+  state.loads =
+      MakeLoadView(state.spill.pool, state.directory, opening_timeout, now);
+  return UpdateShares(state.spill, state.loads, state.directory, state.domain,
+                      opening_timeout, now);
+}
+
 bool IsReady(const forwarding_state& state) {
   return state.table.version != 0 && state.directory.has_list;
 }
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -14,6 +14,7 @@
 #include "direct/list_history.h"
 #include "direct/routing_table.h"
 #include "direct/service_load.h"
+#include "direct/spill_over.h"
 #include "direct/upstream_directory.h"
 
 namespace radishyard {
@@ -81,6 +82,7 @@
   bool has_peers = false;
   silence_counters silences;
   load_view loads;  ///< Pooled loads, of any age; see kMaxLoadAge.
+  spill_over_state spill;
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
@@ -113,6 +115,13 @@
 std::vector<health_change> UpdateHealthStates(forwarding_state& state,
                                               time_point now);
 
+/// \brief Samples the load of this balancer, and updates `state.loads` and the
+/// shares of the domains from the known sums. Does nothing while the part is
+/// off. To be called several times a second.
+/// \returns the services whose shares are to be logged; see UpdateShares().
+std::vector<service_shares> UpdateLoads(forwarding_state& state,
+                                        time_point now);
+
 /// \brief True once a routing table and an upstream list have been applied.
 /// Before, no opening can be placed.
 bool IsReady(const forwarding_state& state);
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "direct/decision_log.h"
+#include "direct/load_exchange.h"
 #include "direct/silence.h"
 #include "direct/snapshot_fetcher.h"
 #include "direct/snapshot_server.h"
@@ -84,9 +85,13 @@
       socket_.receive_from(asio::buffer(receive_buffer_), from, 0, error);
   }
 
+  /// Drops the known loads, whose ages do not contain a suspension.
+  void DiscardLoads() { state_.spill.pool = {}; }
+
   void SendReports(size_t count) {
     const time_point now = clock::now();
     view_report report = MakeReport(now);
+    report.load = MeasureLoad(state_, now);
     report.outcomes = ExtractOutcomes(state_);
     for (const endpoint& to :
          SelectReportTargets(members_, count, ++round_, now))
@@ -141,6 +146,7 @@
     state_.has_peers =
         !FindLiveMembers(members_, members_.self.domain, now).empty();
     SendReports(kTargetsPerReport);
+    SendLoadNotices(now);
     DiscoverMembers(now);
     report_timer_.expires_after(kReportInterval);
     report_timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -148,6 +154,39 @@
     });
   }
 
+  /// Sends the sums of loads, if this balancer is a reader.
+  void SendLoadNotices(time_point now) {
+    if (!state_.spill.is_enabled) return;
+    const auto members = FindLiveMembers(members_, members_.self.domain, now);
+    const bool is_reader = radishyard::IsRegistryReader(members_, now);
+    // Members that are no readers hear each other seldom, so many of those
+    // known are not live here.
+    UpdateOwnSum(state_, is_reader,
+                 is_reader ? members.size() : CountKnown(members_), now);
+    if (!is_reader) return;
+    const load_notice notice = MakeMemberNotice(state_, members_.self, now);
+    for (const view_member& member : members) Send(notice, member.peer);
+    const auto foreign = MakeDomainNotice(state_, members_.self, now);
+    if (!foreign) return;
+    for (const endpoint& to : SelectForeignTargets(members_, round_, now))
+      Send(*foreign, to);
+  }
+
+  /// Applies a notice of loads. Of another domain's notices a member that is no
+  /// reader forwards those with fresher sums to the readers.
+  void HandleLoadNotice(const load_notice& notice, time_point now) {
+    if (notice.sender.peer == members_.self.peer) return;
+    RecordMember(members_, notice.sender, now);
+    const bool is_news = ApplyLoadNotice(state_, notice, now);
+    if (!is_news || radishyard::IsRegistryReader(members_, now)) return;
+    // From a member of their own domain, so that readers do not forward it.
+    load_notice forwarded = notice;
+    forwarded.sender = members_.self;
+    for (const endpoint& to :
+         SelectReportTargets(members_, kMaxReadersPerDomain, round_, now))
+      Send(forwarded, to);
+  }
+
   /// Requests the members of this balancer's domain from the seeds, more often
   /// while no other member is known.
   void DiscoverMembers(time_point now) {
@@ -196,6 +235,8 @@
   void HandleMessage(const peer_message& message, time_point now) {
     if (const auto* report = std::get_if<view_report>(&message))
       return HandleReport(*report, now);
+    if (const auto* loads = std::get_if<load_notice>(&message))
+      return HandleLoadNotice(*loads, now);
     const auto* notice = std::get_if<silence_notice>(&message);
     if (notice == nullptr || notice->sender == members_.self.peer) return;
     const auto reply = ApplySilenceNotice(state_, *notice, now);
@@ -210,6 +251,8 @@
     for (const view_member& m : std::span(report.members).first(listed))
       if (!members_.known.contains(m.peer)) ContactMember(m, now);
     if (report.wants_reply) SendReply(report.self, now);
+    if (state_.spill.is_enabled && report.self.domain == state_.domain)
+      RecordMemberLoad(state_.spill.pool, report, now);
     ApplyOutcomes(state_, report.outcomes, now);
     ApplyConfirmation(table_confirmation_, report, state_.table.version, now);
     const report_effect effect = ApplyReport(state_, report, now);
@@ -321,6 +364,7 @@
 
 void peer_exchange::RecordSuspension(duration elapsed) {
   core_->DiscardReceived();
+  core_->DiscardLoads();
   radishyard::RecordSuspension(core_->table_confirmation_, elapsed);
 }
 
--- a/src/direct/peer_members.cc
+++ b/src/direct/peer_members.cc
@@ -4,7 +4,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <string>
 #include <tuple>
+#include <utility>
 
 namespace radishyard {
 namespace {
@@ -15,6 +17,9 @@
 /// Members are kept this long after their last report. Those of other domains
 /// are listed in replies to balancers that look for them.
 constexpr duration kMemberRetention = 30s;
+/// A member of another domain that was heard less recently may be gone. Its
+/// readers send their sums once a second, alternating between two members.
+constexpr duration kForeignLiveTimeout = 5s;
 /// Most members kept.
 constexpr size_t kMaxMembers = 4096;
 
@@ -86,4 +91,32 @@
   return targets;
 }
 
+size_t CountKnown(const peer_members& members) {
+  return static_cast<size_t>(std::count_if(
+      members.known.begin(), members.known.end(), [&members](const auto& item) {
+        return item.second.member.domain == members.self.domain;
+      }));
+}
+
+std::vector<endpoint> SelectForeignTargets(const peer_members& members,
+                                           uint64_t round, time_point now) {
+  const auto rank = [now](const known_member& m) {
+    return std::pair(now - m.last_report_at > kForeignLiveTimeout,
+                     ReaderRank(m.member));
+  };
+  std::map<std::string, std::vector<const known_member*>> domains;
+  for (const auto& [peer, known] : members.known)
+    if (known.member.domain != members.self.domain)
+      domains[known.member.domain].push_back(&known);
+  std::vector<endpoint> targets;
+  for (auto& [domain, list] : domains) {
+    std::sort(list.begin(), list.end(), [&rank](const auto* a, const auto* b) {
+      return rank(*a) < rank(*b);
+    });
+    const size_t choices = std::min(kMaxReadersPerDomain, list.size());
+    targets.push_back(list[round % choices]->member.peer);
+  }
+  return targets;
+}
+
 }  // namespace radishyard
--- a/src/direct/peer_members.h
+++ b/src/direct/peer_members.h
@@ -52,4 +52,13 @@
                                           size_t count, uint64_t round,
                                           time_point now);
 
+/// \brief Number of known members of this balancer's domain, live or not.
+size_t CountKnown(const peer_members& members);
+
+/// \brief Selects one member of each other domain that receives the sums of
+/// this one: of those that were heard lately, the two of the highest rank in
+/// turn, which are readers if their domain is known here.
+std::vector<endpoint> SelectForeignTargets(const peer_members& members,
+                                           uint64_t round, time_point now);
+
 }  // namespace radishyard
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "direct/pooled_choice.h"
 #include "direct/silence.h"
 
 namespace radishyard {
@@ -49,17 +50,40 @@
   return sample_count == 0 ? kDefaultResponseSeconds : sum / sample_count;
 }
 
-/// Estimates how long one more flow would wait for its responses: flows per
-/// slot times the response time.
-double EstimateCost(const known_upstream& u, double mean_response_s,
-                    time_point now) {
+/// Estimates the response time per slot, in seconds.
+double EstimateResponse(const known_upstream& u, double mean_response_s,
+                        time_point now) {
   const double response_s =
       u.stats.responses == 0 ? mean_response_s
                              : std::max(u.stats.mean_response_s,
                                         mean_response_s * kMinResponseFraction);
   const double cold_factor = u.cold_until > now ? kColdStartFactor : 1.0;
   const double slots = std::max(1U, u.entry.slots);
-  return (u.stats.flows + 1) * response_s * cold_factor / slots;
+  return response_s * cold_factor / slots;
+}
+
+/// Estimates how long one more flow would wait for its responses: flows per
+/// slot times the response time.
+double EstimateCost(const known_upstream& u, double mean_response_s,
+                    time_point now) {
+  return (u.stats.flows + 1) * EstimateResponse(u, mean_response_s, now);
+}
+
+/// Returns the upstreams of the best class that is not empty.
+std::vector<pooled_candidate> SelectBestClass(const candidates& list,
+                                              const placement_request& request,
+                                              double mean_response_s,
+                                              time_point now) {
+  preference best = preference::kAvoided;
+  std::vector<pooled_candidate> selected;
+  for (known_upstream* const u : list) {
+    const preference rank = GetPreference(*u, request, now);
+    if (rank > best) continue;
+    if (rank < best) selected.clear();
+    best = rank;
+    selected.push_back({u, 1 / EstimateResponse(*u, mean_response_s, now)});
+  }
+  return selected;
 }
 
 }  // namespace
@@ -71,6 +95,9 @@
   if (found == directory.ready_by_service.end()) return nullptr;
   const candidates& list = found->second;
   const double mean_response_s = MeanResponseTime(list);
+  if (request.has_peer_flows && IsOwnCountSmall(list))
+    return ChooseOfTwo(SelectBestClass(list, request, mean_response_s, now),
+                       request.flow_hash);
   known_upstream* best = nullptr;
   std::pair<preference, double> best_rank;
   for (size_t i = 0; i < list.size(); ++i) {
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -11,7 +11,8 @@
 /// \brief Input to the placement of one flow.
 struct placement_request {
   std::string service;
-  /// Failure domain of this balancer and usually also of its callers.
+  /// Failure domain that is preferred: that of this balancer and usually also
+  /// of its callers, or one that takes its overflow; see spill_over.h.
   std::string domain;
   /// Mark of an upstream that did not respond to this flow, or 0.
   uint32_t avoided_mark = 0;
@@ -20,13 +21,15 @@
   /// An upstream with an opening that has been unanswered for longer becomes
   /// suspect; see OpeningTimeout() and IsSuspect().
   duration opening_timeout = 25ms;
+  /// `stats.peer_flows` of the upstreams is current; see load_pool.h.
+  bool has_peer_flows = false;
 };
 
 /// \brief Chooses an upstream from the best class that is not empty among the
 /// upstreams that take new flows (upstream_directory::ready_by_service).
 ///
 /// Classes in order of preference:
-/// 1. upstreams of the balancer's own domain that are neither suspect nor
+/// 1. upstreams of the preferred domain that are neither suspect nor
 ///    failing nor silent to two other balancers;
 /// 2. such upstreams of other domains;
 /// 3. suspect, failing or silent upstreams of any domain;
@@ -34,7 +37,9 @@
 ///
 /// Within a class, the upstream with the lowest product of flows per slot and
 /// response time is chosen. The number of flows matters because flows last
-/// long, and the response time because upstreams differ in speed.
+/// long, and the response time because upstreams differ in speed. If other
+/// balancers hold most of the flows, the better of two is chosen instead by
+/// their pooled number; see pooled_choice.h.
 /// \returns null if no upstream of the service takes new flows.
 known_upstream* ChooseUpstream(const upstream_directory& directory,
                                const placement_request& request,
--- a/src/direct/service_load.h
+++ b/src/direct/service_load.h
@@ -21,9 +21,11 @@
   double slots = 0;  ///< Slots of its ready upstreams that can be used.
   /// Requests in service or queued there, summed over all balancers.
   double busy = 0;
-  double failures_per_s =
-      0;  ///< Requests that failed there, over all balancers.
-  time_point measured_at{};  ///< When the oldest sample of the sum was taken.
+  double failures_per_s = 0;  ///< Failed requests, summed over all balancers.
+  /// Mean time at which the samples of the domain's own balancers, the greater
+  /// part of the sum, were received. Each of them is a mean over the report
+  /// interval before.
+  time_point measured_at{};
   auto operator<=>(const service_load&) const = default;
 };
 
--- /dev/null
+++ b/src/direct/spill_over.cc
@@ -0,0 +1,298 @@
+// Computes, smooths and applies the shares of domains.
+#include "direct/spill_over.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+
+namespace radishyard {
+namespace {
+
+constexpr double kThousandths = 1000;
+/// Demand on the upstreams of one domain counts up to this many times their
+/// slots. What is queued beyond is a result of the queue limit: the same demand
+/// would need fewer slots where it does not queue.
+constexpr double kMaxDemandPerSlot = 1.5;
+/// Above this share, failures are evidence of overload. A few broken upstreams
+/// cause less until new flows avoid them.
+constexpr double kOverloadFailureShare = 0.1;
+/// Rejected requests come again, so a higher share says no more about demand.
+constexpr double kMaxFailureShare = 0.6;
+/// Part of the slots that is assumed to be free in a domain of unknown load.
+constexpr double kUnknownSpareShare = 0.05;
+/// Between these utilizations the assumed spare capacity falls to none: the
+/// domain is busier than the demand of its own callers explains.
+constexpr double kFullUtilization = 1.4;
+constexpr double kBusyUtilization = 0.9;
+/// Time constants of the smoothing. The longer one exceeds the age of sums, so
+/// that changes that all balancers make at once are seen before they continue.
+constexpr duration kSpillTimeConstant = 500ms;
+constexpr duration kReturnTimeConstant = 2500ms;
+/// A smaller share of another domain is dropped, so that the last bytes between
+/// domains end when the overflow does.
+constexpr double kMinShare = 0.01;
+/// Change of a share that is logged.
+constexpr double kLoggedStep = 0.1;
+/// Delay after an unanswered opening until a silent domain receives another
+/// one. It doubles with each further one, up to kMaxDoublings times.
+constexpr duration kFirstProbeDelay = 250ms;
+constexpr uint32_t kMaxDoublings = 4;
+/// Seed that makes the choice of the domain independent of that of the
+/// upstream, which the same hash decides.
+constexpr uint64_t kDomainSeed = 0x5350494C4C;
+
+double OwnDemand(const spill_input& input) {
+  if (input.failure_share <= kOverloadFailureShare) return input.demand;
+  const double served = 1 - std::min(input.failure_share, kMaxFailureShare);
+  return std::max(input.demand, input.slots / served);
+}
+
+double Overflow(const spill_input& input) {
+  if (!input.is_known) return 0;
+  return std::max(0.0, OwnDemand(input) - kSpillThreshold * input.slots);
+}
+
+double Spare(const spill_input& input) {
+  if (input.slots <= 0 || input.is_silent) return 0;
+  if (!input.is_known) return kUnknownSpareShare * input.slots;
+  if (input.failure_share > kOverloadFailureShare) return 0;
+  const double utilization = input.busy / input.slots;
+  const double trust = std::clamp(
+      (kFullUtilization - utilization) / (kFullUtilization - kBusyUtilization),
+      0.0, 1.0);
+  return trust * std::max(0.0, kSpillThreshold * input.slots - input.demand);
+}
+
+double FindShare(const std::vector<domain_share>& shares,
+                 std::string_view domain) {
+  for (const domain_share& s : shares)
+    if (s.domain == domain) return s.share;
+  return 0;
+}
+
+/// Drops shares below kMinShare and scales the others to a sum of 1.
+void Normalize(std::vector<domain_share>& shares) {
+  double sum = 0;
+  for (domain_share& s : shares) {
+    if (s.share < kMinShare) s.share = 0;
+    sum += s.share;
+  }
+  if (sum <= 0) return;
+  for (domain_share& s : shares) s.share /= sum;
+}
+
+double ShareOfOthers(const std::vector<spill_input>& inputs,
+                     const spill_input& own, double spare) {
+  if (own.slots <= 0) return 1;
+  double overflow = 0;
+  for (const spill_input& input : inputs) overflow += Overflow(input);
+  if (overflow <= 0 || spare <= 0) return 0;
+  const double placed = Overflow(own) * std::min(1.0, spare / overflow);
+  return std::min(1.0, placed / OwnDemand(own));
+}
+
+/// Collects the demand of a domain's callers and the failures on its upstreams
+/// from the sums.
+void AddSums(spill_input& input, const load_pool& pool,
+             const std::map<std::string, double>& slots,
+             std::string_view service, time_point now) {
+  double ended = 0;
+  double failures = 0;
+  for (const auto& [source, known] : pool.sums) {
+    if (now - known.measured_at > kMaxLoadAge) continue;
+    for (const load_sample& s : known.sum.samples) {
+      if (s.service != service) continue;
+      if (s.domain == input.domain) {
+        ended += s.ended_milli_per_s;
+        failures += s.failures_milli_per_s;
+      }
+      const auto at = slots.find(s.domain);
+      if (source != input.domain || at == slots.end()) continue;
+      input.demand +=
+          std::min(s.busy_milli / kThousandths, kMaxDemandPerSlot * at->second);
+    }
+  }
+  input.failure_share = ended > 0 ? std::min(1.0, failures / ended) : 0;
+}
+
+std::vector<spill_input> CollectInputs(
+    const load_pool& pool, const load_view& loads, const std::string& service,
+    const std::vector<known_upstream*>& upstreams,
+    const std::string& own_domain, duration opening_timeout, time_point now) {
+  std::map<std::string, double> slots{{own_domain, 0}};
+  for (const known_upstream* u : upstreams)
+    slots[u->entry.domain] +=
+        IsUsable(*u, opening_timeout, now) ? u->entry.slots : 0;
+  std::vector<spill_input> inputs;
+  for (const auto& [domain, count] : slots) {
+    spill_input input{.domain = domain, .slots = count};
+    const auto sum = pool.sums.find(domain);
+    if (sum != pool.sums.end()) {
+      input.age = now - sum->second.measured_at;
+      input.is_known = input.age <= kMaxLoadAge;
+    }
+    if (const service_load* load = FindLoad(loads, service, domain))
+      input.busy = load->busy;
+    AddSums(input, pool, slots, service, now);
+    input.is_silent = domain != own_domain &&
+                      IsDomainSilent(upstreams, domain, opening_timeout, now);
+    inputs.push_back(std::move(input));
+  }
+  return inputs;
+}
+
+/// Returns the shares of `service`, which are created if necessary.
+service_shares& FindOrAdd(std::vector<service_shares>& services,
+                          const std::string& service) {
+  const auto at =
+      std::ranges::lower_bound(services, service, {}, &service_shares::service);
+  if (at != services.end() && at->service == service) return *at;
+  return *services.insert(at, {.service = service});
+}
+
+}  // namespace
+
+std::vector<domain_share> ComputeShares(const std::vector<spill_input>& inputs,
+                                        std::string_view own_domain) {
+  const auto own = std::ranges::find(inputs, own_domain, &spill_input::domain);
+  if (own == inputs.end()) return {};
+  double spare = 0;
+  double slots = 0;
+  for (const spill_input& input : inputs) {
+    if (input.domain == own_domain) continue;
+    spare += Spare(input);
+    slots += input.is_silent ? 0 : input.slots;
+  }
+  const double others = ShareOfOthers(inputs, *own, spare);
+  std::vector<domain_share> shares;
+  for (const spill_input& input : inputs) {
+    if (input.domain == own_domain) {
+      shares.push_back({input.domain, 1 - others});
+      continue;
+    }
+    // Without spare capacity and without an own upstream, slots decide.
+    double part = spare > 0 ? Spare(input) / spare : 0;
+    if (spare <= 0 && slots > 0 && !input.is_silent) part = input.slots / slots;
+    shares.push_back({input.domain, others * part});
+  }
+  return shares;
+}
+
+std::vector<domain_share> SmoothShares(
+    const std::vector<domain_share>& in_effect,
+    const std::vector<domain_share>& target, std::string_view own_domain,
+    duration elapsed) {
+  const bool spills_more =
+      FindShare(target, own_domain) < FindShare(in_effect, own_domain);
+  const double constants =
+      std::chrono::duration<double>(elapsed) /
+      std::chrono::duration<double>(spills_more ? kSpillTimeConstant
+                                                : kReturnTimeConstant);
+  const double weight = 1 - std::exp(-constants);
+  std::vector<domain_share> smoothed = target;
+  for (domain_share& s : smoothed) {
+    const double before = FindShare(in_effect, s.domain);
+    // Domains that are gone or have lost their capacity get no flows at once.
+    if (s.domain != own_domain && s.share <= 0 && before > 0 &&
+        FindShare(target, own_domain) < 1)
+      continue;
+    s.share = before + weight * (s.share - before);
+  }
+  Normalize(smoothed);
+  return smoothed;
+}
+
+bool IsDomainSilent(const std::vector<known_upstream*>& upstreams,
+                    std::string_view domain, duration opening_timeout,
+                    time_point now) {
+  uint32_t unanswered = 0;
+  time_point since = time_point::max();
+  time_point last_alive_at{};
+  time_point last_opening_at{};
+  for (const known_upstream* u : upstreams) {
+    if (u->entry.domain != domain) continue;
+    const upstream_stats& stats = u->stats;
+    last_alive_at = std::max(last_alive_at, stats.last_alive_at);
+    last_opening_at = std::max(last_opening_at, stats.last_opening_at);
+    const bool is_overdue =
+        stats.unanswered > 0 && now - stats.unanswered_since > opening_timeout;
+    if (!is_overdue) continue;
+    unanswered += stats.unanswered;
+    since = std::min(since, stats.unanswered_since);
+  }
+  if (unanswered == 0 || last_alive_at >= since) return false;
+  const uint32_t doublings = std::min(unanswered - 1, kMaxDoublings);
+  return now - last_opening_at < kFirstProbeDelay * (int64_t{1} << doublings);
+}
+
+std::vector<service_shares> UpdateShares(spill_over_state& spill,
+                                         const load_view& loads,
+                                         const upstream_directory& directory,
+                                         const std::string& own_domain,
+                                         duration opening_timeout,
+                                         time_point now) {
+  std::vector<service_shares> changed;
+  std::erase_if(spill.services, [&](const service_shares& s) {
+    return !directory.ready_by_service.contains(s.service);
+  });
+  for (const auto& [service, upstreams] : directory.ready_by_service) {
+    service_shares& s = FindOrAdd(spill.services, service);
+    s.inputs = CollectInputs(spill.pool, loads, service, upstreams, own_domain,
+                             opening_timeout, now);
+    const auto target = ComputeShares(s.inputs, own_domain);
+    s.shares = s.shares.empty() ? target
+                                : SmoothShares(s.shares, target, own_domain,
+                                               now - s.decided_at);
+    s.decided_at = now;
+    const double own_share = FindShare(s.shares, own_domain);
+    const bool has_ended = own_share == 1 && s.logged_own_share != 1;
+    if (std::abs(own_share - s.logged_own_share) < kLoggedStep && !has_ended)
+      continue;
+    s.logged_own_share = own_share;
+    changed.push_back(s);
+  }
+  return changed;
+}
+
+std::string SelectDomain(const spill_over_state& spill,
+                         const upstream_directory& directory,
+                         std::string_view service,
+                         const std::string& own_domain, uint64_t flow_hash,
+                         duration opening_timeout, time_point now) {
+  const auto known = std::ranges::lower_bound(spill.services, service, {},
+                                              &service_shares::service);
+  if (!spill.is_enabled || known == spill.services.end() ||
+      known->service != service || FindShare(known->shares, own_domain) >= 1)
+    return own_domain;
+  const auto ready = directory.ready_by_service.find(known->service);
+  if (ready == directory.ready_by_service.end()) return own_domain;
+  std::vector<domain_share> usable;
+  double sum = 0;
+  for (const domain_share& s : known->shares) {
+    if (s.share <= 0) continue;
+    if (s.domain != own_domain &&
+        IsDomainSilent(ready->second, s.domain, opening_timeout, now))
+      continue;
+    usable.push_back(s);
+    sum += s.share;
+  }
+  constexpr double kHashes = 18446744073709551616.0;  // 2^64.
+  const uint64_t hash = XXH64(&flow_hash, sizeof flow_hash, kDomainSeed);
+  double remaining = sum * (static_cast<double>(hash) / kHashes);
+  for (const domain_share& s : usable) {
+    remaining -= s.share;
+    if (remaining < 0) return s.domain;
+  }
+  return usable.empty() ? own_domain : usable.back().domain;
+}
+
+bool HasPeerFlows(const spill_over_state& spill, time_point now) {
+  return spill.is_enabled && spill.pool.flows_received_at != time_point{} &&
+         now - spill.pool.flows_received_at <= kMaxLoadAge;
+}
+
+}  // namespace radishyard
--- a/src/direct/upstream_stats.h
+++ b/src/direct/upstream_stats.h
@@ -17,6 +17,8 @@
 /// is alive.
 struct upstream_stats {
   uint32_t flows = 0;  ///< Open flows recorded by this balancer.
+  /// Open flows of the other balancers of the failure domain; see load_pool.h.
+  uint32_t peer_flows = 0;
   /// Requests whose response the caller has not acknowledged.
   uint32_t pending_requests = 0;
   /// Smoothed time from a request to the first acknowledgement of its response.
@@ -38,6 +40,9 @@
     uint32_t responses = 0;
     double total_response_s = 0;  ///< Sum of the response times.
     uint32_t failures = 0;
+    /// Of these, what load_meter has counted.
+    uint32_t metered_responses = 0;
+    uint32_t metered_failures = 0;
     auto operator<=>(const recent&) const = default;
   } unreported;
   auto operator<=>(const upstream_stats&) const = default;
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -116,11 +116,28 @@
 auto Fields(T& m) {
   return std::tie(m.upstream, m.responses, m.mean_response_us, m.failures);
 }
+template <maybe_const<load_sample> T>
+auto Fields(T& m) {
+  return std::tie(m.service, m.domain, m.busy_milli, m.ended_milli_per_s,
+                  m.failures_milli_per_s);
+}
+template <maybe_const<load_report> T>
+auto Fields(T& m) {
+  return std::tie(m.interval_ms, m.samples, m.upstream_flows);
+}
+template <maybe_const<domain_sum> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.age_ms, m.samples);
+}
+template <maybe_const<load_notice> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.sums, m.list_digest, m.upstream_flows);
+}
 template <maybe_const<view_report> T>
 auto Fields(T& m) {
   return std::tie(m.self, m.wants_reply, m.watches_table, m.table_version,
                   m.revision, m.digest, m.age_ms, m.members, m.outcomes,
-                  m.outage_age_ms, m.table_age_ms);
+                  m.outage_age_ms, m.table_age_ms, m.load);
 }
 template <maybe_const<upstream_age> T>
 auto Fields(T& m) {
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -143,6 +143,7 @@
 using peer_message =
     std::variant<hello, heartbeat, heartbeat_ack, table_digest, table_records,
                  roster_record, handover_chunk, handover_ack, standby_flows,
-                 view_report, snapshot_request, view_snapshot, silence_notice>;
+                 view_report, snapshot_request, view_snapshot, silence_notice,
+                 load_notice>;
 
 }  // namespace radishyard
--- a/test/view_sharing_test.cc
+++ b/test/view_sharing_test.cc
@@ -97,11 +97,15 @@
   report.table_age_ms = 6;
   failure why;
   std::string payload = EncodeFrame(report, why)->substr(kFrameLengthBytes);
-  // The body is a short array that ends with the one-byte integers 5 and 6.
+  // The body is a short array that ends with the one-byte integers 5 and 6 and
+  // an empty load: an array of 0, an empty array and an empty blob.
   const auto drop_last_field = [&payload] {
     payload[2] = static_cast<char>(payload[2] - 1);
     payload.pop_back();
   };
+  constexpr size_t kEmptyLoadBytes = 5;
+  payload.resize(payload.size() - (kEmptyLoadBytes - 1));
+  drop_last_field();
   drop_last_field();
   drop_last_field();
   const auto decoded = DecodePayload(payload, why);
