Demand counts queued requests as far as they show work

The sum of a full domain counted requests that wait for a slot like requests in service, so the demand of a domain at 4 times its usual load was taken for 2.5 times its slots instead of 1.5, and its overflow fell with the guests' queues. Demand now follows from the slots that serve requests and from rejections. Overdue requests no longer count: on upstreams that are cut off they would stay in the sum until their flows expire.

--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -36,8 +36,10 @@
 void StopAwaitingResponse(tracked_flow& flow, upstream_directory& directory) {
   if (!flow.is_awaiting_response) return;
   flow.is_awaiting_response = false;
-  if (known_upstream* const u = FindByMark(directory, flow.mark))
-    --u->stats.pending_requests;
+  known_upstream* const u = FindByMark(directory, flow.mark);
+  if (u == nullptr) return;
+  --u->stats.pending_requests;
+  if (flow.is_overdue) --u->stats.overdue_requests;
 }
 
 /// Removes the flow from the counts of its upstream.
@@ -263,6 +265,7 @@
         now - std::max(flow.requested_at, tracker.resumed_at);
     if (waited.count() < timeout_s) continue;
     flow.is_overdue = true;
+    ++u->stats.overdue_requests;
     RecordFailure(u->stats, now);
   }
 }
@@ -271,12 +274,15 @@
   for (auto& [id, known] : directory.upstreams) {
     known.stats.flows = 0;
     known.stats.pending_requests = 0;
+    known.stats.overdue_requests = 0;
   }
   for (const auto& [key, flow] : tracker.flows) {
     known_upstream* const u = FindByMark(directory, flow.mark);
     if (u == nullptr) continue;
     ++u->stats.flows;
-    if (flow.is_awaiting_response) ++u->stats.pending_requests;
+    if (!flow.is_awaiting_response) continue;
+    ++u->stats.pending_requests;
+    if (flow.is_overdue) ++u->stats.overdue_requests;
   }
 }
 
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -48,8 +48,9 @@
 /// \brief The recorded flows, keyed by caller and service address.
 ///
 /// Invariant: for each upstream of the directory, `stats.flows` is the number
-/// of recorded flows with its mark, and `stats.pending_requests` the number of
-/// those that await a response.
+/// of recorded flows with its mark, `stats.pending_requests` the number of
+/// those that await a response, and `stats.overdue_requests` that of overdue
+/// ones.
 struct flow_tracker {
   absl::flat_hash_map<flow_key, tracked_flow> flows;
   size_t max_flows = kMaxTrackedFlows;
--- a/src/direct/load_meter.cc
+++ b/src/direct/load_meter.cc
@@ -50,10 +50,12 @@
     meter.measured_since = now;
   for (const auto& [service, upstreams] : directory.ready_by_service) {
     for (const known_upstream* u : upstreams) {
-      if (u->stats.pending_requests == 0) continue;
-      if (!IsUsable(*u, opening_timeout, now)) continue;
-      meter.cells[{service, u->entry.domain}].busy_sum +=
-          u->stats.pending_requests;
+      // The response to an overdue request may have been lost, or have passed
+      // through another balancer.
+      const uint32_t in_service =
+          u->stats.pending_requests - u->stats.overdue_requests;
+      if (in_service == 0 || !IsUsable(*u, opening_timeout, now)) continue;
+      meter.cells[{service, u->entry.domain}].busy_sum += in_service;
     }
   }
 }
--- a/src/direct/spill_over.cc
+++ b/src/direct/spill_over.cc
@@ -13,10 +13,11 @@
 namespace {
 
 constexpr double kThousandths = 1000;
-/// Demand on the upstreams of one domain counts up to this many times their
-/// slots. What is queued beyond is a result of the queue limit: the same demand
-/// would need fewer slots where it does not queue.
-constexpr double kMaxDemandPerSlot = 1.5;
+/// Up to this utilization hardly any request waits for a slot.
+constexpr double kQueueFreeUtilization = 0.6;
+/// Demand of a full domain is at least its busy requests, up to this many times
+/// the slots: until failures and other domains show the demand, the queues do.
+constexpr double kMaxQueuedDemand = 1.5;
 /// Above this share, failures are evidence of overload. A few broken upstreams
 /// cause less until new flows avoid them.
 constexpr double kOverloadFailureShare = 0.1;
@@ -26,8 +27,8 @@
 constexpr double kUnknownSpareShare = 0.05;
 /// Between these utilizations the assumed spare capacity falls to none: the
 /// domain is busier than the demand of its own callers explains.
-constexpr double kFullUtilization = 1.4;
-constexpr double kBusyUtilization = 0.9;
+constexpr double kFullUtilization = 2;
+constexpr double kBusyUtilization = 1.2;
 /// Time constants of the smoothing. The longer one exceeds the age of sums, so
 /// that changes that all balancers make at once are seen before they continue.
 constexpr duration kSpillTimeConstant = 500ms;
@@ -95,28 +96,58 @@
   return std::min(1.0, placed / OwnDemand(own));
 }
 
-/// Collects the demand of a domain's callers and the failures on its upstreams
-/// from the sums.
-void AddSums(spill_input& input, const load_pool& pool,
-             const std::map<std::string, double>& slots,
-             std::string_view service, time_point now) {
-  double ended = 0;
-  double failures = 0;
-  for (const auto& [source, known] : pool.sums) {
-    if (now - known.measured_at > kMaxLoadAge) continue;
-    for (const load_sample& s : known.sum.samples) {
-      if (s.service != service) continue;
-      if (s.domain == input.domain) {
+/// Returns the part of the slots that serve requests at a utilization that
+/// also counts queued ones: the same up to kQueueFreeUtilization, beyond it
+/// nearer and nearer to 1.
+double ServingPart(double utilization) {
+  if (utilization <= kQueueFreeUtilization) return utilization;
+  constexpr double kRest = 1 - kQueueFreeUtilization;
+  return 1 - kRest * std::exp(-(utilization - kQueueFreeUtilization) / kRest);
+}
+
+/// Returns the demand that placed `busy` requests on the upstreams of `on`: the
+/// slots that these use, and what was rejected beside them.
+double EstimateDemand(const spill_input& on, double busy) {
+  if (on.slots <= 0) return 0;
+  const double all_busy = std::max(on.busy, busy);
+  if (all_busy <= 0) return 0;
+  const double served = 1 - std::min(on.failure_share, kMaxFailureShare);
+  return busy / all_busy * on.slots * ServingPart(all_busy / on.slots) / served;
+}
+
+void AddFailures(std::vector<spill_input>& inputs, const load_pool& pool,
+                 std::string_view service, time_point now) {
+  for (spill_input& input : inputs) {
+    double ended = 0;
+    double failures = 0;
+    for (const auto& [source, known] : pool.sums) {
+      if (now - known.measured_at > kMaxLoadAge) continue;
+      for (const load_sample& s : known.sum.samples) {
+        if (s.service != service || s.domain != input.domain) continue;
         ended += s.ended_milli_per_s;
         failures += s.failures_milli_per_s;
       }
-      const auto at = slots.find(s.domain);
-      if (source != input.domain || at == slots.end()) continue;
-      input.demand +=
-          std::min(s.busy_milli / kThousandths, kMaxDemandPerSlot * at->second);
     }
+    input.failure_share = ended > 0 ? std::min(1.0, failures / ended) : 0;
+  }
+}
+
+/// Adds up what the callers of each domain have placed in all domains.
+void AddDemand(std::vector<spill_input>& inputs, const load_pool& pool,
+               std::string_view service) {
+  for (spill_input& input : inputs) {
+    if (!input.is_known) continue;
+    double queued = 0;
+    for (const load_sample& s : pool.sums.at(input.domain).sum.samples) {
+      const auto on = std::ranges::find(inputs, s.domain, &spill_input::domain);
+      if (s.service != service || on == inputs.end()) continue;
+      const double busy = s.busy_milli / kThousandths;
+      input.demand += EstimateDemand(*on, busy);
+      if (s.domain == input.domain)
+        queued = std::min(busy, kMaxQueuedDemand * input.slots);
+    }
+    input.demand = std::max(input.demand, queued);
   }
-  input.failure_share = ended > 0 ? std::min(1.0, failures / ended) : 0;
 }
 
 std::vector<spill_input> CollectInputs(
@@ -137,11 +168,12 @@
     }
     if (const service_load* load = FindLoad(loads, service, domain))
       input.busy = load->busy;
-    AddSums(input, pool, slots, service, now);
     input.is_silent = domain != own_domain &&
                       IsDomainSilent(upstreams, domain, opening_timeout, now);
     inputs.push_back(std::move(input));
   }
+  AddFailures(inputs, pool, service, now);
+  AddDemand(inputs, pool, service);
   return inputs;
 }
 
--- a/src/direct/upstream_stats.h
+++ b/src/direct/upstream_stats.h
@@ -21,6 +21,9 @@
   uint32_t peer_flows = 0;
   /// Requests whose response the caller has not acknowledged.
   uint32_t pending_requests = 0;
+  /// Of these, requests that have been counted as failed; see
+  /// FailOverdueRequests().
+  uint32_t overdue_requests = 0;
   /// Smoothed time from a request to the first acknowledgement of its response.
   double mean_response_s = 0;
   uint32_t responses = 0;   ///< Samples in `mean_response_s`.
