--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -61,10 +61,13 @@
   const std::string& service = SelectService(*row, packet.flow);
   const uint64_t flow_hash = StableHash(packet.flow);
   const duration opening_timeout = OpeningTimeout(state.tracker);
+  const domain_choice choice =
+      SelectDomain(state.spill, state.directory, service, state.domain,
+                   flow_hash, opening_timeout, now);
   const placement_request request{
       .service = service,
-      .domain = SelectDomain(state.spill, state.directory, service,
-                             state.domain, flow_hash, opening_timeout, now),
+      .domain = choice.domain,
+      .silent_domains = choice.silent,
       .avoided_mark = FindPreviousMark(state.tracker, packet.flow),
       .flow_hash = flow_hash,
       .opening_timeout = opening_timeout,
--- a/src/direct/load_pool.cc
+++ b/src/direct/load_pool.cc
@@ -13,6 +13,9 @@
 /// Most members and domains kept.
 constexpr size_t kMaxMembers = 4096;
 constexpr size_t kMaxDomains = 64;
+/// An estimate needs one of so many members: scaled up from fewer, the noise of
+/// their few requests would look like overload.
+constexpr size_t kMembersPerSample = 4;
 
 /// A sample whose counts are added up without loss.
 struct sample_sum {
@@ -94,10 +97,11 @@
       totals[{s.service, s.domain}].Add(s);
   }
   const size_t heard = pool.members.size() + 1;
-  const double members =
-      static_cast<double>(std::max(other_members + 1, heard));
-  return domain_sum{domain, ToAgeMs(total_age / static_cast<int64_t>(heard)),
-                    Scale(totals, members / static_cast<double>(heard))};
+  const size_t members = std::max(other_members + 1, heard);
+  if (heard * kMembersPerSample < members) return std::nullopt;
+  return domain_sum{
+      domain, ToAgeMs(total_age / static_cast<int64_t>(heard)),
+      Scale(totals, static_cast<double>(members) / static_cast<double>(heard))};
 }
 
 bool RecordSum(load_pool& pool, const domain_sum& sum, time_point now) {
--- a/src/direct/load_pool.h
+++ b/src/direct/load_pool.h
@@ -52,7 +52,8 @@
 /// kMaxLoadAge, scaled to the number of members.
 /// \param own the measurement of this balancer.
 /// \param other_members number of the other members of the domain.
-/// \returns nothing if this balancer has not measured yet.
+/// \returns nothing if this balancer has not measured yet, or has heard less
+/// than a quarter of the members.
 std::optional<domain_sum> EstimateSum(load_pool& pool,
                                       const std::string& domain,
                                       const load_report& own,
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -29,9 +29,12 @@
 preference GetPreference(const known_upstream& u,
                          const placement_request& request, time_point now) {
   if (u.mark == request.avoided_mark) return preference::kAvoided;
-  const bool is_suspect = IsFailing(u.stats, now) ||
-                          IsSuspect(u.stats, request.opening_timeout, now) ||
-                          CountWitnesses(u, now) >= kMinWitnessesToAvoid;
+  const bool is_suspect =
+      IsFailing(u.stats, now) ||
+      IsSuspect(u.stats, request.opening_timeout, now) ||
+      CountWitnesses(u, now) >= kMinWitnessesToAvoid ||
+      std::ranges::find(request.silent_domains, u.entry.domain) !=
+          request.silent_domains.end();
   if (is_suspect) return preference::kSuspect;
   return u.entry.domain == request.domain ? preference::kLocal
                                           : preference::kRemote;
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "direct/upstream_directory.h"
@@ -14,6 +15,8 @@
   /// Failure domain that is preferred: that of this balancer and usually also
   /// of its callers, or one that takes its overflow; see spill_over.h.
   std::string domain;
+  /// Other domains whose upstreams count as suspect; see IsDomainSilent().
+  std::vector<std::string> silent_domains;
   /// Mark of an upstream that did not respond to this flow, or 0.
   uint32_t avoided_mark = 0;
   /// Distributes flows over the upstreams that rank equally.
--- a/src/direct/spill_over.cc
+++ b/src/direct/spill_over.cc
@@ -13,10 +13,10 @@
 namespace {
 
 constexpr double kThousandths = 1000;
-/// Up to this utilization hardly any request waits for a slot.
-constexpr double kQueueFreeUtilization = 0.6;
-/// Demand of a full domain is at least its busy requests, up to this many times
-/// the slots: until failures and other domains show the demand, the queues do.
+/// Where so many requests for each slot are in service or queued, queues grow
+/// because demand exceeds the slots, and the requests show by how much.
+constexpr double kFullRequestsPerSlot = 2;
+/// Most demand that queues can show, in slots: they are bounded.
 constexpr double kMaxQueuedDemand = 1.5;
 /// Above this share, failures are evidence of overload. A few broken upstreams
 /// cause less until new flows avoid them.
@@ -96,23 +96,25 @@
   return std::min(1.0, placed / OwnDemand(own));
 }
 
-/// Returns the part of the slots that serve requests at a utilization that
-/// also counts queued ones: the same up to kQueueFreeUtilization, beyond it
-/// nearer and nearer to 1.
+/// Returns the part of the slots that serve requests if `utilization` counts
+/// queued requests as well: that of a queue with two servers and random
+/// arrivals (M/M/2), where utilization = part / (1 - part^2).
 double ServingPart(double utilization) {
-  if (utilization <= kQueueFreeUtilization) return utilization;
-  constexpr double kRest = 1 - kQueueFreeUtilization;
-  return 1 - kRest * std::exp(-(utilization - kQueueFreeUtilization) / kRest);
+  const double u = 2 * utilization;
+  return u <= 0 ? 0 : (std::sqrt(1 + u * u) - 1) / u;
 }
 
 /// Returns the demand that placed `busy` requests on the upstreams of `on`: the
-/// slots that these use, and what was rejected beside them.
+/// slots that serve them, and what was rejected beside them.
 double EstimateDemand(const spill_input& on, double busy) {
-  if (on.slots <= 0) return 0;
   const double all_busy = std::max(on.busy, busy);
-  if (all_busy <= 0) return 0;
-  const double served = 1 - std::min(on.failure_share, kMaxFailureShare);
-  return busy / all_busy * on.slots * ServingPart(all_busy / on.slots) / served;
+  if (on.slots <= 0 || all_busy <= 0) return 0;
+  const double utilization = all_busy / on.slots;
+  const double admitted = 1 - std::min(on.failure_share, kMaxFailureShare);
+  const double offered =
+      std::max(ServingPart(utilization) / admitted,
+               std::min(utilization / kFullRequestsPerSlot, kMaxQueuedDemand));
+  return busy / all_busy * on.slots * offered;
 }
 
 void AddFailures(std::vector<spill_input>& inputs, const load_pool& pool,
@@ -137,16 +139,11 @@
                std::string_view service) {
   for (spill_input& input : inputs) {
     if (!input.is_known) continue;
-    double queued = 0;
     for (const load_sample& s : pool.sums.at(input.domain).sum.samples) {
       const auto on = std::ranges::find(inputs, s.domain, &spill_input::domain);
       if (s.service != service || on == inputs.end()) continue;
-      const double busy = s.busy_milli / kThousandths;
-      input.demand += EstimateDemand(*on, busy);
-      if (s.domain == input.domain)
-        queued = std::min(busy, kMaxQueuedDemand * input.slots);
+      input.demand += EstimateDemand(*on, s.busy_milli / kThousandths);
     }
-    input.demand = std::max(input.demand, queued);
   }
 }
 
@@ -290,25 +287,26 @@
   return changed;
 }
 
-std::string SelectDomain(const spill_over_state& spill,
-                         const upstream_directory& directory,
-                         std::string_view service,
-                         const std::string& own_domain, uint64_t flow_hash,
-                         duration opening_timeout, time_point now) {
+domain_choice SelectDomain(const spill_over_state& spill,
+                           const upstream_directory& directory,
+                           std::string_view service,
+                           const std::string& own_domain, uint64_t flow_hash,
+                           duration opening_timeout, time_point now) {
+  domain_choice choice{.domain = own_domain};
+  if (!spill.is_enabled) return choice;
   const auto known = std::ranges::lower_bound(spill.services, service, {},
                                               &service_shares::service);
-  if (!spill.is_enabled || known == spill.services.end() ||
-      known->service != service || FindShare(known->shares, own_domain) >= 1)
-    return own_domain;
+  if (known == spill.services.end() || known->service != service) return choice;
   const auto ready = directory.ready_by_service.find(known->service);
-  if (ready == directory.ready_by_service.end()) return own_domain;
+  if (ready == directory.ready_by_service.end()) return choice;
   std::vector<domain_share> usable;
   double sum = 0;
   for (const domain_share& s : known->shares) {
-    if (s.share <= 0) continue;
     if (s.domain != own_domain &&
-        IsDomainSilent(ready->second, s.domain, opening_timeout, now))
+        IsDomainSilent(ready->second, s.domain, opening_timeout, now)) {
+      choice.silent.push_back(s.domain);
       continue;
+    }
     usable.push_back(s);
     sum += s.share;
   }
@@ -316,10 +314,12 @@
   const uint64_t hash = XXH64(&flow_hash, sizeof flow_hash, kDomainSeed);
   double remaining = sum * (static_cast<double>(hash) / kHashes);
   for (const domain_share& s : usable) {
+    if (s.share <= 0) continue;
+    choice.domain = s.domain;
     remaining -= s.share;
-    if (remaining < 0) return s.domain;
+    if (remaining < 0) break;
   }
-  return usable.empty() ? own_domain : usable.back().domain;
+  return choice;
 }
 
 bool HasPeerFlows(const spill_over_state& spill, time_point now) {
--- a/src/direct/spill_over.h
+++ b/src/direct/spill_over.h
@@ -25,7 +25,7 @@
 
 /// \brief Requests in service per slot above which a domain has no spare
 /// capacity. Above it, the queues of upstreams grow fast with the load.
-inline constexpr double kSpillThreshold = 0.8;
+inline constexpr double kSpillThreshold = 0.7;
 
 /// \brief What a decision knows of one domain and one service.
 struct spill_input {
@@ -108,14 +108,21 @@
                                          duration opening_timeout,
                                          time_point now);
 
+/// \brief The domain of a new flow, and those that it must avoid.
+struct domain_choice {
+  std::string domain;
+  std::vector<std::string> silent;  ///< See IsDomainSilent().
+  auto operator<=>(const domain_choice&) const = default;
+};
+
 /// \brief Selects the domain of a new flow by the shares and the flow's hash.
 /// Domains that are silent now are left out.
 /// \returns the own domain while the part is off or no shares are known.
-std::string SelectDomain(const spill_over_state& spill,
-                         const upstream_directory& directory,
-                         std::string_view service,
-                         const std::string& own_domain, uint64_t flow_hash,
-                         duration opening_timeout, time_point now);
+domain_choice SelectDomain(const spill_over_state& spill,
+                           const upstream_directory& directory,
+                           std::string_view service,
+                           const std::string& own_domain, uint64_t flow_hash,
+                           duration opening_timeout, time_point now);
 
 /// \brief True if the pooled flows of upstreams are fresh enough to be used.
 bool HasPeerFlows(const spill_over_state& spill, time_point now);
