Unit tests of spill-over, and a domain that is left at one unanswered opening

Where no upstream of any domain is usable, shares still add up to 1.

spill_over_test: 15 tests pass. spill_over_replay_test: 18 of 18 pass with 8, 78 and 300 balancers. The tests of the direct form that were built (view_sharing, settings, forwarder, tracker, balancer, peer_exchange, peer, silence) pass.

--- a/src/direct/spill_over.cc
+++ b/src/direct/spill_over.cc
@@ -196,7 +196,9 @@
     spare += Spare(input);
     slots += input.is_silent ? 0 : input.slots;
   }
-  const double others = ShareOfOthers(inputs, *own, spare);
+  // Where no upstream is usable, placement takes the least suspect one.
+  const double others =
+      spare + slots > 0 ? ShareOfOthers(inputs, *own, spare) : 0;
   std::vector<domain_share> shares;
   for (const spill_input& input : inputs) {
     if (input.domain == own_domain) {
@@ -238,22 +240,22 @@
 bool IsDomainSilent(const std::vector<known_upstream*>& upstreams,
                     std::string_view domain, duration opening_timeout,
                     time_point now) {
-  uint32_t unanswered = 0;
-  time_point since = time_point::max();
   time_point last_alive_at{};
   time_point last_opening_at{};
   for (const known_upstream* u : upstreams) {
     if (u->entry.domain != domain) continue;
+    last_alive_at = std::max(last_alive_at, u->stats.last_alive_at);
+    last_opening_at = std::max(last_opening_at, u->stats.last_opening_at);
+  }
+  uint32_t unanswered = 0;
+  for (const known_upstream* u : upstreams) {
     const upstream_stats& stats = u->stats;
-    last_alive_at = std::max(last_alive_at, stats.last_alive_at);
-    last_opening_at = std::max(last_opening_at, stats.last_opening_at);
-    const bool is_overdue =
-        stats.unanswered > 0 && now - stats.unanswered_since > opening_timeout;
-    if (!is_overdue) continue;
-    unanswered += stats.unanswered;
-    since = std::min(since, stats.unanswered_since);
+    const bool is_overdue = u->entry.domain == domain && stats.unanswered > 0 &&
+                            now - stats.unanswered_since > opening_timeout;
+    if (is_overdue && stats.unanswered_since > last_alive_at)
+      unanswered += stats.unanswered;
   }
-  if (unanswered == 0 || last_alive_at >= since) return false;
+  if (unanswered == 0) return false;
   const uint32_t doublings = std::min(unanswered - 1, kMaxDoublings);
   return now - last_opening_at < kFirstProbeDelay * (int64_t{1} << doublings);
 }
--- a/test/support/direct_replay.cc
+++ b/test/support/direct_replay.cc
@@ -324,6 +324,8 @@
   }
 
   void EndRequest(const flow_ptr& flow) {
+    if (IsCut(flow->domain, upstreams_[flow->upstream - 1].domain))
+      return After(2, [this, flow] { EndAttempt(flow); });
     --flow->requests_left;
     const bool ends = flow->requests_left == 0;
     Acknowledge(flow, kResponseBytes, ends);
