--- a/src/direct/load_pool.cc
+++ b/src/direct/load_pool.cc
@@ -42,6 +42,7 @@
 std::vector<load_sample> Scale(const std::map<load_key, sample_sum>& totals,
                                double factor) {
   std::vector<load_sample> samples;
+  samples.reserve(totals.size());
   for (const auto& [key, total] : totals)
     samples.push_back({key.first, key.second,
                        ToCount(total.busy_milli * factor),
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -130,13 +130,18 @@
   }
 
   void Send(const peer_message& message, const endpoint& to) {
+    SendToAll(message, {&to, 1});
+  }
+
+  void SendToAll(const peer_message& message, std::span<const endpoint> to) {
     failure why;
     const auto frame = EncodeFrame(message, why);
     if (!frame || frame->size() > kDatagramBytes) return;
     // Later reports replace a lost one, and each further retransmission of a
     // caller leads to another notice.
     error_code ignored;
-    socket_.send_to(asio::buffer(*frame), ToUdp(to), 0, ignored);
+    for (const endpoint& each : to)
+      socket_.send_to(asio::buffer(*frame), ToUdp(each), 0, ignored);
   }
 
   void RunPeriodicTasks() {
@@ -165,11 +170,12 @@
                  is_reader ? members.size() : CountKnown(members_), now);
     if (!is_reader) return;
     const load_notice notice = MakeMemberNotice(state_, members_.self, now);
-    for (const view_member& member : members) Send(notice, member.peer);
+    std::vector<endpoint> peers;
+    for (const view_member& member : members) peers.push_back(member.peer);
+    SendToAll(notice, peers);
     const auto foreign = MakeDomainNotice(state_, members_.self, now);
     if (!foreign) return;
-    for (const endpoint& to : SelectForeignTargets(members_, round_, now))
-      Send(*foreign, to);
+    SendToAll(*foreign, SelectForeignTargets(members_, round_, now));
   }
 
   /// Applies a notice of loads. Of another domain's notices a member that is no
--- a/src/direct/spill_over.h
+++ b/src/direct/spill_over.h
@@ -3,8 +3,8 @@
 // with spare capacity. It addresses callers of one domain that need more than
 // its upstreams can serve while those of other domains are idle.
 //
-// The decision compares demand, the requests in service that the callers of a
-// domain cause wherever they are placed, with slots. Demand does not depend on
+// The decision compares demand, the slots that the requests of a domain's
+// callers need wherever they are placed, with slots. Demand does not depend on
 // the shares, so old sums of it make no feedback loop that could oscillate.
 // Requests in service on a domain's upstreams would, because they contain what
 // the decision itself has placed there.
@@ -23,16 +23,17 @@
 
 namespace radishyard {
 
-/// \brief Requests in service per slot above which a domain has no spare
-/// capacity. Above it, the queues of upstreams grow fast with the load.
+/// \brief Demand per slot above which a domain has no spare capacity. Above it,
+/// the queues of upstreams grow fast with the load.
 inline constexpr double kSpillThreshold = 0.7;
 
 /// \brief What a decision knows of one domain and one service.
 struct spill_input {
   std::string domain;
-  double slots = 0;   ///< Of ready and usable upstreams; 0 if there are none.
-  double demand = 0;  ///< Requests in service of the domain's callers.
-  double busy = 0;    ///< Requests in service or queued on its upstreams.
+  double slots = 0;  ///< Of ready and usable upstreams; 0 if there are none.
+  /// Slots that the requests of the domain's callers need, wherever placed.
+  double demand = 0;
+  double busy = 0;  ///< Requests in service or queued on its upstreams.
   /// Share of the requests there that fail.
   double failure_share = 0;
   duration age{};         ///< Of the sum of its balancers; see service_load.
--- a/src/direct/spill_over_metrics.cc
+++ b/src/direct/spill_over_metrics.cc
@@ -28,7 +28,7 @@
       page.AddSample({{"service", s.service}, {"domain", share.domain}},
                      share.share);
   AddInputGauge(page, spill, "radishyard_domain_demand",
-                "Requests in service of a domain's callers, wherever placed.",
+                "Slots that a domain's callers need, wherever placed.",
                 [](const spill_input& i) { return i.demand; });
   AddInputGauge(page, spill, "radishyard_domain_failure_share",
                 "Share of the requests that fail on a domain's upstreams.",
--- a/test/peer_exchange_test.cc
+++ b/test/peer_exchange_test.cc
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <string>
+#include <vector>
+
 #include "peer/peer_codec.h"
 #include "support/direct_world.h"
 #include "support/free_port.h"
@@ -29,6 +33,35 @@
                     {asio::ip::address_v4::loopback(), listen_.port});
   }
 
+  void SendForeignNotice() {
+    const load_notice notice{.sender = {{kLoopback, 9}, kRemoteDomain, 1},
+                             .sums = {{.domain = kRemoteDomain}}};
+    failure why;
+    sender_.send_to(asio::buffer(*EncodeFrame(notice, why)),
+                    {asio::ip::address_v4::loopback(), listen_.port});
+  }
+
+  /// Returns the domains of the sums in the last notice of loads that the
+  /// member has received.
+  std::vector<std::string> ReceiveSums() {
+    std::vector<std::string> domains;
+    std::array<char, 8192> buffer{};
+    sender_.non_blocking(true);
+    error_code error;
+    for (;;) {
+      const size_t size = sender_.receive(asio::buffer(buffer), 0, error);
+      if (error) return domains;
+      failure why;
+      const auto message =
+          DecodePayload(ParseFrame({buffer.data(), size}).payload, why);
+      const auto* notice =
+          message ? std::get_if<load_notice>(&*message) : nullptr;
+      if (notice == nullptr) continue;
+      domains.clear();
+      for (const domain_sum& sum : notice->sums) domains.push_back(sum.domain);
+    }
+  }
+
   bool HasMembers() const {
     return exchange_.HasMembers(std::chrono::steady_clock::now());
   }
@@ -86,5 +119,18 @@
   EXPECT_TRUE(HasMembers());
 }
 
+// Without it, a member would know the load of its own reports only.
+TEST_F(exchange_on_loopback, AReaderSendsTheSumsOfAllDomainsToMembers) {
+  world_.state.spill.is_enabled = true;
+  UpdateLoads(world_.state, std::chrono::steady_clock::now() - 1s);
+  exchange_.Start();
+  SendReport();
+  SendForeignNotice();
+  // The second round of reports follows after a second.
+  io_.run_for(1500ms);
+  EXPECT_EQ(ReceiveSums(),
+            (std::vector<std::string>{kRemoteDomain, kLocalDomain}));
+}
+
 }  // namespace
 }  // namespace radishyard
--- a/test/spill_over_replay_test.cc
+++ b/test/spill_over_replay_test.cc
@@ -49,12 +49,15 @@
   return domain == 0 && t >= 5 && t < 14 ? 4 : 1;
 }
 
+// Guards against flows that leave their domain by noise in the sums, and
+// against balancers that all choose the same upstream.
 TEST_P(SpillOverReplay, QuietLoadStaysInItsDomain) {
   const auto [before, after] = RunBoth("quiet", {});
   EXPECT_LE(after.busiest, 1.3);
   EXPECT_EQ(after.foreign_openings, 0);
 }
 
+// Guards against rejections beside idle domains, and against shares that swing.
 TEST_P(SpillOverReplay, FourfoldLoadOfOneDomain) {
   const auto [before, after] =
       RunBoth("fourfold", {.load = SpikeOfFirstDomain});
@@ -65,6 +68,7 @@
   EXPECT_LE(after.reversals, 1);
 }
 
+// Guards against shares that follow the peak a quarter of a period late.
 TEST_P(SpillOverReplay, MovingPeak) {
   const auto swing = [](size_t domain, double t) {
     const double phase = t / 13 + static_cast<double>(domain) / kDomains;
@@ -78,6 +82,7 @@
   EXPECT_LE(after.reversals, 5);
 }
 
+// Guards against slow upstreams that get as many flows as fast ones.
 TEST_P(SpillOverReplay, AThirdOfOneDomainIsSlow) {
   const auto slowness = [](size_t domain, uint32_t index) {
     return domain == 0 && index % 3 == 0 ? 6.0 : 1.0;
@@ -88,6 +93,7 @@
   EXPECT_LE(after.busiest, 1.3);
 }
 
+// Guards against overflow that goes on to a domain that does not answer.
 TEST_P(SpillOverReplay, APartitionedNeighbourIsLeft) {
   const auto [before, after] =
       RunBoth("partition", {.load = SpikeOfFirstDomain, .cut_at = 9});
@@ -99,6 +105,7 @@
   EXPECT_LE(after.lost_after_cut, kMaxLost * members);
 }
 
+// Guards against the whole load of a lost domain on one of the others.
 TEST_P(SpillOverReplay, TheLoadOfAnEvacuatedDomainIsDivided) {
   const auto [before, after] = RunBoth("evacuated", {.evacuated_at = 6});
   for (const domain_result& d : after.domains) EXPECT_GE(d.Value(), 0.98);
