--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -1,6 +1,7 @@
 // Renders the metrics page of a balancer with direct server return.
 #include "direct/direct_counters.h"
 
+#include "direct/spill_over_metrics.h"
 #include "observe/metrics.h"
 
 namespace radishyard {
@@ -117,6 +118,7 @@
                    [](const known_upstream& u) { return u.stats.unanswered; });
   if (state.honours_evacuations)
     AddEvacuations(page, counters, state.evacuations, now);
+  AddSpillOverMetrics(page, state, now);
   return page.Text();
 }
 
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -120,11 +120,28 @@
 auto Fields(T& m) {
   return std::tie(m.revision, m.age_ms, m.is_read_by_sender, m.domains);
 }
+template <maybe_const<load_sample> T>
+auto Fields(T& m) {
+  return std::tie(m.service, m.domain, m.busy_milli, m.ended_milli_per_s,
+                  m.failures_milli_per_s);
+}
+template <maybe_const<load_report> T>
+auto Fields(T& m) {
+  return std::tie(m.interval_ms, m.samples, m.upstream_flows);
+}
+template <maybe_const<domain_sum> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.age_ms, m.samples);
+}
+template <maybe_const<load_notice> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.sums, m.list_digest, m.upstream_flows);
+}
 template <maybe_const<view_report> T>
 auto Fields(T& m) {
   return std::tie(m.self, m.wants_reply, m.watches_table, m.table_version,
                   m.revision, m.digest, m.age_ms, m.members, m.outcomes,
-                  m.outage_age_ms, m.table_age_ms, m.evacuations);
+                  m.outage_age_ms, m.table_age_ms, m.evacuations, m.load);
 }
 template <maybe_const<upstream_age> T>
 auto Fields(T& m) {
