Admission control under overload, in the direct form

Cause: with demand of 1.29 times the capacity, upstreams reject 40% of what arrives without regard to priority, so priorities have no effect.

Change: admission.h derives a threshold for each service from the pooled loads (busy slots, rejected work) and decides on each opening by priority, work and a hash of the flow: place, delay or refuse. address_demand.h observes work, requests and openings of each address, admission_report.h counts and reports. Until loads are known, every opening is placed.

--- a/include/radishyard/direct.h
+++ b/include/radishyard/direct.h
@@ -7,6 +7,9 @@
 // direct_balancer calls it for the packets that its sockets receive.
 // docs/design/platform.md explains when this form of forwarding applies.
 #pragma once
+#include "direct/address_demand.h"
+#include "direct/admission.h"
+#include "direct/admission_report.h"
 #include "direct/direct_balancer.h"
 #include "direct/direct_counters.h"
 #include "direct/direct_packet.h"
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -104,6 +104,11 @@
            FieldOrEmpty(line, "revision") + ", read " +
            FieldOrEmpty(line, "age_ms") +
            " ms before; the request was not executed";
+  if (decision == "overload_refused")
+    return "refused: the service was overloaded, see the lines of the event "
+           "admission; the request was not executed";
+  if (decision == "overload_delayed")
+    return "left to the caller's retransmission: the service was overloaded";
   return "not opened: the balancer had no table or no upstreams yet";
 }
 
--- /dev/null
+++ b/src/direct/admission.cc
@@ -0,0 +1,292 @@
+// Derives the threshold of admission from pooled loads and ranks openings.
+#include "direct/admission.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace radishyard {
+namespace {
+
+/// Requests in service or queued for each slot of a full upstream: it serves 2
+/// and queues 8 (docs/hard-load.md).
+constexpr double kFullUtilization = 5;
+/// Pressure up to which everything is admitted: for each slot one request in
+/// service and one queued. Slots stay busy only while requests wait, because
+/// arrivals at single upstreams vary.
+constexpr double kRoomPressure = 2;
+/// Relative decrease of the threshold for each unit of pressure above
+/// kRoomPressure. It is the gain of a loop with a delay of 1 to 3 s, in which
+/// the pressure rises by several units when the load rises from 0.8 to 1.2.
+constexpr double kPressureGain = 0.5;
+/// More pressure than this above kRoomPressure does not lower the threshold
+/// further. It comes from upstreams that are slow or failing, which fewer
+/// openings would not relieve.
+constexpr double kMaxExcess = 4;
+/// Time constants of the smoothed pressure. Loads are 1 to 3 s old; a threshold
+/// that followed them faster than their age would oscillate.
+constexpr double kRiseSeconds = 1;
+constexpr double kFallSeconds = 3;
+/// Part of the openings of each address that is admitted at any threshold, so
+/// that no class is starved for good.
+constexpr double kLeastShare = 0.03;
+/// Openings with a rank this far above a threshold that does not fall may wait
+/// for their next copy.
+constexpr double kDelayBand = 0.05;
+/// Openings that can still be served later rank as if they needed more work by
+/// this factor.
+constexpr double kLaterFactor = 1.25;
+/// Times from the first copy of an opening to its second and third copy.
+constexpr std::array<duration, 2> kCopyTimes{200ms, 600ms};
+/// Consecutive ports of one caller that share a hash. Each request of a refused
+/// caller opens up to three flows: if each of them were drawn anew, most
+/// callers would be admitted after some requests, and then hold a long flow.
+/// With this many, a caller is refused for a while and draws anew later.
+constexpr uint16_t kPortsPerDraw = 64;
+
+/// Time after its first copy at which the given copy of an opening is sent.
+duration TimeOfCopy(uint32_t retransmission_count) {
+  if (retransmission_count == 0) return {};
+  return kCopyTimes.at(std::min<size_t>(retransmission_count, 2) - 1);
+}
+
+/// The position of a flow among the openings to its address, from 0 to 1. It
+/// is the same on every balancer and for each copy of the opening.
+double FlowPosition(flow_key flow) {
+  flow.caller.port /= kPortsPerDraw;
+  constexpr int kBits = 32;
+  return std::ldexp(static_cast<double>(StableHash(flow) >> kBits), -kBits);
+}
+
+/// Time from a request to its response at the present load, by Little's law.
+duration ExpectedResponse(const service_admission& admission, double work_s) {
+  const double slowdown = std::max(1.0, admission.evidence.utilization);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(work_s * slowdown));
+}
+
+/// True if a request is served within its target latency although its flow is
+/// placed only with the given copy of its opening.
+bool CanServeCopy(const service_admission& admission,
+                  const published_address& row, double work_s,
+                  uint32_t retransmission_count) {
+  return TimeOfCopy(retransmission_count) +
+             ExpectedResponse(admission, work_s) <=
+         row.target_latency;
+}
+
+/// Sums the loads of a service that are recent enough.
+/// \returns nothing if there is none.
+std::optional<overload_evidence> SumLoads(const load_view& view,
+                                          const std::string& service,
+                                          time_point now) {
+  overload_evidence sum;
+  double busy = 0;
+  for (const service_load& load : view.loads) {
+    const duration age = now - load.measured_at;
+    if (load.service != service || age > kMaxLoadAge) continue;
+    busy += load.busy;
+    sum.slots += load.slots;
+    sum.failures_per_s += load.failures_per_s;
+    sum.age = std::max(sum.age, age);
+  }
+  if (sum.slots <= 0) return std::nullopt;
+  sum.utilization = busy / sum.slots;
+  return sum;
+}
+
+/// Part of an address's new flows that goes to `service`.
+double WeightOf(const published_address& row, const std::string& service) {
+  double weight = 0;
+  double total = 0;
+  for (const service_share& share : row.shares) {
+    total += share.weight;
+    if (share.service == service) weight += share.weight;
+  }
+  return total == 0 ? 0 : weight / total;
+}
+
+address_demand FindDemand(const address_demands& demands,
+                          const endpoint& address) {
+  const auto found = demands.find(address);
+  return found == demands.end() ? address_demand{} : found->second;
+}
+
+/// Sort key of a class: priority first, then the work that a request costs,
+/// more if it can also be served later.
+std::pair<uint8_t, double> RankKey(const service_admission& admission,
+                                   const published_address& row,
+                                   double work_s) {
+  const bool can_wait = CanServeCopy(admission, row, work_s, 1);
+  return {row.priority, work_s * (can_wait ? kLaterFactor : 1.0)};
+}
+
+/// Computes the classes of `service`, sorted by rank. `share` is their part of
+/// the offered work, or equal parts while none has been observed.
+std::vector<admission_class> RankClasses(const service_admission& admission,
+                                         const std::string& service,
+                                         const routing_table& table,
+                                         const address_demands& demands,
+                                         time_point now) {
+  std::vector<std::pair<std::pair<uint8_t, double>, admission_class>> keyed;
+  double total = 0;
+  for (const published_address& row : table.addresses) {
+    const double weight = WeightOf(row, service);
+    if (weight == 0) continue;
+    const address_demand demand = FindDemand(demands, row.address);
+    const double offered = weight * OpeningsPerSecond(demand, now) *
+                           RequestsPerFlow(demand) * demand.work_s;
+    keyed.push_back({RankKey(admission, row, demand.work_s),
+                     {.address = row.address,
+                      .priority = row.priority,
+                      .work_s = demand.work_s,
+                      .share = offered}});
+    total += offered;
+  }
+  std::sort(keyed.begin(), keyed.end());
+  std::vector<admission_class> classes;
+  double first_rank = 0;
+  for (auto& [key, c] : keyed) {
+    c.share = total > 0 ? c.share / total : 1.0 / keyed.size();
+    c.first_rank = first_rank;
+    first_rank += c.share;
+    classes.push_back(c);
+  }
+  return classes;
+}
+
+const admission_class* FindClass(const service_admission& admission,
+                                 const endpoint& address) {
+  const auto found =
+      std::find_if(admission.classes.begin(), admission.classes.end(),
+                   [&](const auto& c) { return c.address == address; });
+  return found == admission.classes.end() ? nullptr : &*found;
+}
+
+/// True if the classes are those of the table's rows for `service`.
+bool MatchesTable(const service_admission& admission,
+                  const std::string& service, const routing_table& table) {
+  size_t rows = 0;
+  for (const published_address& row : table.addresses) {
+    if (WeightOf(row, service) == 0) continue;
+    const admission_class* const c = FindClass(admission, row.address);
+    if (c == nullptr || c->priority != row.priority) return false;
+    ++rows;
+  }
+  return rows == admission.classes.size();
+}
+
+/// Mean work of a request over the offered requests of a service, in seconds.
+double MeanWork(const std::vector<admission_class>& classes) {
+  double requests = 0;
+  for (const admission_class& c : classes) requests += c.share / c.work_s;
+  return requests > 0 ? 1 / requests : kDefaultWorkSeconds;
+}
+
+/// The pressure that the evidence shows, in the unit of utilization. The part
+/// of the arriving work that is rejected counts in addition to what is queued;
+/// if all is rejected, it counts as a second full queue.
+double MeasurePressure(const overload_evidence& evidence, double mean_work_s) {
+  const double rejected = evidence.failures_per_s * mean_work_s;
+  return evidence.utilization +
+         kFullUtilization * rejected / (rejected + evidence.slots);
+}
+
+/// Moves the smoothed pressure towards `measured`.
+void SmoothPressure(service_admission& admission, double measured,
+                    time_point now) {
+  const double elapsed_s =
+      std::chrono::duration<double>(now - admission.updated_at).count();
+  const double time_constant_s =
+      measured > admission.pressure ? kRiseSeconds : kFallSeconds;
+  const double weight =
+      1 - std::exp(-std::max(0.0, elapsed_s) / time_constant_s);
+  admission.pressure += weight * (measured - admission.pressure);
+}
+
+void UpdateAdmission(service_admission& admission,
+                     const overload_evidence& evidence, time_point now) {
+  const double measured =
+      MeasurePressure(evidence, MeanWork(admission.classes));
+  if (!admission.is_known) admission.pressure = measured;
+  SmoothPressure(admission, measured, now);
+  const double excess =
+      std::clamp(admission.pressure - kRoomPressure, 0.0, kMaxExcess);
+  const double admitted = std::exp(-kPressureGain * excess);
+  admission.is_falling = admitted < admission.admitted;
+  admission.admitted = admitted;
+  admission.evidence = evidence;
+  admission.updated_at = now;
+  admission.is_known = true;
+}
+
+}  // namespace
+
+void UpdateAdmissions(service_admissions& admissions,
+                      const routing_table& table,
+                      const address_demands& demands, const load_view& loads,
+                      time_point now) {
+  std::set<std::string> services;
+  for (const published_address& row : table.addresses)
+    for (const service_share& share : row.shares)
+      services.insert(share.service);
+  std::erase_if(admissions,
+                [&](const auto& a) { return !services.contains(a.first); });
+  for (const std::string& service : services) {
+    service_admission& admission = admissions[service];
+    const auto evidence = SumLoads(loads, service, now);
+    if (!evidence) {
+      admission = {};
+      continue;
+    }
+    // Refused callers try again, so the openings seen under overload overstate
+    // their classes. The ranks of the time before stay in effect.
+    if (admission.admitted >= 1 || !MatchesTable(admission, service, table))
+      admission.classes = RankClasses(admission, service, table, demands, now);
+    UpdateAdmission(admission, *evidence, now);
+  }
+}
+
+bool IsRecent(const service_admission& admission, time_point now) {
+  const duration age = now - admission.updated_at + admission.evidence.age;
+  return admission.is_known && age <= kMaxLoadAge;
+}
+
+bool IsOverloaded(const service_admission& admission, time_point now) {
+  return IsRecent(admission, now) && admission.admitted < 1;
+}
+
+admission_action DecideAdmission(const service_admission& admission,
+                                 const published_address& row,
+                                 const flow_key& flow,
+                                 uint32_t retransmission_count,
+                                 time_point now) {
+  if (!IsOverloaded(admission, now)) return admission_action::kPlace;
+  const admission_class* const c = FindClass(admission, row.address);
+  if (c == nullptr) return admission_action::kPlace;
+  const bool is_too_late = TimeOfCopy(retransmission_count) +
+                               ExpectedResponse(admission, c->work_s) >
+                           row.timeout;
+  if (is_too_late) return admission_action::kRefuse;
+  // The first copy was not refused, so it was placed or delayed.
+  if (retransmission_count > 0) return admission_action::kPlace;
+  const double position = FlowPosition(flow);
+  const double rank = c->first_rank + c->share * position;
+  if (position < kLeastShare || rank < admission.admitted)
+    return admission_action::kPlace;
+  const bool can_wait = !admission.is_falling &&
+                        rank < admission.admitted + kDelayBand &&
+                        CanServeCopy(admission, row, c->work_s, 1);
+  return can_wait ? admission_action::kDelay : admission_action::kRefuse;
+}
+
+bool IsQueueing(const service_admissions& admissions) {
+  return std::any_of(admissions.begin(), admissions.end(), [](const auto& a) {
+    return a.second.is_known && a.second.evidence.utilization > 1;
+  });
+}
+
+}  // namespace radishyard
--- a/src/direct/decision_log.cc
+++ b/src/direct/decision_log.cc
@@ -26,7 +26,12 @@
 void LogVerdict(const direct_packet& packet, const verdict& decision,
                 const forwarding_state& state, time_point now) {
   if (packet.is_opening) {
-    Log(severity::kInfo, "opening",
+    // Under overload the summary lines of admission control take the place of
+    // these, which would use up the limit on lines of this event.
+    const bool is_held =
+        decision.reason == verdict_reason::kDelayedByAdmission ||
+        decision.reason == verdict_reason::kRefusedByAdmission;
+    Log(is_held ? severity::kDebug : severity::kInfo, "opening",
         {{"flow", ToString(packet.flow)},
          {"copy", uint64_t{packet.retransmission_count}},
          {"decision", ToName(decision.reason)},
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -380,10 +380,20 @@
     DetectPause(now);
     FailOverdueRequests(state_.tracker, state_.directory, now);
     LogHealthChanges(UpdateHealthStates(state_, now), state_.directory);
+    MaintainAdmission(now);
     ExpireIdleFlows(state_.tracker, state_.directory, state_.table.idle_timeout,
                     now);
   }
 
+  void MaintainAdmission(time_point now) {
+    if (!config_.is_admission_enabled) return;
+    UpdateAdmissions(state_.admissions, state_.table, state_.tracker.demands,
+                     state_.loads, now);
+    state_.tracker.is_queueing = IsQueueing(state_.admissions);
+    LogSummaries(
+        TakeSummaries(state_.admission_decisions, state_.admissions, now));
+  }
+
   void RunMaintenance() {
     DetectSuspension();
     // The steps change statistics alone, and the next run repeats them.
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -1,6 +1,7 @@
 // Renders the metrics page of a balancer with direct server return.
 #include "direct/direct_counters.h"
 
+#include "direct/admission_report.h"
 #include "observe/metrics.h"
 
 namespace radishyard {
@@ -80,6 +81,7 @@
       std::chrono::duration<double>(now - state.directory.read_at).count());
   AddGauge(page, "radishyard_flows", "Open flows seen here.",
            static_cast<double>(state.tracker.flows.size()));
+  AddAdmissionMetrics(page, state.admission_decisions, state.admissions, now);
   page.BeginMetric(metric_kind::kHistogram, "radishyard_confirm_seconds",
                    "From an opening to the caller's next packet.");
   page.AddHistogram({}, state.tracker.confirm_times);
--- a/src/direct/direct_settings.cc
+++ b/src/direct/direct_settings.cc
@@ -139,6 +139,7 @@
   reader.ReadBound("edit_bound_ms", s.edit_bound);
   reader.ReadBound("stop_grace_ms", s.stop_grace);
   reader.ReadLinkCapacity("link_mbps", s.link_mbps);
+  reader.ReadFlag("admission", s.is_admission_enabled);
   reader.ReadLevel("log_level", s.level);
   if (found.size() > before) return std::nullopt;
   return s;
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -42,6 +42,8 @@
   duration stop_grace = 6s;
   /// Capacity of the VM's network link in megabits a second.
   uint32_t link_mbps = 1000;
+  /// Admission control under overload; see admission.h.
+  bool is_admission_enabled = false;
   log_level level = log_level::kInfo;
   auto operator<=>(const direct_settings&) const = default;
 };
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -87,8 +87,7 @@
 /// Records data from the caller: a new request, further data of a request, or a
 /// retransmission.
 /// \returns for a counted retransmission, when the data was first forwarded.
-std::optional<time_point> TrackData(const flow_tracker& tracker,
-                                    tracked_flow& flow,
+std::optional<time_point> TrackData(flow_tracker& tracker, tracked_flow& flow,
                                     const direct_packet& packet,
                                     known_upstream& upstream, time_point now) {
   const uint32_t end = packet.sequence + packet.length;
@@ -101,6 +100,7 @@
   flow.is_awaiting_response = true;
   flow.is_overdue = false;
   flow.requested_at = now;
+  RecordRequest(tracker.demands, packet.flow.service, now);
   ++upstream.stats.pending_requests;
   return std::nullopt;
 }
@@ -123,6 +123,9 @@
   tracker.response_times.Add(now - flow.requested_at);
   const bool is_small =
       RecordResponseSize(tracker.sizes_by_address, packet.flow.service, bytes);
+  if (!is_small)
+    RecordWork(tracker.demands, packet.flow.service, now - flow.requested_at,
+               tracker.is_queueing);
   if (is_small)
     RecordFailure(upstream.stats, now);
   else if (!flow.is_overdue)
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "direct/address_demand.h"
 #include "direct/direct_packet.h"
 #include "direct/response_sizes.h"
 #include "direct/upstream_directory.h"
@@ -63,6 +64,9 @@
   /// IsCallerPathDelayed().
   std::deque<time_point> answered_retransmissions;
   response_sizes sizes_by_address;
+  address_demands demands;  ///< Of admission control.
+  /// Response times contain waits in upstreams' queues; see RecordWork().
+  bool is_queueing = false;
   time_histogram confirm_times;   ///< Samples of `mean_confirm_s`.
   time_histogram response_times;  ///< From a request to its response.
 };
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -14,8 +14,9 @@
 
 /// Names of verdict_reason in logs and metrics, in the order of its values.
 constexpr std::array<std::string_view, kVerdictReasonCount> kReasonNames{
-    "placed",      "marked",       "no_table",       "unknown_address",
-    "no_upstream", "unknown_mark", "silent_upstream"};
+    "placed",          "marked",           "no_table",
+    "unknown_address", "no_upstream",      "unknown_mark",
+    "silent_upstream", "overload_delayed", "overload_refused"};
 
 verdict ForwardTo(const known_upstream& upstream, verdict_reason reason) {
   return {verdict_action::kForward, reason, upstream.entry.id,
@@ -49,6 +50,27 @@
   return FindByMark(state.directory, known->second.mark);
 }
 
+/// Decides whether the opening to `service` is admitted, and records it.
+/// \returns the decision if it is not placed.
+std::optional<verdict> CheckAdmission(forwarding_state& state,
+                                      const direct_packet& packet,
+                                      const published_address& row,
+                                      const std::string& service,
+                                      time_point now) {
+  const auto found = state.admissions.find(service);
+  if (found == state.admissions.end()) return std::nullopt;
+  if (packet.retransmission_count == 0)
+    RecordOfferedOpening(state.tracker.demands, row.address, now);
+  const admission_action action = DecideAdmission(
+      found->second, row, packet.flow, packet.retransmission_count, now);
+  RecordDecision(state.admission_decisions, service, row.priority, action);
+  if (action == admission_action::kDelay)
+    return Drop(verdict_reason::kDelayedByAdmission);
+  if (action == admission_action::kRefuse)
+    return Refuse(verdict_reason::kRefusedByAdmission);
+  return std::nullopt;
+}
+
 verdict PlaceOpening(forwarding_state& state, const direct_packet& packet,
                      time_point now) {
   if (!IsReady(state)) return Drop(verdict_reason::kNotReady);
@@ -58,8 +80,11 @@
   const published_address* const row =
       FindAddress(state.table, packet.flow.service);
   if (row == nullptr) return Refuse(verdict_reason::kUnknownAddress);
+  const std::string& service = SelectService(*row, packet.flow);
+  if (const auto held = CheckAdmission(state, packet, *row, service, now))
+    return *held;
   const placement_request request{
-      .service = SelectService(*row, packet.flow),
+      .service = service,
       .domain = state.domain,
       .avoided_mark = FindPreviousMark(state.tracker, packet.flow),
       .flow_hash = StableHash(packet.flow),
@@ -68,6 +93,7 @@
       ChooseUpstream(state.directory, request, now);
   if (upstream == nullptr) return Refuse(verdict_reason::kNoUpstream);
   TrackOpening(state.tracker, state.directory, packet, *upstream, now);
+  RecordPlacedOpening(state.tracker.demands, row->address, now);
   return ForwardTo(*upstream, verdict_reason::kPlaced);
 }
 
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -9,6 +9,8 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "direct/admission.h"
+#include "direct/admission_report.h"
 #include "direct/direct_packet.h"
 #include "direct/flow_tracker.h"
 #include "direct/list_history.h"
@@ -37,10 +39,12 @@
   /// The flow's upstream is unresponsive, also to another balancer if there is
   /// one, and the caller may retry its request on another flow.
   kUnresponsiveUpstream,
+  kDelayedByAdmission,  ///< Overload: left to the caller's retransmission.
+  kRefusedByAdmission,  ///< Overload: the opening was refused.
 };
 
 /// \brief Size of an array that is indexed by verdict_reason.
-inline constexpr size_t kVerdictReasonCount = 7;
+inline constexpr size_t kVerdictReasonCount = 9;
 
 /// \brief The name of the reason in logs and metrics.
 std::string_view ToName(verdict_reason reason);
@@ -81,6 +85,10 @@
   bool has_peers = false;
   silence_counters silences;
   load_view loads;  ///< Pooled loads, of any age; see kMaxLoadAge.
+  /// Thresholds of admission; empty if the part is not enabled, and then every
+  /// opening is placed.
+  service_admissions admissions;
+  admission_report admission_decisions;
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
--- a/test/direct_settings_test.cc
+++ b/test/direct_settings_test.cc
@@ -38,6 +38,7 @@
   EXPECT_EQ(s->drain_bound, 3s);
   EXPECT_EQ(s->edit_bound, 2500500us);
   EXPECT_EQ(s->level, log_level::kInfo);
+  EXPECT_FALSE(s->is_admission_enabled);
 }
 
 TEST(DirectSettings, ReadsAPublicPeerAddress) {
@@ -59,10 +60,12 @@
   EXPECT_EQ(ParseDirectSettings(settings.dump(), found)->link_mbps, 1000U);
   settings["link_mbps"] = 0.5;
   settings["first_start"] = true;
+  settings["admission"] = true;
   const auto s = ParseDirectSettings(settings.dump(), found);
   ASSERT_TRUE(s) << found.Text();
   EXPECT_EQ(s->link_mbps, 1U);
   EXPECT_TRUE(s->is_first_start);
+  EXPECT_TRUE(s->is_admission_enabled);
   settings["link_mbps"] = -1;
   settings["first_start"] = "yes";
   EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
