--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -47,6 +47,8 @@
   uint32_t link_mbps = 1000;
   /// New flows beyond the capacity of the own failure domain go to others.
   bool spill_over = false;
+  /// Admission control under overload; see admission.h.
+  bool is_admission_enabled = false;
   log_level level = log_level::kInfo;
   auto operator<=>(const direct_settings&) const = default;
 };
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -9,6 +9,8 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "direct/admission.h"
+#include "direct/admission_report.h"
 #include "direct/direct_packet.h"
 #include "direct/evacuation.h"
 #include "direct/flow_tracker.h"
@@ -42,10 +44,12 @@
   /// All upstreams of the service that could take new flows are in evacuated
   /// domains.
   kEvacuated,
+  kDelayedByAdmission,  ///< Overload: left to the caller's retransmission.
+  kRefusedByAdmission,  ///< Overload: the opening was refused.
 };
 
 /// \brief Size of an array that is indexed by verdict_reason.
-inline constexpr size_t kVerdictReasonCount = 8;
+inline constexpr size_t kVerdictReasonCount = 10;
 
 /// \brief The name of the reason in logs and metrics.
 std::string_view ToName(verdict_reason reason);
@@ -90,6 +94,10 @@
   silence_counters silences;
   load_view loads;  ///< Pooled loads, of any age; see kMaxLoadAge.
   spill_over_state spill;
+  /// Thresholds of admission; empty if the part is not enabled, and then every
+  /// opening is placed.
+  service_admissions admissions;
+  admission_report admission_decisions;
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
