--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -113,6 +113,7 @@
   if (upstream == nullptr)
     return Refuse(ReasonWithoutUpstream(state, request.service));
   TrackOpening(state.tracker, state.directory, packet, *upstream, now);
+  RecordPlacedOpening(state.tracker.demands, row->address, now);
   if (state.spill.is_enabled) CountOpening(state.spill.meter, upstream->entry);
   return ForwardTo(*upstream, verdict_reason::kPlaced);
 }
