--- a/include/radishyard/ctl.h
+++ b/include/radishyard/ctl.h
@@ -5,6 +5,7 @@
 //                                services;
 //   ApplyFiles, SetUpstreamState and others
 //                                the commands that edit the table;
+//   SetEvacuation                the commands `evacuate` and `restore`;
 //   ReportStatus, ReportFlows    the versions in force and the flows on each
 //                                balancer;
 //   RunCommand                   the selection of a command by the command
@@ -14,6 +15,7 @@
 #include "ctl/blocking_store.h"
 #include "ctl/command_result.h"
 #include "ctl/edit.h"
+#include "ctl/evacuation_commands.h"
 #include "ctl/run_command.h"
 #include "ctl/service_commands.h"
 #include "ctl/service_merge.h"
--- a/include/radishyard/table.h
+++ b/include/radishyard/table.h
@@ -7,8 +7,10 @@
 //   FindConflicts               the conflicts between two services;
 //   service_table, ApplyRecord  the newest record of each service;
 //   ComputeTableDigest, ListVersions, FindNewerRecords
-//                               the comparison of tables with peers.
+//                               the comparison of tables with peers;
+//   evacuation_table            the operators' evacuations of failure domains.
 #pragma once
+#include "table/evacuation_table.h"
 #include "table/service.h"
 #include "table/service_table.h"
 #include "table/table_check.h"
--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -88,6 +88,8 @@
 void controller::ApplyObject(const stored_object& object) {
   if (object.key.starts_with(kServiceKeyPrefix))
     ApplyServiceRecord(object.value, object.version, true);
+  if (object.key.starts_with(kEvacuationKeyPrefix))
+    ApplyEvacuationObject(object);
   if (object.key.starts_with("rosters/") && rosters_.Apply(object)) {
     hub_.SendAll(roster_record{object.key.substr(sizeof("rosters/") - 1),
                                object.version, object.value});
@@ -149,6 +151,7 @@
   for (const auto& [name, unlisted] : unlisted_members_)
     inputs.unlisted_members.push_back(unlisted);
   inputs.unserved_domains = unserved_domains_;
+  inputs.evacuated_domains = EvacuatedDomains(evacuations_);
   inputs.fabric = config_.fabric;
   inputs.trace_one_in = config_.trace.sample_one_in;
   const auto view =
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -22,6 +22,7 @@
 #include "roster/roster_update.h"
 #include "settings/settings.h"
 #include "store/object_store.h"
+#include "table/evacuation_table.h"
 #include "table/service_table.h"
 #include "traffic/traffic_control.h"
 
@@ -53,6 +54,7 @@
 
   const member& self() const { return self_; }
   const service_table& table() const { return table_; }
+  const evacuation_table& evacuations() const { return evacuations_; }
   const roster_cache& rosters() const { return rosters_; }
   const std::set<member_id>& alive() const { return alive_; }
   const peer_hub& hub() const { return hub_; }
@@ -76,6 +78,9 @@
   void ApplyObject(const stored_object& object);
   void ApplyServiceRecord(const std::string& value, uint64_t version,
                           bool forward);
+  void ApplyEvacuationObject(const stored_object& object);
+  void ApplyEvacuationRecord(const std::string& value, uint64_t version,
+                             bool forward);
   void OnStoreReachability(bool reachable);
   void UpdateStoreWatch(time_point now);
   void PublishIfChanged();
@@ -117,6 +122,8 @@
   void SendVersionsIfDifferent(const heartbeat& beat, time_point now);
   void SendRecords(peer_link& link,
                    const std::vector<service_record_ptr>& records);
+  static void SendEvacuations(peer_link& link,
+                              const std::vector<evacuation_record>& records);
   void SendRoster(const member_id& to, const versioned_roster& held);
   std::map<pool_name, pool_ownership> PoolOwnerships() const;
   bool IsDelegate() const;
@@ -128,6 +135,7 @@
   member self_;
   traffic_control& traffic_;
   service_table table_;
+  evacuation_table evacuations_;
   roster_cache rosters_;
   store_follower follower_;
   std::map<std::string, lease_state> leases_;  // By domain.
--- a/src/control/controller_peers.cc
+++ b/src/control/controller_peers.cc
@@ -178,6 +178,7 @@
   for (const auto& [domain, held] : rosters_.All())
     beat.epochs.push_back({domain, held.value.epoch});
   beat.table_digest = ComputeTableDigest(table_);
+  beat.evacuation_digest = ComputeEvacuationDigest(evacuations_);
   if (IsDelegate()) {
     beat.summaries.push_back(MakeDomainSummary(
         rosters_.Latest(config_.domain).value, liveness_, ++summary_sequence_));
@@ -253,17 +254,20 @@
   SendVersionsIfDifferent(beat, now);
 }
 
-// If the sender's table differs from this balancer's, sends the sender the
-// version of each service in this balancer's table, at most once in
+// If the sender's table or evacuations differ from this balancer's, sends the
+// sender the version of each service and evacuation here, at most once in
 // kMinTableDigestInterval. The sender replies with the records that this
 // balancer lacks.
 void controller::SendVersionsIfDifferent(const heartbeat& beat,
                                          time_point now) {
-  if (beat.table_digest == ComputeTableDigest(table_)) return;
+  if (beat.table_digest == ComputeTableDigest(table_) &&
+      beat.evacuation_digest == ComputeEvacuationDigest(evacuations_))
+    return;
   time_point& sent_at = digest_sent_at_[beat.sender];
   if (now - sent_at < kMinTableDigestInterval) return;
   sent_at = now;
-  hub_.Send(beat.sender, table_digest{ListVersions(table_)});
+  hub_.Send(beat.sender, table_digest{ListVersions(table_),
+                                      ListEvacuationVersions(evacuations_)});
 }
 
 void controller::SendRoster(const member_id& to, const versioned_roster& held) {
@@ -318,11 +322,17 @@
   const time_point now = std::chrono::steady_clock::now();
   if (const auto* digest = std::get_if<table_digest>(&message)) {
     SendRecords(link, FindNewerRecords(table_, digest->services));
+    SendEvacuations(link,
+                    FindNewerEvacuations(evacuations_, digest->evacuations));
   } else if (const auto* records = std::get_if<table_records>(&message)) {
     for (const table_record& record : records->records) {
       ApplyServiceRecord(record.value, record.version,
                          from.domain != config_.domain);
     }
+    for (const table_record& record : records->evacuations) {
+      ApplyEvacuationRecord(record.value, record.version,
+                            from.domain != config_.domain);
+    }
   } else if (const auto* received = std::get_if<roster_record>(&message)) {
     rosters_.Apply({roster_cache::KeyOf(received->domain), received->value,
                     received->store_version});
--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -81,6 +81,7 @@
       FirstForwardingTarget(found->second, *pool, inputs.alive);
   if (!target && inputs.unserved_domains.contains(name.domain)) {
     target = ChooseSubstitute(name, inputs, members);
+    route.substituted = target.has_value();
   }
   route.epoch = pool->since_epoch;
   if (!target) {
@@ -122,6 +123,7 @@
     route.table = svc;
     route.tag = DomainTag(domain);
     route.weight = PoolWeight(*svc, domain);
+    route.evacuated = inputs.evacuated_domains.contains(domain);
     SetServingBalancer(route, inputs, members);
     pool_of_domain[domain] = static_cast<uint16_t>(view.pools.size());
     view.pools.push_back(std::move(route));
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -24,6 +24,7 @@
   /// Domains that have had a live balancer, but have had none for some time.
   /// Balancers of other domains serve their pools.
   std::set<std::string> unserved_domains;
+  std::set<std::string> evacuated_domains;
   /// Balancers that are in no roster yet. Their packets are trusted.
   std::vector<member> unlisted_members;
   std::vector<endpoint> fabric;
--- a/src/ctl/balancer_status.cc
+++ b/src/ctl/balancer_status.cc
@@ -48,6 +48,8 @@
   status.versions =
       ReadNumberOfEachMember(GetField(*page, "services"), "version");
   status.epochs = ReadNumberOfEachMember(GetField(*page, "rosters"), "epoch");
+  status.evacuations =
+      ReadNumberOfEachMember(GetField(*page, "evacuations"), "version");
   const json& flows = GetField(*page, "flows");
   ReadField(flows, "open", status.open_flows);
   ReadField(flows, "queued", status.queued_flows);
--- a/src/ctl/balancer_status.h
+++ b/src/ctl/balancer_status.h
@@ -28,6 +28,8 @@
   uint64_t incarnation = 0;
   std::map<std::string, uint64_t> versions;  ///< Applied version, by service.
   std::map<std::string, uint64_t> epochs;    ///< Epoch, by failure domain.
+  /// Version of the applied evacuation, by failure domain.
+  std::map<std::string, uint64_t> evacuations;
   uint64_t open_flows = 0;
   uint64_t queued_flows = 0;
   std::vector<pool_status> pools;
--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -29,6 +29,8 @@
     "  join SERVICE UPSTREAM        give it new flows at a rising rate\n"
     "  activate SERVICE UPSTREAM    give it new flows without a rate limit\n"
     "  delete SERVICE               mark a service as deleted\n"
+    "  evacuate DOMAIN              give a failure domain no new flows\n"
+    "  restore DOMAIN               end its evacuation\n"
     "  settle EDIT_ID SERVICE       show whether an edit was accepted\n"
     "  status                       show which versions are in force where\n"
     "  flows                        show the sums of flows of all balancers\n"
--- a/src/ctl/edit.cc
+++ b/src/ctl/edit.cc
@@ -33,14 +33,18 @@
 }
 
 // Returns true if the edits that the record keeps show which edit replaced the
-// version `base_version` or, for 0, which edit created the service.
-bool RecordsReplacementOf(const stored_service& stored, uint64_t base_version) {
+// version `base_version` or, for 0, which edit created the object.
+bool RecordsReplacementOf(const edit_history& stored, uint64_t base_version) {
   if (base_version == 0) return stored.earlier_edits.size() < kMaxEarlierEdits;
   return std::any_of(
       stored.earlier_edits.begin(), stored.earlier_edits.end(),
       [&](const earlier_edit& edit) { return edit.version == base_version; });
 }
 
+edit_history HistoryOf(const stored_service& stored) {
+  return {stored.record.edit_id, stored.record.version, stored.earlier_edits};
+}
+
 std::vector<earlier_edit> BuildEditHistory(
     const std::optional<stored_service>& base) {
   if (!base) return {};
@@ -50,16 +54,6 @@
   return edits;
 }
 
-std::optional<edit_outcome> ResolveByReadingBack(blocking_store& store,
-                                                 const std::string& name,
-                                                 const edit_outcome& pending) {
-  failure ignored;
-  const std::optional<stored_service> stored =
-      ReadService(store, name, ignored);
-  if (!stored) return std::nullopt;
-  return ResolveEdit(*stored, pending.edit_id, pending.base_version);
-}
-
 }  // namespace
 
 std::optional<stored_service> ReadService(blocking_store& store,
@@ -105,12 +99,12 @@
   return id;
 }
 
-std::optional<edit_outcome> ResolveEdit(const stored_service& stored,
+std::optional<edit_outcome> ResolveEdit(const edit_history& stored,
                                         const std::string& edit_id,
                                         uint64_t base_version) {
   edit_outcome outcome{
-      edit_state::kAccepted, stored.record.version, base_version, edit_id, {}};
-  if (stored.record.edit_id == edit_id) return outcome;
+      edit_state::kAccepted, stored.version, base_version, edit_id, {}};
+  if (stored.edit_id == edit_id) return outcome;
   if (ContainsEdit(stored.earlier_edits, edit_id)) {
     outcome.why.text = "replaced by a later edit since then";
     return outcome;
@@ -123,18 +117,22 @@
   return outcome;
 }
 
-edit_outcome SubmitEdit(blocking_store& store, const service& value,
-                        const std::optional<stored_service>& base,
-                        const std::string& edit_id) {
+std::optional<edit_outcome> ResolveEdit(const stored_service& stored,
+                                        const std::string& edit_id,
+                                        uint64_t base_version) {
+  return ResolveEdit(HistoryOf(stored), edit_id, base_version);
+}
+
+edit_outcome SubmitWrite(blocking_store& store,
+                         const conditional_write& write) {
   edit_outcome outcome;
-  outcome.edit_id = edit_id;
-  outcome.base_version = base ? base->record.version : 0;
-  const std::string text = ToRecordJson(value, edit_id, BuildEditHistory(base));
+  outcome.edit_id = write.edit_id;
+  outcome.base_version = write.base_version;
   bool may_be_written = false;
   for (int attempt = 0; attempt < kMaxPutAttempts; ++attempt) {
     if (attempt > 0) store.Sleep(kRetryDelay * attempt);
-    const std::optional<uint64_t> version = store.Put(
-        ToServiceKey(value.name), text, outcome.base_version, outcome.why);
+    const std::optional<uint64_t> version =
+        store.Put(write.key, write.value, write.base_version, outcome.why);
     if (version) {
       outcome.state = edit_state::kAccepted;
       outcome.version = *version;
@@ -145,11 +143,30 @@
       outcome.state = edit_state::kNotAccepted;
       return outcome;
     }
-    const auto resolved = ResolveByReadingBack(store, value.name, outcome);
+    const std::optional<edit_history> stored = write.read_back();
+    const auto resolved =
+        stored ? ResolveEdit(*stored, write.edit_id, write.base_version)
+               : std::nullopt;
     if (resolved) return *resolved;
   }
   outcome.why.kind = failure_kind::kUnknown;
   return outcome;
 }
 
+edit_outcome SubmitEdit(blocking_store& store, const service& value,
+                        const std::optional<stored_service>& base,
+                        const std::string& edit_id) {
+  const auto read_back = [&]() -> std::optional<edit_history> {
+    failure ignored;
+    const std::optional<stored_service> stored =
+        ReadService(store, value.name, ignored);
+    if (!stored) return std::nullopt;
+    return HistoryOf(*stored);
+  };
+  return SubmitWrite(store,
+                     {ToServiceKey(value.name),
+                      ToRecordJson(value, edit_id, BuildEditHistory(base)),
+                      base ? base->record.version : 0, edit_id, read_back});
+}
+
 }  // namespace radishyard
--- a/src/ctl/edit.h
+++ b/src/ctl/edit.h
@@ -1,8 +1,9 @@
-// Edits of single services. An edit is a conditional write that carries an id.
+// Edits of single objects. An edit is a conditional write that carries an id.
 // If the response to the write is lost, the id and the stored versions show
 // whether the edit was accepted; determining that is called settling the edit.
 #pragma once
 #include <compare>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -65,10 +66,36 @@
                         const std::optional<stored_service>& base,
                         const std::string& edit_id);
 
-/// \brief Determines from the stored service whether an edit of unknown
-/// outcome was accepted.
+/// \brief The edits that an object in the store records.
+struct edit_history {
+  std::string edit_id;  ///< The edit that wrote `version`.
+  uint64_t version = 0;
+  std::vector<earlier_edit> earlier_edits;  ///< Newest first.
+  auto operator<=>(const edit_history&) const = default;
+};
+
+/// \brief A conditional write of one object that carries an edit id.
+struct conditional_write {
+  std::string key;
+  std::string value;
+  uint64_t base_version = 0;  ///< Version that it replaces; 0 for none.
+  std::string edit_id;
+  /// Reads the object back; nothing if it can't be read.
+  std::function<std::optional<edit_history>()> read_back;
+};
+
+/// \brief Makes the write, and settles it as SubmitEdit() does.
+edit_outcome SubmitWrite(blocking_store& store, const conditional_write& write);
+
+/// \brief Determines from the stored object whether an edit of unknown outcome
+/// was accepted.
 /// \param base_version version that the edit was to replace; 0 for none.
 /// \returns nothing if the outcome remains unknown.
+std::optional<edit_outcome> ResolveEdit(const edit_history& stored,
+                                        const std::string& edit_id,
+                                        uint64_t base_version);
+
+/// \brief As the overload for an edit_history.
 std::optional<edit_outcome> ResolveEdit(const stored_service& stored,
                                         const std::string& edit_id,
                                         uint64_t base_version);
--- a/src/ctl/run_command.cc
+++ b/src/ctl/run_command.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 
+#include "ctl/evacuation_commands.h"
 #include "ctl/explain.h"
 #include "ctl/service_commands.h"
 
@@ -51,7 +52,20 @@
   return DeleteService(c.store, line.arguments[0], c.new_edit_id);
 }
 
+template <bool kEvacuated>
+command_result RunSetEvacuation(const command_line& line,
+                                const command_context& c) {
+  return SetEvacuation(c.store, line.arguments[0], kEvacuated, c.new_edit_id);
+}
+
+// No service is named like the key of an evacuation, since its name has no '/'.
 command_result RunSettle(const command_line& line, const command_context& c) {
+  const std::string& name = line.arguments[1];
+  if (name.starts_with(kEvacuationKeyPrefix)) {
+    return SettleEvacuation(c.store, line.arguments[0],
+                            name.substr(kEvacuationKeyPrefix.size()),
+                            line.after);
+  }
   return SettleEdit(c.store, line.arguments[0], line.arguments[1], line.after);
 }
 
@@ -80,6 +94,8 @@
     command_entry{"activate", 2, 2, false, true,
                   RunSetState<upstream_state::kActive>},
     command_entry{"delete", 1, 1, false, true, RunDelete},
+    command_entry{"evacuate", 1, 1, false, true, RunSetEvacuation<true>},
+    command_entry{"restore", 1, 1, false, true, RunSetEvacuation<false>},
     command_entry{"settle", 2, 2, false, true, RunSettle},
     command_entry{"status", 0, 0, false, true, RunStatus},
     command_entry{"flows", 0, 0, false, true, RunFlows},
--- a/src/ctl/status_commands.cc
+++ b/src/ctl/status_commands.cc
@@ -7,6 +7,7 @@
 
 #include "ctl/balancer_status.h"
 #include "ctl/edit.h"
+#include "ctl/evacuation_commands.h"
 #include "roster/roster_json.h"
 
 namespace radishyard {
@@ -68,53 +69,100 @@
   return FetchStatuses(*rosters, fetch);
 }
 
-uint64_t AppliedVersion(const balancer_status& status,
-                        const std::string& name) {
-  const auto it = status.versions.find(name);
-  return it == status.versions.end() ? 0 : it->second;
-}
+using version_map = std::map<std::string, uint64_t>;
 
-// Returns true if the balancer has an older version of the service than the
-// store. A balancer that never had a service which is now deleted is up to
-// date.
-bool IsLagging(const balancer_status& status, const stored_service& s) {
-  const uint64_t version = AppliedVersion(status, s.record.value.name);
-  if (version == 0 && s.record.value.deleted) return false;
-  return version < s.record.version;
+uint64_t AppliedVersion(const version_map& versions, const std::string& name) {
+  const auto it = versions.find(name);
+  return it == versions.end() ? 0 : it->second;
 }
 
-void AddService(const stored_service& s,
-                const std::vector<polled_balancer>& polled,
-                command_result& result) {
-  const std::string& name = s.record.value.name;
+// On how many balancers a version of the store is in force.
+struct in_force_counts {
   size_t responded = 0;
   json lagging = json::array();
   std::string lagging_text;
+
+  size_t InForce() const { return responded - lagging.size(); }
+};
+
+// Compares the store's version of the object `name` with those in the member
+// `applied` of each status. A balancer lags if it has an older version; one
+// that has none is up to date if `may_be_absent`.
+in_force_counts CountInForce(const std::vector<polled_balancer>& polled,
+                             version_map balancer_status::*applied,
+                             const std::string& name, uint64_t stored_version,
+                             bool may_be_absent) {
+  in_force_counts counts;
   for (const polled_balancer& b : polled) {
     if (!b.status) continue;
-    ++responded;
-    if (!IsLagging(*b.status, s)) continue;
-    const uint64_t version = AppliedVersion(*b.status, name);
-    lagging.push_back({{"balancer", b.entry.id.name}, {"version", version}});
-    lagging_text += ' ';
-    lagging_text += b.entry.id.name;
-    lagging_text += " (" + std::to_string(version) + ")";
+    ++counts.responded;
+    const uint64_t version = AppliedVersion(*b.status.*applied, name);
+    if (version >= stored_version || (version == 0 && may_be_absent)) continue;
+    counts.lagging.push_back(
+        {{"balancer", b.entry.id.name}, {"version", version}});
+    counts.lagging_text += ' ';
+    counts.lagging_text += b.entry.id.name;
+    counts.lagging_text += " (" + std::to_string(version) + ")";
   }
-  const size_t in_force = responded - lagging.size();
-  result.text += "service " + name + ": version " +
-                 std::to_string(s.record.version) + ", edit " +
-                 s.record.edit_id + ", in force on " +
-                 std::to_string(in_force) + " of " + std::to_string(responded);
-  if (!lagging_text.empty()) result.text += ", lagging:" + lagging_text;
+  return counts;
+}
+
+// Adds the end of a line and of a JSON row about a version of the store.
+void AddCounts(uint64_t version, const std::string& edit_id,
+               const in_force_counts& counts, json row, const char* list,
+               command_result& result) {
+  result.text += "version " + std::to_string(version) + ", edit " + edit_id +
+                 ", in force on " + std::to_string(counts.InForce()) + " of " +
+                 std::to_string(counts.responded);
+  if (!counts.lagging_text.empty())
+    result.text += ", lagging:" + counts.lagging_text;
   result.text += "\n";
-  if (!lagging.empty()) result.code = exit_code::kLagging;
-  result.json["services"].push_back({{"service", name},
-                                     {"version", s.record.version},
-                                     {"edit_id", s.record.edit_id},
-                                     {"deleted", s.record.value.deleted},
-                                     {"in_force", in_force},
-                                     {"answered", responded},
-                                     {"lagging", lagging}});
+  if (!counts.lagging.empty()) result.code = exit_code::kLagging;
+  row["version"] = version;
+  row["edit_id"] = edit_id;
+  row["in_force"] = counts.InForce();
+  row["answered"] = counts.responded;
+  row["lagging"] = counts.lagging;
+  result.json[list].push_back(std::move(row));
+}
+
+// A balancer that never had a service which is now deleted is up to date.
+void AddService(const stored_service& s,
+                const std::vector<polled_balancer>& polled,
+                command_result& result) {
+  const std::string& name = s.record.value.name;
+  const bool deleted = s.record.value.deleted;
+  result.text += "service " + name + ": ";
+  AddCounts(s.record.version, s.record.edit_id,
+            CountInForce(polled, &balancer_status::versions, name,
+                         s.record.version, deleted),
+            {{"service", name}, {"deleted", deleted}}, "services", result);
+}
+
+// Adds a domain that is evacuated, or that was. A malformed record has no
+// effect on any balancer.
+void AddEvacuation(const stored_evacuation& stored,
+                   const std::vector<polled_balancer>& polled,
+                   command_result& result) {
+  const std::string& domain = stored.domain;
+  if (!stored.faults.empty()) {
+    result.text += "evacuation of " + domain +
+                   ": malformed, without effect: " + stored.faults.Text() +
+                   "\n";
+    result.json["evacuations"].push_back({{"domain", domain},
+                                          {"version", stored.version},
+                                          {"reason", stored.faults.Text()}});
+    result.code = exit_code::kFindings;
+    return;
+  }
+  const bool evacuated = stored.record.evacuated;
+  result.text +=
+      "domain " + domain + (evacuated ? ": evacuated, " : ": not evacuated, ");
+  AddCounts(stored.version, stored.record.edit_id,
+            CountInForce(polled, &balancer_status::evacuations, domain,
+                         stored.version, !evacuated),
+            {{"domain", domain}, {"evacuated", evacuated}}, "evacuations",
+            result);
 }
 
 void AddBalancer(const polled_balancer& b, command_result& result) {
@@ -178,10 +226,15 @@
   failure why;
   const auto services = ReadServices(store, why);
   if (!services) return MakeFailureResult(why);
+  const auto evacuations = ReadEvacuations(store, why);
+  if (!evacuations) return MakeFailureResult(why);
   const auto polled = ReadRostersAndFetchStatuses(store, fetch, why);
   if (!polled) return MakeFailureResult(why);
   command_result result;
+  result.json["evacuations"] = json::array();
   result.json["services"] = json::array();
+  for (const stored_evacuation& e : *evacuations)
+    AddEvacuation(e, *polled, result);
   result.json["balancers"] = json::array();
   for (const stored_service& s : *services) AddService(s, *polled, result);
   size_t responded = 0;
--- a/src/ctl/status_commands.h
+++ b/src/ctl/status_commands.h
@@ -23,11 +23,11 @@
 using page_fetcher =
     std::function<std::vector<balancer_page>(const std::vector<endpoint>&)>;
 
-/// \brief Compares the versions of all services in the store with those that
-/// each balancer of the rosters has applied.
+/// \brief Compares the versions of all services and evacuations in the store
+/// with those that each balancer of the rosters has applied.
 /// \returns kDone if every balancer that responds has the store's versions;
 /// kLagging if one has an older version, or if none responds; kUnavailable if
-/// the platform does not respond.
+/// the platform does not respond; kFindings if an evacuation is malformed.
 command_result ReportStatus(blocking_store& store, const page_fetcher& fetch);
 
 /// \brief Reports the sums of flows and pool counts over all balancers that
--- a/src/daemon/balancer_metrics.cc
+++ b/src/daemon/balancer_metrics.cc
@@ -44,6 +44,9 @@
                 &traffic_counters::queued},
     traffic_row{"refused", "Openings refused before execution.",
                 &traffic_counters::refused},
+    traffic_row{"refused_evacuated",
+                "Openings refused because all domains are evacuated.",
+                &traffic_counters::refused_evacuated},
     traffic_row{"replaced",
                 "Openings placed again after no response or a reset by the "
                 "upstream.",
@@ -165,6 +168,13 @@
   }
 }
 
+void AddEvacuations(const evacuation_table& evacuations, metrics_page& page) {
+  page.BeginMetric(metric_kind::kGauge, "radishyard_domain_evacuated",
+                   "1 while a failure domain is evacuated, 0 afterwards.");
+  for (const auto& [domain, record] : evacuations.records)
+    page.AddSample({{"domain", domain}}, record.evacuated ? 1 : 0);
+}
+
 void AddHistograms(const std::vector<traffic_report>& threads,
                    metrics_page& page) {
   traffic_histograms total;
@@ -190,6 +200,7 @@
   metrics_page page;
   AddTraffic(statistics.threads, page);
   AddPools(statistics.threads, page);
+  AddEvacuations(statistics.evacuations, page);
   AddHistograms(statistics.threads, page);
   AddCounters("radishyard_peer_", kPeerRows, statistics.peers, page);
   AddCounters("radishyard_handover_", kHandoverRows, statistics.handovers,
--- a/src/daemon/balancer_metrics.h
+++ b/src/daemon/balancer_metrics.h
@@ -6,6 +6,7 @@
 #include "control/handover.h"
 #include "daemon/counting_store.h"
 #include "peer/peer_link.h"
+#include "table/evacuation_table.h"
 #include "traffic/traffic_thread.h"
 
 namespace radishyard {
@@ -16,6 +17,7 @@
   peer_counters peers;
   handover_statistics handovers;
   store_call_counts calls;
+  evacuation_table evacuations;
   uint64_t spans_written = 0;
   uint64_t spans_dropped = 0;
 };
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -21,6 +21,16 @@
   return services;
 }
 
+json EvacuationsToJson(const evacuation_table& evacuations) {
+  json domains = json::object();
+  for (const auto& [domain, record] : evacuations.records) {
+    domains[domain] = {{"evacuated", record.evacuated},
+                       {"version", record.version},
+                       {"edit_id", record.edit_id}};
+  }
+  return domains;
+}
+
 json RostersToJson(const roster_cache& rosters) {
   json domains = json::object();
   for (const auto& [domain, latest] : rosters.All()) {
@@ -41,6 +51,7 @@
           {"placed", c.placed},
           {"queued", c.queued},
           {"refused", c.refused},
+          {"refused_evacuated", c.refused_evacuated},
           {"replaced", c.replaced},
           {"passed", c.passed},
           {"adopted", c.adopted},
@@ -164,9 +175,10 @@
 }
 
 admin_page daemon::BuildMetricsPage() const {
-  balancer_statistics statistics{
-      traffic_.reports(), controller_.hub().counters(),
-      controller_.handovers().statistics(), store_.calls()};
+  balancer_statistics statistics{traffic_.reports(),
+                                 controller_.hub().counters(),
+                                 controller_.handovers().statistics(),
+                                 store_.calls(), controller_.evacuations()};
   if (traces_) {
     statistics.spans_written = traces_->written();
     statistics.spans_dropped = traces_->dropped();
@@ -180,6 +192,7 @@
                {"incarnation", controller_.self().id.incarnation},
                {"platform_reachable", controller_.IsStoreReachable()},
                {"services", ServicesToJson(controller_.table())},
+               {"evacuations", EvacuationsToJson(controller_.evacuations())},
                {"rosters", RostersToJson(controller_.rosters())}};
   page["peers"] = PeerCountersToJson(controller_.hub().counters());
   page["handovers"] = HandoversToJson(controller_.handovers().statistics());
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -69,7 +69,7 @@
 template <maybe_const<heartbeat> T>
 auto Fields(T& m) {
   return std::tie(m.sender, m.sequence, m.sent_ms, m.epochs, m.table_digest,
-                  m.loads, m.summaries);
+                  m.loads, m.summaries, m.evacuation_digest);
 }
 template <maybe_const<heartbeat_ack> T>
 auto Fields(T& m) {
@@ -81,7 +81,7 @@
 }
 template <maybe_const<table_digest> T>
 auto Fields(T& m) {
-  return std::tie(m.services);
+  return std::tie(m.services, m.evacuations);
 }
 template <maybe_const<table_record> T>
 auto Fields(T& m) {
@@ -89,7 +89,7 @@
 }
 template <maybe_const<table_records> T>
 auto Fields(T& m) {
-  return std::tie(m.records);
+  return std::tie(m.records, m.evacuations);
 }
 template <maybe_const<roster_record> T>
 auto Fields(T& m) {
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -65,7 +65,9 @@
   /// The summary of the sender's domain, if the sender is one of its delegates,
   /// and the summaries of other domains that the sender has received.
   std::vector<domain_summary> summaries;
+  uint64_t evacuation_digest = 0;  ///< \sa ComputeEvacuationDigest
   auto operator<=>(const heartbeat&) const = default;
+  static constexpr size_t kRequiredFields = 7;
 };
 
 /// \brief Reply to a heartbeat. A pool owner renews its lease by the replies of
@@ -79,14 +81,16 @@
   auto operator<=>(const heartbeat_ack&) const = default;
 };
 
-/// \brief Names and versions of all services in the sender's table. Sent when
-/// the table digests of two balancers differ.
+/// \brief Names and versions of all services in the sender's table, and of all
+/// evacuations by domain. Sent when the digests of two balancers differ.
 struct table_digest {
   std::vector<service_version> services;
+  std::vector<service_version> evacuations;
   auto operator<=>(const table_digest&) const = default;
+  static constexpr size_t kRequiredFields = 1;
 };
 
-/// \brief One service in its stored form.
+/// \brief One service or evacuation in its stored form.
 struct table_record {
   std::string value;  ///< JSON text.
   uint64_t version = 0;
@@ -98,7 +102,9 @@
 /// an older version. Also sent unrequested, to pass on a new record.
 struct table_records {
   std::vector<table_record> records;
+  std::vector<table_record> evacuations;
   auto operator<=>(const table_records&) const = default;
+  static constexpr size_t kRequiredFields = 1;
 };
 
 /// \brief The roster of a domain in its stored form.
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -39,6 +39,7 @@
 enum class refusal : uint8_t {
   kNone,
   kNoUpstream,  ///< No upstream of the pool accepts new flows.
+  kEvacuated,   ///< None does, because the pool's domain is evacuated.
   kQueueFull,   ///< The queue has reached its maximum length.
   /// The opening has waited for the maximum time, or is predicted to wait
   /// longer.
--- a/src/pool/pool_config.cc
+++ b/src/pool/pool_config.cc
@@ -34,7 +34,7 @@
   u.weight = row.weight;
   u.max_slots = row.slots;
   u.max_connections = row.connections;
-  u.leaving = row.state == upstream_state::kLeaving;
+  u.leaving = row.state == upstream_state::kLeaving || pool.evacuated;
   u.joining = row.state == upstream_state::kJoining;
   if (u.joining && !was_joining) StartRamp(pool, u, now);
   return u;
@@ -69,9 +69,10 @@
 }  // namespace
 
 void Configure(pool_state& pool, const service& definition,
-               std::string_view domain, time_point now) {
+               std::string_view domain, time_point now, bool evacuated) {
   pool.service = definition.name;
   pool.domain = std::string(domain);
+  pool.evacuated = evacuated && PoolWeight(definition, domain) > 0;
   std::vector<pool_upstream> next;
   for (const upstream& row : definition.upstreams) {
     if (!definition.deleted && row.domain == domain)
--- a/src/pool/pool_state.cc
+++ b/src/pool/pool_state.cc
@@ -178,6 +178,7 @@
 open_decision Open(pool_state& pool, const open_request& request,
                    time_point now) {
   internal::ExpireInherited(pool, now);
+  if (pool.evacuated) return MakeRefused(refusal::kEvacuated, request.token);
   if (!HasActiveUpstream(pool))
     return MakeRefused(refusal::kNoUpstream, request.token);
   if (IsOverConnectionShare(pool, request))
@@ -250,6 +251,14 @@
   return !pool.queue.empty() || internal::IsFullButHealthy(*u, kind, now);
 }
 
+std::vector<uint64_t> TakeQueuedTokens(pool_state& pool) {
+  std::vector<uint64_t> tokens;
+  for (const auto* list : {&pool.queue.non_bulk, &pool.queue.bulk})
+    for (const waiting_opening& w : *list) tokens.push_back(w.request.token);
+  ClearQueue(pool);
+  return tokens;
+}
+
 void ClearQueue(pool_state& pool) {
   for (const auto* list : {&pool.queue.non_bulk, &pool.queue.bulk})
     for (const waiting_opening& w : *list) RemoveFromWaitingCount(pool, w);
--- a/src/pool/pool_state.h
+++ b/src/pool/pool_state.h
@@ -32,6 +32,9 @@
   pool_policy policy;
   std::string service;
   std::string domain;
+  /// The domain is evacuated, and the table has upstreams that would accept new
+  /// flows otherwise.
+  bool evacuated = false;
   std::vector<pool_upstream> upstreams;
   opening_queue queue;
   retry_budget retries;
@@ -64,8 +67,10 @@
 /// Counts of upstreams that remain are kept. An upstream whose state in the
 /// table is leaving, or that is no longer listed, keeps its flows and receives
 /// no new ones. An upstream that is newly marked joining starts its ramp.
+/// \param evacuated the domain is evacuated, so that all upstreams are treated
+/// as leaving.
 void Configure(pool_state& pool, const service& definition,
-               std::string_view domain, time_point now);
+               std::string_view domain, time_point now, bool evacuated = false);
 
 /// \brief Places, queues or refuses an opening. A placed one is counted at its
 /// upstream.
@@ -169,6 +174,10 @@
 /// \sa FirstNonBulk
 std::optional<open_decision> PopFirstNonBulk(pool_state& pool, time_point now);
 
+/// \brief Removes all openings from the queue, as ClearQueue().
+/// \returns their tokens, in the order in which they would be placed.
+std::vector<uint64_t> TakeQueuedTokens(pool_state& pool);
+
 /// \brief Removes all openings from the queue without a decision on them.
 void ClearQueue(pool_state& pool);
 
--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -25,6 +25,7 @@
 
 void flow_owner::SetView(std::shared_ptr<const routing_view> view,
                          time_point now) {
+  RecordEvacuations(*view, now);
   view_ = std::move(view);
   served_index_of_view_pool_.assign(view_->pools.size(), kNotServed);
   for (size_t i = 0; i < view_->pools.size(); ++i) {
@@ -58,7 +59,10 @@
   if (starts_serving) pool.served_since = now;
   if (starts_serving && pool.flow_count == 0) pool.state = {};
   pool.new_owner.reset();
-  if (route.table) Configure(pool.state, *route.table, route.name.domain, now);
+  if (route.table)
+    Configure(pool.state, *route.table, route.name.domain, now,
+              route.evacuated);
+  if (route.evacuated) EmptyEvacuatedPool(pool, now);
   return pool;
 }
 
@@ -100,7 +104,7 @@
     return outcome::kDone;
   }
   if (flow.phase == flow_phase::kPassedOn) {
-    ForwardToPassedPool(in, flow);
+    ForwardToPassedPool(in, flow, now);
     return outcome::kDone;
   }
   const auto& new_owner = served_[flow.pool]->new_owner;
@@ -229,7 +233,11 @@
 }
 
 void flow_owner::ForwardToPassedPool(const inbound_packet& in,
-                                     const flow_record& flow) {
+                                     flow_record& flow, time_point now) {
+  // The record of an open feed must remain: without it, the next datagram would
+  // be taken for an opening. Requests that reuse the caller's port may be
+  // placed here again once the record has expired.
+  if (flow.kind == port_kind::kFeed) flow.last_seen_ms = MsSinceStart(now);
   if (in.Hops() >= kMaxHops) {
     ++counters_.hop_limit;
     return;
@@ -344,6 +352,7 @@
 
 void flow_owner::PlaceOpening(inbound_packet& in, bool may_have_executed,
                               uint32_t preferred_upstream, time_point now) {
+  const pool_route* const next_pool = LeaveEvacuatedPool(in);
   served_pool& pool = *served_[ServedPoolIndex(in.pool)];
   const uint32_t slot = flows_.Insert(in.key);
   flow_record& flow = flows_.At(slot);
@@ -362,9 +371,23 @@
   const bool request_may_have_executed =
       may_have_executed || withheld_response_flows_.Contains(in.hash);
   const bool is_udp = in.packet.proto == protocol::kUdp;
-  if (is_udp && (request_may_have_executed || is_new_owner))
+  // An idempotent request may have been placed in another pool before the
+  // evacuations changed. The others are routed to the same pool all the time.
+  const bool may_be_placed_elsewhere =
+      in.IsOfIdempotentRequest() && evacuations_changed_at_ &&
+      now - *evacuations_changed_at_ < kEvacuationSettleTime;
+  if (is_udp &&
+      (request_may_have_executed || is_new_owner || may_be_placed_elsewhere))
     flow.Set(kMayHaveExecuted);
   held_openings_[slot].assign(in.bytes.begin(), in.bytes.end());
+  // A retransmission is not passed on: its new owner might refuse it as not
+  // executed.
+  if (next_pool != nullptr && !flow.Has(kMustNotBePassedOn) &&
+      !request_may_have_executed) {
+    TraceHop(in, "owner", "evacuated", now);
+    PassOpening(slot, pool, *next_pool);
+    return;
+  }
   TraceHop(in, "owner", "open", now);
   ApplyDecision(slot,
                 Open(pool.state,
@@ -386,6 +409,8 @@
       ++counters_.queued;
       return;
     case open_decision::kind::kRefused:
+      if (decision.why == refusal::kEvacuated && !flow.Has(kMayHaveExecuted))
+        ++counters_.refused_evacuated;
       RefuseOpening(slot, held_openings_[slot]);
       return;
     case open_decision::kind::kPlaced:
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -34,6 +34,11 @@
 /// long after the takeover, since the previous owner may have placed a copy.
 constexpr duration kCallerRetryWindow = 10s;
 
+/// \brief Time after a change of the evacuations in which an idempotent request
+/// is not refused, because a copy may have been placed in another pool: the
+/// 7 s within which all balancers know of the change, and kCallerRetryWindow.
+constexpr duration kEvacuationSettleTime = 7s + kCallerRetryWindow;
+
 /// \brief Timeouts and intervals of a flow_owner.
 struct flow_owner_timing {
   /// A SYN without a response after this time is placed on another upstream.
@@ -68,7 +73,8 @@
              flow_owner_timing timing = {});
 
   /// \brief Applies a new view: configures the pools that this balancer serves
-  /// and stops serving those that moved to another owner.
+  /// and stops serving those that moved to another owner. The openings that
+  /// wait in an evacuated pool are passed to other pools, or refused.
   void SetView(std::shared_ptr<const routing_view> view, time_point now);
 
   /// \brief True for a duplicate of a non-idempotent request that this balancer
@@ -186,7 +192,15 @@
   const pool_route& PoolRoute(const inbound_packet& in) const {
     return view_->pools[in.pool];
   }
+  bool IsServedHere(uint16_t view_pool) const {
+    return view_->pools[view_pool].role != pool_role::kNone;
+  }
   served_pool& ServePool(uint16_t view_pool, time_point now);
+  void RecordEvacuations(const routing_view& next, time_point now);
+  std::optional<uint16_t> FindPoolOutsideEvacuation(const flow_key& key) const;
+  const pool_route* LeaveEvacuatedPool(inbound_packet& in) const;
+  void EmptyEvacuatedPool(served_pool& pool, time_point now);
+  void PassOpening(uint32_t slot, served_pool& pool, const pool_route& target);
   uint16_t ServedPoolIndex(uint16_t view_pool) const;
 
   outcome HandleKnownFlow(inbound_packet& in, uint32_t slot, time_point now);
@@ -195,7 +209,8 @@
                                      time_point now);
   static void ConfirmFlow(flow_record& flow, const inbound_packet& in);
   void ForwardToUpstream(inbound_packet& in, flow_record& flow, time_point now);
-  void ForwardToPassedPool(const inbound_packet& in, const flow_record& flow);
+  void ForwardToPassedPool(const inbound_packet& in, flow_record& flow,
+                           time_point now);
   void ForwardToNewOwner(const inbound_packet& in, const flow_record& flow,
                          const endpoint& to);
   void StopServingPool(served_pool& pool, const pool_route& route);
@@ -287,6 +302,8 @@
   std::deque<linger_timer> linger_timers_;    // In order of `due`.
   traffic_histograms histograms_;
   size_t closed_count_ = 0;  // Records in phase kClosed or kPassedOn.
+  // When the set of evacuated pools in the view changed last.
+  std::optional<time_point> evacuations_changed_at_;
   // No new flow is placed before this time.
   time_point placement_resumes_at_{};
   uint32_t sweep_slot_ = 0;  // Slot that the idle sweep visited last.
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -61,15 +61,7 @@
     return false;
   const pool_route& route = view_->pools[*target_pool];
   --grants_.free_slots[route.name];
-  ++counters_.passed;
-  sink_.SendToBalancer(route.owner,
-                       {forward_kind::kPassedOpening, 1, route.tag, 0, 0},
-                       held_openings_[slot]);
-  held_openings_.erase(slot);
-  --pool.flow_count;
-  flow.phase = flow_phase::kPassedOn;
-  flow.pool = route.tag;
-  ++closed_count_;
+  PassOpening(slot, pool, route);
   return true;
 }
 
@@ -93,7 +85,7 @@
   for (const uint16_t index : port->second.pools) {
     const pool_route& route = view_->pools[index];
     const auto free_slots = grants_.free_slots.find(route.name);
-    if (route.role != pool_role::kNone || !route.reachable ||
+    if (route.role != pool_role::kNone || !route.reachable || route.evacuated ||
         free_slots == grants_.free_slots.end())
       continue;
     if (free_slots->second <= most_free_slots) continue;
--- a/src/traffic/inbound_packet.h
+++ b/src/traffic/inbound_packet.h
@@ -44,6 +44,12 @@
     return packet.proto == protocol::kUdp && port.kind == port_kind::kRequest &&
            port.idempotent;
   }
+  /// \brief True for a datagram whose pool must not depend on evacuations: a
+  /// packet of a feed looks like an opening, and a non-idempotent request must
+  /// reach the balancer that knows whether a copy was placed already.
+  bool MustKeepItsPool() const {
+    return packet.proto == protocol::kUdp && !IsOfIdempotentRequest();
+  }
   /// \brief True if later packets of the flow must go to the same upstream, so
   /// that the upstream is worth recording from return traffic.
   bool HasUpstreamAffinity() const {
--- a/src/traffic/routing_view.h
+++ b/src/traffic/routing_view.h
@@ -48,6 +48,11 @@
   uint64_t epoch = 0;  ///< Epoch in which the owner was assigned.
   pool_role role = pool_role::kNone;
   bool reachable = false;  ///< A balancer that serves the pool is alive.
+  /// The failure domain is evacuated: openings are passed to other pools.
+  bool evacuated = false;
+  /// No balancer of the pool's domain is alive; one of another domain serves
+  /// the pool.
+  bool substituted = false;
   /// Data endpoint of the balancer that serves the pool. If none is reachable,
   /// that of the owner according to the roster. Port 0 if there is none.
   endpoint owner;
@@ -100,11 +105,20 @@
 };
 
 /// \brief Chooses the pool of a new flow by weighted rendezvous hashing over
-/// the reachable pools.
+/// the reachable pools that are not evacuated. If all are evacuated, over all
+/// that are reachable: the owner of the pool then refuses the opening, because
+/// it knows whether a copy has been placed already.
 ///
 /// \returns the index into routing_view::pools; nothing if no pool is
 /// reachable.
 std::optional<uint16_t> PickPool(const routing_view& view,
                                  const port_route& route, uint64_t flow_hash);
 
+/// \brief As PickPool(), but regardless of evacuations: the pool that is chosen
+/// while no domain is evacuated. Its owner may have a record of the flow. An
+/// evacuated pool is left out if no balancer of its own domain is alive.
+std::optional<uint16_t> PickPoolBeforeEvacuation(const routing_view& view,
+                                                 const port_route& route,
+                                                 uint64_t flow_hash);
+
 }  // namespace radishyard
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -119,7 +119,11 @@
     if (const uint32_t upstream = FindUpstream(in, slot))
       pool = FindPoolOfUpstream(in, upstream);
   }
-  if (!pool) pool = PickPool(*view_, route, in.hash);
+  if (!pool) {
+    pool = in.MustKeepItsPool()
+               ? PickPoolBeforeEvacuation(*view_, route, in.hash)
+               : PickPool(*view_, route, in.hash);
+  }
   if (!pool) return false;
   in.pool = *pool;
   return true;
@@ -195,10 +199,29 @@
 
 void traffic_core::HandleOutcome(inbound_packet& in, flow_owner::outcome result,
                                  time_point now) {
-  if (result == flow_owner::outcome::kUnknownFlow) SendUpstreamLookups(in, now);
+  if (result == flow_owner::outcome::kUnknownFlow &&
+      !ForwardToEvacuatedPool(in, now))
+    SendUpstreamLookups(in, now);
   if (result == flow_owner::outcome::kNeedsLease) DeferDatagram(now);
 }
 
+// Forwards a packet of a flow without a record here to the owner of the
+// evacuated pool that the flow may have been placed in before the evacuation.
+// \returns false if there is none, or if that owner has sent the packet here.
+bool traffic_core::ForwardToEvacuatedPool(inbound_packet& in, time_point now) {
+  const auto port = view_->ports.find({in.key.proto, in.key.service});
+  if (port == view_->ports.end() ||
+      in.WasForwardedAs(forward_kind::kPassedOpening))
+    return false;
+  const auto pool = PickPoolBeforeEvacuation(*view_, port->second, in.hash);
+  if (!pool || *pool == in.pool || !view_->pools[*pool].evacuated ||
+      view_->pools[*pool].role != pool_role::kNone)
+    return false;
+  in.pool = *pool;
+  ForwardToOwner(in, forward_kind::kCallerToOwner, 0, now);
+  return true;
+}
+
 void traffic_core::DeferDatagram(time_point now) {
   if (deferred_.size() >= kMaxDeferredDatagrams) {
     ++counters_.unsafe_withheld;
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -63,6 +63,7 @@
   void ReplyToUpstreamLookup(inbound_packet& in);
   void ApplyUpstreamLookupReply(inbound_packet& in, time_point now);
   void SendUpstreamLookups(inbound_packet& in, time_point now);
+  bool ForwardToEvacuatedPool(inbound_packet& in, time_point now);
   void HandleOutcome(inbound_packet& in, flow_owner::outcome result,
                      time_point now);
   void DeferDatagram(time_point now);
--- a/src/traffic/traffic_counters.h
+++ b/src/traffic/traffic_counters.h
@@ -20,9 +20,11 @@
   uint64_t placed = 0;     ///< Openings placed on an upstream.
   uint64_t queued = 0;     ///< Openings that had to wait for an upstream.
   uint64_t refused = 0;    ///< Openings refused before execution.
-  uint64_t replaced = 0;   ///< Openings placed again after no response or a
-                           ///< reset by the upstream.
-  uint64_t passed = 0;     ///< Waiting openings passed to another pool.
+  uint64_t refused_evacuated = 0;  ///< Those refused because all domains with
+                                   ///< upstreams for them are evacuated.
+  uint64_t replaced = 0;  ///< Openings placed again after no response or a
+                          ///< reset by the upstream.
+  uint64_t passed = 0;    ///< Waiting openings passed to another pool.
   uint64_t adopted =
       0;  ///< Flows recorded from return traffic, lookups or a handover.
   uint64_t witness_asked = 0;     ///< Upstream lookups sent for unknown flows.
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -31,6 +31,31 @@
     });
   }
 
+  // Writes the request that the domain be evacuated, or restored.
+  void WriteEvacuation(const std::string& domain, bool evacuated) {
+    WriteObject(ToEvacuationKey(domain),
+                ToJson(evacuation_record{domain, evacuated, 0, "edit", {}}));
+  }
+
+  void WriteObject(const std::string& key, const std::string& value) {
+    const auto found = world.platform.Find(key, false);
+    failure why;
+    world.platform.Put(key, value, found ? found->version : 0, why);
+  }
+
+  // True if no balancer places new flows in the domain or, if `evacuated` is
+  // false, all do.
+  bool AllHaveEvacuated(const std::string& domain, bool evacuated) const {
+    return std::ranges::all_of(world.nodes, [&](const auto& node) {
+      const auto& pools = node.second->traffic.view->pools;
+      return !pools.empty() &&
+             std::ranges::all_of(pools, [&](const pool_route& pool) {
+               return pool.name.domain != domain || pool.weight == 0 ||
+                      pool.evacuated == evacuated;
+             });
+    });
+  }
+
   void SetFaults(const store_fault& fault, const std::string& prefix = "") {
     for (const auto& [name, node] : world.nodes)
       if (name.starts_with(prefix)) node->store.SetFault(fault);
@@ -82,6 +107,60 @@
   EXPECT_TRUE(world.RunUntil([&] { return AllHaveVersion(version); }, 3s));
 }
 
+// Guards against an evacuation that only some balancers honour, or that changes
+// the table.
+TEST_F(control_test, EvacuationsReachAllBalancersThroughOneWithTheStore) {
+  StartAll();
+  SetFaults({.mode = fault_mode::kOutage});
+  world.nodes.at("quimper-1")->store.SetFault({});
+  world.RunFor(1s);
+  WriteEvacuation("rennes", true);
+  EXPECT_TRUE(
+      world.RunUntil([&] { return AllHaveEvacuated("rennes", true); }, 7s));
+  EXPECT_TRUE(AllHaveEvacuated("quimper", false));
+  EXPECT_TRUE(AllHaveVersion(version));
+  WriteEvacuation("rennes", false);
+  EXPECT_TRUE(
+      world.RunUntil([&] { return AllHaveEvacuated("rennes", false); }, 7s));
+}
+
+// Guards against an evacuation that a stale answer of the store ends, that a
+// malformed record ends, or that a balancer that starts during an outage does
+// not know.
+TEST_F(control_test, EvacuationOutlastsStaleReadsMalformedRecordsAndOutages) {
+  StartAll();
+  WriteEvacuation("rennes", false);
+  WriteEvacuation("rennes", true);
+  ASSERT_TRUE(
+      world.RunUntil([&] { return AllHaveEvacuated("rennes", true); }, 7s));
+  for (const fault_mode mode :
+       {fault_mode::kStaleRead, fault_mode::kStaleWatch}) {
+    SetFaults({.mode = fault_mode::kOutage});  // Ends the pending watches.
+    world.RunFor(100ms);
+    SetFaults({.mode = mode});
+    world.RunFor(1s);
+    EXPECT_TRUE(AllHaveEvacuated("rennes", true));
+  }
+  SetFaults({});
+  WriteObject("evacuations/rennes", "{}");
+  WriteObject("evacuations/Quimper!", "{}");
+  WriteObject("evacuations/quimper",
+              ToJson(evacuation_record{"rennes", false, 0, "edit", {}}));
+  world.RunFor(1s);
+  EXPECT_TRUE(AllHaveEvacuated("rennes", true));
+  EXPECT_TRUE(AllHaveEvacuated("quimper", false));
+  SetFaults({.mode = fault_mode::kOutage});
+  world.RunFor(500ms);
+  controller_node& new_run =
+      world.Start("rennes-4", "rennes", fault_mode::kOutage);
+  EXPECT_TRUE(world.RunUntil(
+      [&] {
+        return EvacuatedDomains(new_run.control.evacuations())
+            .contains("rennes");
+      },
+      3s));
+}
+
 // Balancers that are listed but no delegates rely on their peers. While many
 // are replaced, the rosters change several times in a few seconds.
 TEST_F(control_test, ABalancerGoesOnWatchingTheStoreOnceItIsListed) {
--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -353,6 +353,69 @@
               HasSubstr("/deleted: true -> false"));
 }
 
+// Guards against reports of `evacuate` that the store contradicts, and against
+// the loss of another operator's request.
+TEST_F(ctl_test, EvacuationsAreSettledAndNeverOverwriteUnseenRequests) {
+  Run({"apply", "-f", WriteFile(MakeService("a", 0x0a000100))});
+  const auto is_evacuated = [this] {
+    findings found;
+    const auto object = platform_.Find("evacuations/rennes", false).value();
+    return ParseEvacuation(object.value, object.version, found)->evacuated;
+  };
+  EXPECT_THAT(Run({"restore", "rennes"}).text, HasSubstr("unchanged"));
+  EXPECT_FALSE(platform_.Find("evacuations/rennes", false));
+  store_.put_faults = {put_fault::kResponseLost};
+  EXPECT_THAT(Run({"evacuate", "rennes"}).text,
+              StartsWith("evacuations/rennes: accepted"));
+  EXPECT_TRUE(is_evacuated());
+  EXPECT_THAT(Run({"evacuate", "rennes"}).text, HasSubstr("unchanged"));
+
+  // Another operator restores the domain while this one's reply is lost: the
+  // lost request is not made again.
+  Run({"restore", "rennes"});
+  store_.put_faults = {put_fault::kResponseLost};
+  store_.after_put = [this] {
+    store_.after_put = nullptr;
+    Run({"restore", "rennes"});
+  };
+  EXPECT_THAT(Run({"evacuate", "rennes"}).text, HasSubstr("accepted"));
+  EXPECT_FALSE(is_evacuated());
+
+  // The reply is lost and the platform fails, so the outcome is settled later.
+  store_.put_faults = {put_fault::kResponseLost};
+  store_.after_put = [this] { store_.SetFault({fault_mode::kOutage}); };
+  const auto unknown = Run({"evacuate", "rennes"});
+  store_.after_put = nullptr;
+  store_.SetFault({});
+  EXPECT_EQ(unknown.code, exit_code::kUnknown);
+  const std::string id = unknown.json["evacuations"][0]["edit_id"];
+  EXPECT_THAT(unknown.text, HasSubstr("settle " + id + " evacuations/rennes"));
+  const auto settled = Run({"settle", id, "evacuations/rennes"});
+  EXPECT_EQ(settled.json["evacuations"][0]["outcome"], "accepted");
+  EXPECT_EQ(Run({"settle", "other", "evacuations/rennes"}).code,
+            exit_code::kUnknown);
+  EXPECT_EQ(Run({"settle", "other", "evacuations/vannes"}).code,
+            exit_code::kUnknown);
+}
+
+// Guards against a misspelled domain that passes unnoticed, and a malformed
+// record that can't be replaced.
+TEST_F(ctl_test, EvacuationReportsUnusableDomainsAndReplacesMalformedRecords) {
+  Run({"apply", "-f", WriteFile(MakeService("a", 0x0a000100))});
+  EXPECT_EQ(Run({"evacuate", "Rennes/1"}).code, exit_code::kFindings);
+  EXPECT_THAT(Run({"evacuate", "renes"}).text,
+              HasSubstr("no service has an upstream in renes"));
+  fetch_ = [](const std::vector<endpoint>&) {
+    return std::vector<balancer_page>{};
+  };
+  failure why;
+  platform_.Put("evacuations/rennes", R"({"evacuated":"yes"})", 0, why);
+  EXPECT_EQ(Run({"status"}).code, exit_code::kFindings);
+  EXPECT_THAT(Run({"status"}).text, HasSubstr("rennes: malformed"));
+  EXPECT_EQ(Run({"restore", "rennes"}).code, exit_code::kDone);
+  EXPECT_THAT(Run({"status"}).text, HasSubstr("rennes: not evacuated"));
+}
+
 TEST_F(ctl_test, StatusReportsAppliedVersionsAndLaggingBalancers) {
   Run({"apply", "-f", WriteFile(MakeService("a", 0x0a000100))});
   const roster r{"rennes",
@@ -379,6 +442,14 @@
   status = Run({"status"});
   EXPECT_EQ(status.code, exit_code::kLagging);
   EXPECT_THAT(status.text, HasSubstr("lagging: b2 (0)"));
+  second_page.body =
+      R"({"balancer":"b2","services":{"a":{"version":1}},"flows":{"open":1}})";
+  Run({"evacuate", "rennes"});
+  status = Run({"status"});
+  EXPECT_EQ(status.code, exit_code::kLagging);
+  EXPECT_THAT(status.text, HasSubstr("domain rennes: evacuated, version 3"));
+  EXPECT_THAT(status.text, HasSubstr("lagging: b1 (0) b2 (0)"));
+  EXPECT_EQ(status.json["evacuations"][0]["evacuated"], true);
   EXPECT_EQ(Run({"flows"}).json["open"], 6);
   EXPECT_EQ(Run({"flows"}).json["pools"][0]["slots"], 2);
   store_.SetFault({.mode = fault_mode::kOutage});
--- a/test/observe_test.cc
+++ b/test/observe_test.cc
@@ -90,6 +90,7 @@
   statistics.peers.bytes_sent = 1'000;
   statistics.handovers.longest = 250ms;
   statistics.calls.watches = 4;
+  statistics.evacuations.records["rennes"] = {"rennes", true, 7, "e"};
   const std::string page = BalancerMetrics(statistics);
   for (const char* line :
        {"# TYPE radishyard_traffic_placed_total counter\n",
@@ -101,6 +102,7 @@
         "radishyard_queue_wait_seconds_count 2\n",
         "radishyard_peer_bytes_sent_total 1000\n",
         "radishyard_handover_longest_seconds 0.25\n",
+        "radishyard_domain_evacuated{domain=\"rennes\"} 1\n",
         "radishyard_platform_calls_total{call=\"watch\"} 4\n"})
     EXPECT_THAT(page, HasSubstr(line));
   const std::string pool_labels =
--- a/test/peer_test.cc
+++ b/test/peer_test.cc
@@ -54,7 +54,10 @@
            heartbeat_ack{{"vm-2", 1700000000}, 9, 8, {{"rennes", 310}}}},
           {"table_digest, 2,500 services", digest},
           {"table_records, 1 of 600 B",
-           table_records{{{std::string(600, ' '), 7, "edit-1"}}}},
+           table_records{{{std::string(600, ' '), 7, "edit-1"}}, {}}},
+          {"table_records, 1 evacuation",
+           table_records{{}, {{std::string(100, ' '), 7, "edit-1"}}}},
+          {"table_digest, 1 evacuation", table_digest{{}, {{"rennes", 7}}}},
           {"roster_record, 2 kB",
            roster_record{"rennes", 12, std::string(2000, ' ')}},
           {"handover_chunk, 1 KiB of flows",
@@ -167,6 +170,11 @@
   failure why;
   EXPECT_TRUE(DecodePayload(
       header + std::string("\x95\x92\xa1v\x01\x01\x01\x90\xc0", 9), why));
+  // Fields appended in this release are omitted by older ones.
+  const auto digest = DecodePayload(
+      std::string({1, 4}) + std::string("\x91\x91\x92\xa1s\x07", 6), why);
+  ASSERT_TRUE(digest) << why.text;
+  EXPECT_EQ(std::get<table_digest>(*digest), (table_digest{{{"s", 7}}, {}}));
   EXPECT_FALSE(
       EncodeFrame(standby_flows{"", "", byte_blob(kMaxPayloadBytes)}, why));
 }
--- a/test/table_test.cc
+++ b/test/table_test.cc
@@ -231,6 +231,53 @@
   EXPECT_TRUE(holds);
 }
 
+// Guards against an evacuation that a late record of its past ends or renews.
+TEST(Evacuations, KeepTheHighestVersionInAnyOrderOfArrival) {
+  const bool holds =
+      rc::check([](const std::vector<std::pair<bool, uint8_t>>& in) {
+        evacuation_table table;
+        evacuation_table peer;
+        std::map<std::string, uint8_t> highest_versions;
+        for (const auto& [domain, version] : in) {
+          const evacuation_record record{domain ? "rennes" : "vannes",
+                                         version % 2 == 1, version, "e"};
+          uint8_t& highest = highest_versions[record.domain];
+          const bool is_newer = version > highest;
+          highest = std::max(highest, version);
+          RC_ASSERT((ApplyEvacuation(table, record) ==
+                     apply_result::kApplied) == is_newer);
+          if (version % 3 == 0) ApplyEvacuation(peer, record);
+        }
+        for (const auto& [domain, version] : highest_versions)
+          RC_ASSERT(EvacuatedDomains(table).contains(domain) ==
+                    (version % 2 == 1));
+        for (const evacuation_record& record :
+             FindNewerEvacuations(table, ListEvacuationVersions(peer)))
+          RC_ASSERT(ApplyEvacuation(peer, record) == apply_result::kApplied);
+        RC_ASSERT(ComputeEvacuationDigest(peer) ==
+                  ComputeEvacuationDigest(table));
+        RC_ASSERT(peer.records == table.records);
+      });
+  EXPECT_TRUE(holds);
+}
+
+TEST(Evacuations, MalformedRecordsAreReportedAndNotRead) {
+  const evacuation_record record{"rennes", true, 7, "edit-2", {{"edit-1", 5}}};
+  findings found;
+  EXPECT_EQ(ParseEvacuation(ToJson(record), 7, found), record);
+  EXPECT_TRUE(found.empty());
+  for (const char* text :
+       {"", "{}", "[]", R"({"domain":"rennes","evacuated":true})",
+        R"({"domain":"rennes","evacuated":1,"edit_id":"e"})",
+        R"({"domain":"Ren/nes","evacuated":true,"edit_id":"e"})",
+        R"({"domain":"","evacuated":true,"edit_id":"e"})",
+        R"({"domain":"rennes","evacuated":true,"edit_id":"e","until":9})"}) {
+    findings faults;
+    EXPECT_FALSE(ParseEvacuation(text, 7, faults)) << text;
+    EXPECT_FALSE(faults.empty()) << text;
+  }
+}
+
 TEST(TableExamples, AreValidAndHaveNoConflicts) {
   std::vector<service> services;
   for (const char* file :
