Pass openings of evacuated pools although they have a previous owner

A pool keeps its previous owner until a handover completes, which can be long after the roster changed. They are passed on within the hop limit now.

evacuation_traffic_test, traffic_test, traffic_moves_test, ctl_test pass.

--- a/src/traffic/flow_owner.cc
+++ b/src/traffic/flow_owner.cc
@@ -371,21 +371,15 @@
   const bool request_may_have_executed =
       may_have_executed || withheld_response_flows_.Contains(in.hash);
   const bool is_udp = in.packet.proto == protocol::kUdp;
-  // An idempotent request may have been placed in another pool before the
-  // evacuations changed. The others are routed to the same pool all the time.
-  const bool may_be_placed_elsewhere =
-      in.IsOfIdempotentRequest() && evacuations_changed_at_ &&
-      now - *evacuations_changed_at_ < kEvacuationSettleTime;
-  if (is_udp &&
-      (request_may_have_executed || is_new_owner || may_be_placed_elsewhere))
+  if (is_udp && (request_may_have_executed || is_new_owner ||
+                 MayBePlacedInOtherPool(in, now)))
     flow.Set(kMayHaveExecuted);
   held_openings_[slot].assign(in.bytes.begin(), in.bytes.end());
   // A retransmission is not passed on: its new owner might refuse it as not
   // executed.
-  if (next_pool != nullptr && !flow.Has(kMustNotBePassedOn) &&
-      !request_may_have_executed) {
+  if (next_pool != nullptr && !request_may_have_executed) {
     TraceHop(in, "owner", "evacuated", now);
-    PassOpening(slot, pool, *next_pool);
+    PassOpening(slot, pool, *next_pool, in.Hops());
     return;
   }
   TraceHop(in, "owner", "open", now);
--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -198,9 +198,12 @@
   served_pool& ServePool(uint16_t view_pool, time_point now);
   void RecordEvacuations(const routing_view& next, time_point now);
   std::optional<uint16_t> FindPoolOutsideEvacuation(const flow_key& key) const;
+  bool MayBePlacedInOtherPool(const inbound_packet& in, time_point now) const;
   const pool_route* LeaveEvacuatedPool(inbound_packet& in) const;
   void EmptyEvacuatedPool(served_pool& pool, time_point now);
-  void PassOpening(uint32_t slot, served_pool& pool, const pool_route& target);
+  /// \param hops forwarding steps of the opening so far.
+  void PassOpening(uint32_t slot, served_pool& pool, const pool_route& target,
+                   uint8_t hops);
   uint16_t ServedPoolIndex(uint16_t view_pool) const;
 
   outcome HandleKnownFlow(inbound_packet& in, uint32_t slot, time_point now);
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -61,7 +61,7 @@
     return false;
   const pool_route& route = view_->pools[*target_pool];
   --grants_.free_slots[route.name];
-  PassOpening(slot, pool, route);
+  PassOpening(slot, pool, route, 0);
   return true;
 }
 
