--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -369,8 +369,7 @@
   EXPECT_TRUE(is_evacuated());
   EXPECT_THAT(Run({"evacuate", "rennes"}).text, HasSubstr("unchanged"));
 
-  // Another operator restores the domain while this one's reply is lost: the
-  // lost request is not made again.
+  // Another operator restores the domain while this one's reply is lost.
   Run({"restore", "rennes"});
   store_.put_faults = {put_fault::kResponseLost};
   store_.after_put = [this] {
@@ -380,7 +379,6 @@
   EXPECT_THAT(Run({"evacuate", "rennes"}).text, HasSubstr("accepted"));
   EXPECT_FALSE(is_evacuated());
 
-  // The reply is lost and the platform fails, so the outcome is settled later.
   store_.put_faults = {put_fault::kResponseLost};
   store_.after_put = [this] { store_.SetFault({fault_mode::kOutage}); };
   const auto unknown = Run({"evacuate", "rennes"});
@@ -394,8 +392,7 @@
             exit_code::kUnknown);
 }
 
-// Guards against a misspelled domain that passes unnoticed, and a malformed
-// record that can't be replaced.
+// Guards against a misspelled domain, and a record that can't be replaced.
 TEST_F(ctl_test, EvacuationReportsUnusableDomainsAndReplacesMalformedRecords) {
   Run({"apply", "-f", WriteFile(MakeService("a", 0x0a000100))});
   EXPECT_EQ(Run({"evacuate", "Rennes/1"}).code, exit_code::kFindings);
