--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -353,8 +353,7 @@
               HasSubstr("/deleted: true -> false"));
 }
 
-// Guards against reports of `evacuate` that the store contradicts, and against
-// the loss of another operator's request.
+// Guards against reports that the store contradicts, and overwritten requests.
 TEST_F(ctl_test, EvacuationsAreSettledAndNeverOverwriteUnseenRequests) {
   Run({"apply", "-f", WriteFile(MakeService("a", 0x0a000100))});
   const auto is_evacuated = [this] {
