--- a/src/daemon/balancer_metrics.cc
+++ b/src/daemon/balancer_metrics.cc
@@ -169,7 +169,7 @@
 }
 
 void AddEvacuations(const evacuation_table& evacuations, metrics_page& page) {
-  page.BeginMetric(metric_kind::kGauge, "radishyard_domain_evacuated",
+  page.BeginMetric(metric_kind::kGauge, "radishyard_evacuated",
                    "1 while a failure domain is evacuated, 0 afterwards.");
   for (const auto& [domain, record] : evacuations.records)
     page.AddSample({{"domain", domain}}, record.evacuated ? 1 : 0);
