Limit of openings on cold upstreams shared by all balancers

Cause: each balancer by itself sends new flows to a cold upstream, which looks idle; 78 balancers exceed a rate of 5 openings a second with less than one flow each.

Change: a service may state a rate for cold upstreams in the table. One balancer claims the right to grant openings on one incarnation of an upstream by creating an object in the platform's store; the others request grants, which end 300 ms after their request was sent, by a clock that counts suspensions. The granter bounds what it grants within 1.98 s: a second, the transit of openings and the lifetime of a grant, with clocks of different rates. Placement leaves out cold upstreams without a grant; an opening without any other upstream is dropped while a grant is expected and refused otherwise. start_limit, start_claim and cold_starts decide; start_coordinator calls the store and sends the messages. Without a rate nothing changes.

Besides: the cold time of list entries is reduced from the receipt of a list on, not from its request. An entry that was delayed on its way was taken for warm up to a second too early.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -19,7 +19,7 @@
 inline time_point AtMs(int64_t ms) { return time_point(milliseconds(ms)); }
 
 /// \brief Converts `d` to milliseconds, rounded towards zero.
-inline int64_t ToMs(duration d) {
+constexpr int64_t ToMs(duration d) {
   return std::chrono::duration_cast<milliseconds>(d).count();
 }
 
--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -13,6 +13,7 @@
 #include "direct/forwarder.h"
 #include "direct/peer_exchange.h"
 #include "direct/registry_follower.h"
+#include "direct/start_coordinator.h"
 #include "direct/start_policy.h"
 #include "direct/table_confirmation.h"
 #include "observe/guard.h"
@@ -78,6 +79,8 @@
                {PublicPeerAddress(config), config.domain,
                 config.capacity_millicores},
                config.peers, config.link_mbps, state_, MakeExchangeHandlers()),
+        starts_(source.Claims(), state_, config.start,
+                MakeStartEnvironment(peers_, config)),
         times_(MakeFollowerTimes(config.drain_bound, config.edit_bound)),
         follower_(io, source, times_, MakeFollowerHandlers(),
                   std::hash<std::string>()(config.name)) {
@@ -129,18 +132,21 @@
   }
 
   exchange_handlers MakeExchangeHandlers() {
-    return {.on_snapshot =
-                [this](const endpoint& peer, const snapshot_effect& effect) {
-                  HandlePeerSnapshot(peer, effect);
-                },
-            .on_evacuations =
-                [this](const endpoint& peer) {
-                  LogEvacuations(ToString(peer), state_.evacuations);
-                },
-            .watches_table =
-                [this] { return follower_.IsFollowingTable(clock::now()); },
-            .table_read_at = [this] { return follower_.table_read_at(); },
-            .on_activity = [this] { DetectPause(clock::now()); }};
+    return {
+        .on_snapshot =
+            [this](const endpoint& peer, const snapshot_effect& effect) {
+              HandlePeerSnapshot(peer, effect);
+            },
+        .on_evacuations =
+            [this](const endpoint& peer) {
+              LogEvacuations(ToString(peer), state_.evacuations);
+            },
+        .watches_table =
+            [this] { return follower_.IsFollowingTable(clock::now()); },
+        .table_read_at = [this] { return follower_.table_read_at(); },
+        .on_activity = [this] { DetectPause(clock::now()); },
+        .on_grant_request = [this](const auto& m) { starts_.HandleRequest(m); },
+        .on_grant_reply = [this](const auto& m) { starts_.HandleReply(m); }};
   }
 
   bool AwaitsPeers(time_point now) const {
@@ -224,6 +230,7 @@
     LogDirectoryChanges(effect.changes, state_.directory.revision);
     if (effect.evacuations_changed)
       LogEvacuations(ToString(peer), state_.evacuations);
+    starts_.Update(clock::now());
     CheckReady();
   }
 
@@ -260,6 +267,7 @@
     const uint64_t before = state_.digest;
     LogDirectoryChanges(ApplyUpstreamList(state_, list, at, clock::now()),
                         list.revision);
+    starts_.Update(clock::now());
     CheckReady();
     if (peers_.IsRegistryReader(clock::now()) || state_.digest != before)
       peers_.ReportNow();
@@ -273,6 +281,7 @@
     if (version == state_.table.version) return;
     const bool taken = ApplyTable(state_, std::move(table));
     if (taken) ++counters_.tables_applied;
+    if (taken) starts_.Update(clock::now());
     Log(severity::kInfo, taken ? "table_taken" : "table_older",
         {{"version", version}, {"addresses", addresses}});
     CheckReady();
@@ -368,9 +377,11 @@
     if (packet->is_opening && packet->retransmission_count > 0)
       ++counters_.opening_retransmissions;
     const time_point now = clock::now();
-    const verdict decision = RoutePacket(state_, *packet, now);
+    const verdict decision =
+        RoutePacket(state_, *packet, now, ReadSuspensionClock());
     ++counters_.verdicts[static_cast<size_t>(decision.reason)];
     LogVerdict(*packet, decision, state_, now);
+    if (decision.wanted_start != 0) starts_.RequestGrant(decision.wanted_start);
     if (decision.first_sent_at) peers_.ReportSilence(decision.upstream);
     if (decision.action == verdict_action::kForward)
       ForwardPacket(datagram, *packet, decision);
@@ -424,10 +435,12 @@
     RecordSuspension(state_.evacuations, elapsed);
     peers_.RecordSuspension(elapsed);
     follower_.RecordSuspension(elapsed);
+    starts_.RecordSuspension();
   }
 
   void MaintainState(time_point now) {
     DetectPause(now);
+    starts_.Update(now);
     FailOverdueRequests(state_.tracker, state_.directory, now);
     LogHealthChanges(UpdateHealthStates(state_, now), state_.directory);
     ExpireIdleFlows(state_.tracker, state_.directory, state_.table.idle_timeout,
@@ -466,6 +479,7 @@
   std::optional<admin_server> readiness_server_;
   std::optional<admin_server> metrics_server_;
   peer_exchange peers_;
+  start_coordinator starts_;
   follower_times times_;
   registry_follower follower_;
   evacuation_times evacuation_times_;
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -46,6 +46,38 @@
     page.AddSample({{"domain", domain}}, 1);
 }
 
+/// Adds the counters of the limit of openings on cold upstreams.
+void AddStartMetrics(metrics_page& page, const cold_starts& starts) {
+  const start_counters& counters = starts.counters;
+  page.BeginMetric(metric_kind::kCounter, "radishyard_start_claims_total",
+                   "Claims of grants on cold upstreams, by outcome.");
+  page.AddSample({{"outcome", "won"}},
+                 static_cast<double>(counters.claims_won));
+  page.AddSample({{"outcome", "lost"}},
+                 static_cast<double>(counters.claims_lost));
+  page.AddSample({{"outcome", "refused"}},
+                 static_cast<double>(counters.claims_refused));
+  page.AddSample({{"outcome", "unknown"}},
+                 static_cast<double>(counters.claims_unknown));
+  AddCounter(page, "radishyard_start_claims_deleted_total",
+             "Claims deleted, own ones and orphans.", counters.claims_deleted);
+  AddCounter(page, "radishyard_start_requests_sent_total",
+             "Requests for grants sent to other balancers.",
+             counters.requests_sent);
+  AddCounter(page, "radishyard_start_requests_received_total",
+             "Requests for grants from other balancers.",
+             counters.requests_received);
+  AddCounter(page, "radishyard_start_openings_granted_total",
+             "Openings on cold upstreams granted here, also to itself.",
+             counters.openings_granted);
+  AddCounter(page, "radishyard_start_openings_received_total",
+             "Openings on cold upstreams granted by other balancers.",
+             counters.openings_received);
+  AddCounter(page, "radishyard_start_openings_placed_total",
+             "Openings placed on cold upstreams under a grant.",
+             counters.openings_placed);
+}
+
 }  // namespace
 
 std::string RenderMetricsPage(const direct_counters& counters,
@@ -83,6 +115,7 @@
   AddCounter(page, "radishyard_silence_notices_contradicted_total",
              "Of these, upstreams that had answered here since.",
              state.silences.contradicted);
+  AddStartMetrics(page, state.starts);
   AddGauge(page, "radishyard_table_version", "Version of the table in force.",
            static_cast<double>(state.table.version));
   AddGauge(
--- a/src/direct/direct_settings.cc
+++ b/src/direct/direct_settings.cc
@@ -96,6 +96,19 @@
     value = std::max(1U, static_cast<uint32_t>(mbps));
   }
 
+  /// Reads a factor or a number of openings, which may be a fraction.
+  void ReadNumber(const char* key, double least, double& value) const {
+    const json& member = GetField(document, key);
+    if (member.is_null()) return;
+    constexpr double kMost = 1e6;
+    const double number = member.is_number() ? member.get<double>() : -1;
+    if (number < least || number > kMost)
+      return found.Add(JoinJsonPointer("", key),
+                       least > 0 ? "is not a number from 1 to 1000000"
+                                 : "is not a number from 0 to 1000000");
+    value = number;
+  }
+
   void ReadFlag(const char* key, bool& value) const {
     const json& member = GetField(document, key);
     if (member.is_null()) return;
@@ -141,6 +154,8 @@
     reader.ReadBound("evacuation_bound_ms", s.evacuation_bound.emplace());
   reader.ReadBound("stop_grace_ms", s.stop_grace);
   reader.ReadLinkCapacity("link_mbps", s.link_mbps);
+  reader.ReadNumber("start_overage", 1, s.start.overage);
+  reader.ReadNumber("start_slack", 0, s.start.slack);
   reader.ReadLevel("log_level", s.level);
   if (found.size() > before) return std::nullopt;
   return s;
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -9,6 +9,7 @@
 
 #include "base/finding.h"
 #include "base/time.h"
+#include "direct/start_limit.h"
 #include "settings/settings.h"
 
 namespace radishyard {
@@ -45,6 +46,9 @@
   duration stop_grace = 6s;
   /// Capacity of the VM's network link in megabits a second.
   uint32_t link_mbps = 1000;
+  /// How the limit of openings on a cold upstream follows from the rate that
+  /// the table states.
+  start_bounds start;
   log_level level = log_level::kInfo;
   auto operator<=>(const direct_settings&) const = default;
 };
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -14,8 +14,9 @@
 
 /// Names of verdict_reason in logs and metrics, in the order of its values.
 constexpr std::array<std::string_view, kVerdictReasonCount> kReasonNames{
-    "placed",      "marked",       "no_table",        "unknown_address",
-    "no_upstream", "unknown_mark", "silent_upstream", "evacuated"};
+    "placed",          "marked",      "no_table",
+    "unknown_address", "no_upstream", "unknown_mark",
+    "silent_upstream", "evacuated",   "cold_upstream"};
 
 verdict ForwardTo(const known_upstream& upstream, verdict_reason reason) {
   return {verdict_action::kForward, reason, upstream.entry.id,
@@ -61,12 +62,32 @@
              : verdict_reason::kNoUpstream;
 }
 
+/// An opening is not left to its second retransmission: it has waited for 600
+/// ms by then, and the caller does better with another flow.
+constexpr uint32_t kMaxDroppedCopies = 2;
+
+/// The decision on an opening for which no upstream was found.
+/// \param wanted the cold upstream from which a grant is expected, or null.
+verdict HandleUnplaced(const forwarding_state& state,
+                       const direct_packet& packet, const std::string& service,
+                       const known_upstream* wanted) {
+  const bool is_cold = state.directory.ready_by_service.contains(service);
+  if (!is_cold) return Refuse(ReasonWithoutUpstream(state, service));
+  const bool may_wait =
+      wanted != nullptr && packet.retransmission_count < kMaxDroppedCopies;
+  return may_wait ? Drop(verdict_reason::kColdUpstream)
+                  : Refuse(verdict_reason::kColdUpstream);
+}
+
 verdict PlaceOpening(forwarding_state& state, const direct_packet& packet,
-                     time_point now) {
+                     time_point now, time_point start_now) {
   if (!IsReady(state)) return Drop(verdict_reason::kNotReady);
+  // Each copy of an opening counts at a cold upstream.
   if (const known_upstream* const previous =
           FindPreviousPlacement(state, packet))
-    return ForwardTo(*previous, verdict_reason::kPlaced);
+    return UseGrant(state.starts, *previous, start_now)
+               ? ForwardTo(*previous, verdict_reason::kPlaced)
+               : Drop(verdict_reason::kColdUpstream);
   const published_address* const row =
       FindAddress(state.table, packet.flow.service);
   if (row == nullptr) return Refuse(verdict_reason::kUnknownAddress);
@@ -75,13 +96,23 @@
       .domain = state.domain,
       .avoided_mark = FindPreviousMark(state.tracker, packet.flow),
       .flow_hash = StableHash(packet.flow),
-      .opening_timeout = OpeningTimeout(state.tracker)};
+      .opening_timeout = OpeningTimeout(state.tracker),
+      .starts = state.starts.limits.empty() ? nullptr : &state.starts,
+      .start_now = start_now};
   known_upstream* const upstream =
       ChooseUpstream(state.directory, request, now);
-  if (upstream == nullptr)
-    return Refuse(ReasonWithoutUpstream(state, request.service));
-  TrackOpening(state.tracker, state.directory, packet, *upstream, now);
-  return ForwardTo(*upstream, verdict_reason::kPlaced);
+  const known_upstream* const wanted =
+      ChooseUpstreamToRequest(state.directory, request, now);
+  verdict decision;
+  if (upstream == nullptr) {
+    decision = HandleUnplaced(state, packet, request.service, wanted);
+  } else {
+    UseGrant(state.starts, *upstream, start_now);
+    TrackOpening(state.tracker, state.directory, packet, *upstream, now);
+    decision = ForwardTo(*upstream, verdict_reason::kPlaced);
+  }
+  if (wanted != nullptr) decision.wanted_start = wanted->entry.id;
+  return decision;
 }
 
 /// True if callers may retry the requests to the flow's service address.
@@ -114,8 +145,8 @@
 }
 
 verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
-                    time_point now) {
-  if (packet.is_opening) return PlaceOpening(state, packet, now);
+                    time_point now, time_point start_now) {
+  if (packet.is_opening) return PlaceOpening(state, packet, now, start_now);
   known_upstream* const upstream = FindByMark(state.directory, packet.mark);
   if (upstream == nullptr) return Drop(verdict_reason::kUnknownMark);
   const auto first_sent_at =
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "direct/cold_starts.h"
 #include "direct/direct_packet.h"
 #include "direct/evacuation.h"
 #include "direct/flow_tracker.h"
@@ -40,10 +41,14 @@
   /// All upstreams of the service that could take new flows are in evacuated
   /// domains.
   kEvacuated,
+  /// All upstreams of the service that take new flows are cold, and none has a
+  /// grant; see start_limit.h. Dropped while a grant is expected, so that the
+  /// caller's retransmission finds it, otherwise refused.
+  kColdUpstream,
 };
 
 /// \brief Size of an array that is indexed by verdict_reason.
-inline constexpr size_t kVerdictReasonCount = 8;
+inline constexpr size_t kVerdictReasonCount = 9;
 
 /// \brief The name of the reason in logs and metrics.
 std::string_view ToName(verdict_reason reason);
@@ -59,6 +64,9 @@
   /// For data that the caller retransmits: when this balancer first forwarded
   /// it. Nothing for new data.
   std::optional<time_point> first_sent_at;
+  /// For an opening: the cold upstream for which a grant should be requested,
+  /// whatever the action; 0 if there is none.
+  upstream_id wanted_start = 0;
   auto operator<=>(const verdict&) const = default;
 };
 
@@ -86,12 +94,21 @@
   bool honours_evacuations = false;
   evacuation_set evacuations;
   silence_counters silences;
+  cold_starts starts;  ///< Limit of openings on cold upstreams.
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
 /// `state.tracker`.
+/// \param start_now the same instant on a clock that counts suspensions of the
+/// VM, for `state.starts`.
 verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
-                    time_point now);
+                    time_point now, time_point start_now);
+
+/// \brief The same for a VM that has never been suspended.
+inline verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
+                           time_point now) {
+  return RoutePacket(state, packet, now, now);
+}
 
 /// \brief Replaces the routing table if `table` is a newer version of it.
 /// \returns true if it was applied.
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -104,6 +104,16 @@
 
   bool IsFetching() const { return fetcher_->IsActive(); }
 
+  void Send(const peer_message& message, const endpoint& to) {
+    failure why;
+    const auto frame = EncodeFrame(message, why);
+    if (!frame || frame->size() > kDatagramBytes) return;
+    // Later reports replace a lost one, and each further retransmission of a
+    // caller leads to another notice.
+    error_code ignored;
+    socket_.send_to(asio::buffer(*frame), ToUdp(to), 0, ignored);
+  }
+
   peer_members members_;
   std::vector<endpoint> seeds_;
   table_confirmation table_confirmation_;
@@ -125,16 +135,6 @@
     return report;
   }
 
-  void Send(const peer_message& message, const endpoint& to) {
-    failure why;
-    const auto frame = EncodeFrame(message, why);
-    if (!frame || frame->size() > kDatagramBytes) return;
-    // Later reports replace a lost one, and each further retransmission of a
-    // caller leads to another notice.
-    error_code ignored;
-    socket_.send_to(asio::buffer(*frame), ToUdp(to), 0, ignored);
-  }
-
   void RunPeriodicTasks() {
     if (is_stopped_) return;
     const time_point now = clock::now();
@@ -197,6 +197,10 @@
   void HandleMessage(const peer_message& message, time_point now) {
     if (const auto* report = std::get_if<view_report>(&message))
       return HandleReport(*report, now);
+    if (const auto* request = std::get_if<grant_request>(&message))
+      return HandleGrantRequest(*request);
+    if (const auto* reply = std::get_if<grant_reply>(&message))
+      return HandleGrantReply(*reply);
     const auto* notice = std::get_if<silence_notice>(&message);
     if (notice == nullptr || notice->sender == members_.self.peer) return;
     const auto reply = ApplySilenceNotice(state_, *notice, now);
@@ -204,6 +208,14 @@
     if (reply) SendNotice(*reply, notice->sender);
   }
 
+  void HandleGrantRequest(const grant_request& request) {
+    if (handlers_.on_grant_request) handlers_.on_grant_request(request);
+  }
+
+  void HandleGrantReply(const grant_reply& reply) {
+    if (handlers_.on_grant_reply) handlers_.on_grant_reply(reply);
+  }
+
   void HandleReport(const view_report& report, time_point now) {
     if (report.self.peer == members_.self.peer) return;
     RecordMember(members_, report.self, now);
@@ -346,6 +358,19 @@
   return radishyard::IsRegistryReader(core_->members_, now);
 }
 
+void peer_exchange::SendTo(const peer_message& message, const endpoint& to) {
+  core_->Send(message, to);
+}
+
+std::vector<view_member> peer_exchange::FindMembers(const std::string& domain,
+                                                    time_point now) const {
+  std::vector<view_member> found =
+      FindLiveMembers(core_->members_, domain, now);
+  if (domain == core_->members_.self.domain)
+    found.push_back(core_->members_.self);
+  return found;
+}
+
 const table_confirmation& peer_exchange::confirmation() const {
   return core_->table_confirmation_;
 }
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -13,6 +13,7 @@
 #include "direct/table_confirmation.h"
 #include "direct/view_message.h"
 #include "direct/view_sharing.h"
+#include "peer/peer_message.h"
 
 namespace radishyard {
 
@@ -32,6 +33,10 @@
   std::function<time_point()> table_read_at;
   /// Called before messages are received. It may call DiscardReceived().
   std::function<void()> on_activity;
+  /// A request for a grant, or a reply to one of this balancer, has arrived.
+  /// Unset if grants are not used.
+  std::function<void(const grant_request&)> on_grant_request;
+  std::function<void(const grant_reply&)> on_grant_reply;
 };
 
 /// \brief Exchanges state with the other balancers of the failure domain.
@@ -71,6 +76,11 @@
   bool HasMembers(time_point now) const;
   /// \brief True if this balancer is a registry reader of its failure domain.
   bool IsRegistryReader(time_point now) const;
+  /// \brief Sends one message to another balancer. It may be lost.
+  void SendTo(const peer_message& message, const endpoint& to);
+  /// \brief The live members of `domain`, with this balancer if it is its own.
+  std::vector<view_member> FindMembers(const std::string& domain,
+                                       time_point now) const;
   /// \brief What other balancers have confirmed of this balancer's table.
   const table_confirmation& confirmation() const;
 
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -62,11 +62,16 @@
   return (u.stats.flows + 1) * response_s * cold_factor / slots;
 }
 
-}  // namespace
+bool HasGrant(const placement_request& request, const known_upstream& u) {
+  return request.starts == nullptr ||
+         CanPlaceOn(*request.starts, u, request.start_now);
+}
 
-known_upstream* ChooseUpstream(const upstream_directory& directory,
-                               const placement_request& request,
-                               time_point now) {
+/// Chooses among the upstreams for which `is_candidate` is true.
+template <typename Predicate>
+known_upstream* ChooseAmong(const upstream_directory& directory,
+                            const placement_request& request, time_point now,
+                            Predicate is_candidate) {
   const auto found = directory.ready_by_service.find(request.service);
   if (found == directory.ready_by_service.end()) return nullptr;
   const candidates& list = found->second;
@@ -75,6 +80,7 @@
   std::pair<preference, double> best_rank;
   for (size_t i = 0; i < list.size(); ++i) {
     known_upstream* const u = list[(request.flow_hash + i) % list.size()];
+    if (!is_candidate(*u)) continue;
     const std::pair rank(GetPreference(*u, request, now),
                          EstimateCost(*u, mean_response_s, now));
     if (best != nullptr && rank >= best_rank) continue;
@@ -84,4 +90,28 @@
   return best;
 }
 
+}  // namespace
+
+known_upstream* ChooseUpstream(const upstream_directory& directory,
+                               const placement_request& request,
+                               time_point now) {
+  return ChooseAmong(directory, request, now, [&](const known_upstream& u) {
+    return HasGrant(request, u);
+  });
+}
+
+known_upstream* ChooseUpstreamToRequest(const upstream_directory& directory,
+                                        const placement_request& request,
+                                        time_point now) {
+  const bool is_limited = request.starts != nullptr &&
+                          request.starts->limits.contains(request.service);
+  if (!is_limited) return nullptr;
+  known_upstream* const wanted =
+      ChooseAmong(directory, request, now, [&](const known_upstream& u) {
+        return HasGrant(request, u) ||
+               ExpectsGrant(*request.starts, u, request.start_now);
+      });
+  return wanted != nullptr && HasGrant(request, *wanted) ? nullptr : wanted;
+}
+
 }  // namespace radishyard
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "direct/cold_starts.h"
 #include "direct/upstream_directory.h"
 
 namespace radishyard {
@@ -20,10 +21,16 @@
   /// An upstream with an opening that has been unanswered for longer becomes
   /// suspect; see OpeningTimeout() and IsSuspect().
   duration opening_timeout = 25ms;
+  /// Limits of openings on cold upstreams; null if there are none.
+  const cold_starts* starts = nullptr;
+  /// The present instant for `starts`.
+  time_point start_now{};
 };
 
 /// \brief Chooses an upstream from the best class that is not empty among the
-/// upstreams that take new flows (upstream_directory::ready_by_service).
+/// upstreams that take new flows (upstream_directory::ready_by_service). Cold
+/// ones that need a grant, with none held here, are left out; see
+/// start_limit.h.
 ///
 /// Classes in order of preference:
 /// 1. upstreams of the balancer's own domain that are neither suspect nor
@@ -40,4 +47,12 @@
                                const placement_request& request,
                                time_point now);
 
+/// \brief Chooses the cold upstream for which a grant should be requested: the
+/// one on which the flow would have been placed with grants for all upstreams
+/// from which one can be expected.
+/// \returns null if no grant would change the choice.
+known_upstream* ChooseUpstreamToRequest(const upstream_directory& directory,
+                                        const placement_request& request,
+                                        time_point now);
+
 }  // namespace radishyard
--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "direct/claim_store.h"
 #include "direct/evacuation.h"
 #include "direct/list_history.h"
 #include "direct/routing_table.h"
@@ -59,6 +60,9 @@
                           store_handler<table_update> handler) = 0;
   /// \brief Reads all evacuation requests.
   virtual void ListEvacuations(store_handler<evacuation_list> handler) = 0;
+  /// \brief The claims of grants on cold upstreams; null if the platform keeps
+  /// none.
+  virtual claim_store* Claims() { return nullptr; }
 };
 
 }  // namespace radishyard
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -72,7 +72,7 @@
         list_.is_in_flight = false;
         if (!list)
           return HandleFailure(list_, why, &registry_follower::ReadList);
-        base_ = list_base{*list, requested_at, list->revision};
+        base_ = list_base{*list, requested_at, clock::now(), list->revision};
         HandleList(*list, requested_at);
       });
 }
@@ -101,11 +101,14 @@
     if (why.kind == failure_kind::kNotFound) base_.reset();
     return HandleFailure(list_, why, &registry_follower::ReadList);
   }
+  // Counted from the receipt: the time that the list was on its way must not be
+  // taken off the cold time of an upstream.
   base_->list.upstreams = ApplyDelta(base_->list, changes->delta,
-                                     requested_at - base_->requested_at);
+                                     requested_at - base_->received_at);
   base_->list.revision = changes->revision;
   base_->last_change = std::max(base_->last_change, changes->last_change);
   base_->requested_at = requested_at;
+  base_->received_at = clock::now();
   ++base_->change_reads;
   HandleList(base_->list, requested_at);
 }
--- a/src/direct/registry_follower.h
+++ b/src/direct/registry_follower.h
@@ -96,6 +96,7 @@
   struct list_base {
     upstream_list list;
     time_point requested_at{};
+    time_point received_at{};   ///< The list was current no later than this.
     uint64_t last_change = 0;   ///< Revision from which changes are read.
     unsigned change_reads = 0;  ///< Since the whole list was read.
   };
--- a/src/direct/routing_table.h
+++ b/src/direct/routing_table.h
@@ -33,6 +33,16 @@
   auto operator<=>(const published_address&) const = default;
 };
 
+/// \brief The rate at which cold upstreams of a service may get openings; see
+/// start_limit.h.
+struct service_start_rate {
+  std::string service;
+  /// Openings in 1,000 s, summed over all balancers; 0 if there is no limit.
+  uint32_t openings_per_1000s = 0;
+  duration cold_start{};  ///< Length of a cold start.
+  auto operator<=>(const service_start_rate&) const = default;
+};
+
 /// \brief One version of the table. Invariant: `addresses` is sorted by address
 /// and has no duplicates.
 struct routing_table {
@@ -40,6 +50,8 @@
   std::vector<published_address> addresses;
   duration idle_timeout = 15s;   ///< Records of flows idle for longer expire.
   uint32_t invalid_entries = 0;  ///< Unusable rows that a read left out.
+  /// Services with a limit of openings on cold upstreams.
+  std::vector<service_start_rate> start_rates;
   auto operator<=>(const routing_table&) const = default;
 };
 
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -130,6 +130,14 @@
   auto operator<=>(const view_upstream&) const = default;
 };
 
+/// \brief A service_start_rate of the routing table.
+struct view_start_rate {
+  std::string service;
+  uint32_t openings_per_1000s = 0;
+  uint32_t cold_start_ms = 0;
+  auto operator<=>(const view_start_rate&) const = default;
+};
+
 /// \brief The sender's table and upstream list, or what the receiver lacks.
 struct view_snapshot {
   static constexpr size_t kRequiredFields = 9;  ///< As in view_report.
@@ -148,6 +156,7 @@
   std::vector<uint64_t> removed;       ///< Ids; empty for a whole list.
   uint32_t outage_age_ms = kNoOutage;  ///< As in view_report.
   evacuation_report evacuations;
+  std::vector<view_start_rate> start_rates;  ///< Sent with `addresses`.
   auto operator<=>(const view_snapshot&) const = default;
 };
 
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -83,6 +83,9 @@
                       .idle_timeout = milliseconds(snapshot.idle_timeout_ms)};
   for (const view_address& row : snapshot.addresses)
     if (!row.shares.empty()) table.addresses.push_back(FromMessage(row));
+  for (const view_start_rate& rate : snapshot.start_rates)
+    table.start_rates.push_back({rate.service, rate.openings_per_1000s,
+                                 milliseconds(rate.cold_start_ms)});
   std::sort(table.addresses.begin(), table.addresses.end(),
             [](const auto& a, const auto& b) { return a.address < b.address; });
   return table;
@@ -138,9 +141,13 @@
       .digest = state.digest,
       .outage_age_ms = OutageAgeMs(state.directory, now),
       .evacuations = MakeEvacuationReport(state.evacuations, now)};
-  if (request.table_version < state.table.version)
+  if (request.table_version < state.table.version) {
     for (const published_address& row : state.table.addresses)
       snapshot.addresses.push_back(ToMessage(row));
+    for (const service_start_rate& rate : state.table.start_rates)
+      snapshot.start_rates.push_back({rate.service, rate.openings_per_1000s,
+                                      ToClampedMs(rate.cold_start)});
+  }
   list_delta delta{.upstreams = state.applied_list.upstreams};
   if (request.known_list_digest != 0) {
     if (auto found = ComputeDelta(state.history, request.known_list_digest,
@@ -163,6 +170,8 @@
     bytes += kFixedBytes;
     for (const view_share& share : row.shares) bytes += share.service.size();
   }
+  for (const view_start_rate& rate : snapshot.start_rates)
+    bytes += kFixedBytes + rate.service.size();
   for (const view_upstream& u : snapshot.upstreams)
     bytes += kFixedBytes + u.service.size() + u.domain.size();
   return bytes;
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -152,11 +152,27 @@
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.leaving,
                   m.cold_remaining_ms, m.started_unix_ms);
 }
+template <maybe_const<view_start_rate> T>
+auto Fields(T& m) {
+  return std::tie(m.service, m.openings_per_1000s, m.cold_start_ms);
+}
 template <maybe_const<view_snapshot> T>
 auto Fields(T& m) {
   return std::tie(m.table_version, m.idle_timeout_ms, m.addresses, m.revision,
                   m.age_ms, m.digest, m.base_digest, m.upstreams, m.removed,
-                  m.outage_age_ms, m.evacuations);
+                  m.outage_age_ms, m.evacuations, m.start_rates);
+}
+template <maybe_const<start_incarnation> T>
+auto Fields(T& m) {
+  return std::tie(m.upstream, m.started_unix_ms);
+}
+template <maybe_const<grant_request> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.of, m.id, m.openings);
+}
+template <maybe_const<grant_reply> T>
+auto Fields(T& m) {
+  return std::tie(m.of, m.id, m.granter, m.openings, m.cold_remaining_ms);
 }
 
 void Write(packer& to, bool value) { to.pack(value); }
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "direct/grant_message.h"
 #include "direct/view_message.h"
 #include "roster/domain_summary.h"
 #include "roster/roster.h"
@@ -143,6 +144,7 @@
 using peer_message =
     std::variant<hello, heartbeat, heartbeat_ack, table_digest, table_records,
                  roster_record, handover_chunk, handover_ack, standby_flows,
-                 view_report, snapshot_request, view_snapshot, silence_notice>;
+                 view_report, snapshot_request, view_snapshot, silence_notice,
+                 grant_request, grant_reply>;
 
 }  // namespace radishyard
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -56,11 +56,24 @@
   return error == asio::error::would_block;
 }
 
+http::verb ToVerb(http_method method) {
+  switch (method) {
+    case http_method::kPut:
+      return http::verb::put;
+    case http_method::kPost:
+      return http::verb::post;
+    case http_method::kDelete:
+      return http::verb::delete_;
+    case http_method::kGet:
+      break;
+  }
+  return http::verb::get;
+}
+
 http::request<http::string_body> ToBeast(const http_request& request,
                                          const std::string& host) {
-  http::request<http::string_body> message(
-      request.is_put ? http::verb::put : http::verb::get, request.target,
-      kHttpVersion);
+  http::request<http::string_body> message(ToVerb(request.method),
+                                           request.target, kHttpVersion);
   message.set(http::field::host, host);
   for (const http_field& f : request.fields) message.set(f.name, f.value);
   message.body() = request.body;
--- a/src/store/http_client.h
+++ b/src/store/http_client.h
@@ -2,6 +2,7 @@
 // persistent connections; a request that waits for long gets a connection of
 // its own.
 #pragma once
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -21,9 +22,12 @@
   auto operator<=>(const http_field&) const = default;
 };
 
-/// \brief A request with the method GET, or PUT if `is_put` is set.
+/// \brief Methods of requests.
+enum class http_method : uint8_t { kGet, kPut, kPost, kDelete };
+
+/// \brief A request.
 struct http_request {
-  bool is_put = false;
+  http_method method = http_method::kGet;
   std::string target;  ///< Path and query, percent-encoded.
   std::vector<http_field> fields;
   std::string body;
--- a/src/store/http_store.cc
+++ b/src/store/http_store.cc
@@ -92,7 +92,7 @@
       return RejectOversizedValue(std::move(handler));
     http_request request =
         MakeRequest("/v1/objects/" + internal::EncodeUrl(key));
-    request.is_put = true;
+    request.method = internal::http_method::kPut;
     request.body = value;
     if (expected_version == 0) {
       request.fields.push_back({"If-None-Match", "*"});
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -120,6 +120,28 @@
   asio::io_context& io_;
 };
 
+/// The same with claims, of which each can be created once.
+class claiming_registry : public fake_registry, public claim_store {
+ public:
+  explicit claiming_registry(asio::io_context& io)
+      : fake_registry(io), io_(io) {}
+  claim_store* Claims() override { return this; }
+  void CreateClaim(const stored_claim& claim,
+                   store_handler<bool> handler) override {
+    asio::post(io_, [this, claim, handler = std::move(handler)] {
+      if (claims.emplace(claim.name, claim).second) return handler(true, {});
+      handler(std::nullopt, {failure_kind::kConflict, "exists"});
+    });
+  }
+  void ListClaims(store_handler<std::vector<stored_claim>>) override {}
+  void DeleteClaim(const std::string&, store_handler<bool>) override {}
+
+  std::map<std::string, stored_claim> claims;
+
+ private:
+  asio::io_context& io_;
+};
+
 class balancer_on_loopback : public testing::Test {
  protected:
   balancer_on_loopback() {
@@ -243,6 +265,35 @@
   EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
 }
 
+// The second balancer has no access to claims, so what it places on the cold
+// upstream was granted by the first one.
+TEST_F(balancer_on_loopback, PlacesOnAColdUpstreamUnderAGrantOfAnother) {
+  constexpr int kLimit = 5;
+  claiming_registry source(io_);
+  upstream_entry cold = MakeUpstreamEntry();
+  cold.cold_remaining = 60s;
+  source.list = source_.list = {1, {cold}};
+  source.table.start_rates = {{kService, kLimit * 1000, 60s}};
+  source_.table = source.table;
+  const direct_settings first = MakeSettings(FindFreePort());
+  direct_settings second = MakeSettings(FindFreePort());
+  second.peers = {first.peer};
+  direct_balancer granter(io_, first, codec_, source);
+  direct_balancer requester(io_, second, codec_, source_);
+  granter.Start();
+  requester.Start();
+  RunFor(1500ms);
+  int arrivals = 0;
+  for (int i = 0; i < 20; ++i) {
+    SendOpening(second.traffic);
+    RunFor(45ms);
+    while (ReceiveDatagram(upstream_, bytes_) > 0) ++arrivals;
+  }
+  EXPECT_EQ(source.claims.size(), 1U);
+  EXPECT_GE(arrivals, 1);
+  EXPECT_LE(arrivals, kLimit);
+}
+
 TEST_F(balancer_on_loopback, StopsOncePacketsCeaseToArrive) {
   direct_balancer balancer(io_, MakeSettings(FindFreePort()), codec_, source_);
   balancer.Start();
--- a/test/direct_settings_test.cc
+++ b/test/direct_settings_test.cc
@@ -40,6 +40,21 @@
   EXPECT_EQ(s->level, log_level::kInfo);
 }
 
+TEST(DirectSettings, ReadsTheBoundsOfOpeningsOnColdUpstreams) {
+  json settings = ValidSettings();
+  findings found;
+  EXPECT_EQ(ParseDirectSettings(settings.dump(), found)->start,
+            (start_bounds{1, 0}));
+  settings["start_overage"] = 1.5;
+  settings["start_slack"] = 5;
+  EXPECT_EQ(ParseDirectSettings(settings.dump(), found)->start,
+            (start_bounds{1.5, 5}));
+  settings["start_overage"] = 0.5;
+  settings["start_slack"] = "many";
+  EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
+  EXPECT_EQ(found.size(), 2U);
+}
+
 TEST(DirectSettings, ReadsAPublicPeerAddress) {
   json settings = ValidSettings();
   settings["peer_public"] = "192.0.2.1:7003";
