--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -9,6 +9,7 @@
 
 #include "base/finding.h"
 #include "base/time.h"
+#include "direct/start_limit.h"
 #include "settings/settings.h"
 
 namespace radishyard {
@@ -49,6 +50,9 @@
   bool spill_over = false;
   /// Admission control under overload; see admission.h.
   bool is_admission_enabled = false;
+  /// How the limit of openings on a cold upstream follows from the rate that
+  /// the table states.
+  start_bounds start;
   log_level level = log_level::kInfo;
   auto operator<=>(const direct_settings&) const = default;
 };
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "direct/admission.h"
 #include "direct/admission_report.h"
+#include "direct/cold_starts.h"
 #include "direct/direct_packet.h"
 #include "direct/evacuation.h"
 #include "direct/flow_tracker.h"
@@ -46,10 +47,14 @@
   kEvacuated,
   kDelayedByAdmission,  ///< Overload: left to the caller's retransmission.
   kRefusedByAdmission,  ///< Overload: the opening was refused.
+  /// All upstreams of the service that take new flows are cold, and none has a
+  /// grant; see start_limit.h. Dropped while a grant is expected, so that the
+  /// caller's retransmission finds it, otherwise refused.
+  kColdUpstream,
 };
 
 /// \brief Size of an array that is indexed by verdict_reason.
-inline constexpr size_t kVerdictReasonCount = 10;
+inline constexpr size_t kVerdictReasonCount = 11;
 
 /// \brief The name of the reason in logs and metrics.
 std::string_view ToName(verdict_reason reason);
@@ -65,6 +70,9 @@
   /// For data that the caller retransmits: when this balancer first forwarded
   /// it. Nothing for new data.
   std::optional<time_point> first_sent_at;
+  /// For an opening: the cold upstream for which a grant should be requested,
+  /// whatever the action; 0 if there is none.
+  upstream_id wanted_start = 0;
   auto operator<=>(const verdict&) const = default;
 };
 
@@ -98,12 +106,21 @@
   /// opening is placed.
   service_admissions admissions;
   admission_report admission_decisions;
+  cold_starts starts;  ///< Limit of openings on cold upstreams.
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
 /// `state.tracker`.
+/// \param start_now the same instant on a clock that counts suspensions of the
+/// VM, for `state.starts`.
 verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
-                    time_point now);
+                    time_point now, time_point start_now);
+
+/// \brief The same for a VM that has never been suspended.
+inline verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
+                           time_point now) {
+  return RoutePacket(state, packet, now, now);
+}
 
 /// \brief Replaces the routing table if `table` is a newer version of it.
 /// \returns true if it was applied.
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -72,14 +72,18 @@
   return (u.stats.flows + 1) * EstimateResponse(u, mean_response_s, now);
 }
 
-/// Returns the upstreams of the best class that is not empty.
+/// Returns the upstreams of the best class that is not empty, among those for
+/// which `is_candidate` is true.
+template <typename Predicate>
 std::vector<pooled_candidate> SelectBestClass(const candidates& list,
                                               const placement_request& request,
                                               double mean_response_s,
-                                              time_point now) {
+                                              time_point now,
+                                              Predicate is_candidate) {
   preference best = preference::kAvoided;
   std::vector<pooled_candidate> selected;
   for (known_upstream* const u : list) {
+    if (!is_candidate(*u)) continue;
     const preference rank = GetPreference(*u, request, now);
     if (rank > best) continue;
     if (rank < best) selected.clear();
@@ -89,22 +93,29 @@
   return selected;
 }
 
-}  // namespace
+bool HasGrant(const placement_request& request, const known_upstream& u) {
+  return request.starts == nullptr ||
+         CanPlaceOn(*request.starts, u, request.start_now);
+}
 
-known_upstream* ChooseUpstream(const upstream_directory& directory,
-                               const placement_request& request,
-                               time_point now) {
+/// Chooses among the upstreams for which `is_candidate` is true.
+template <typename Predicate>
+known_upstream* ChooseAmong(const upstream_directory& directory,
+                            const placement_request& request, time_point now,
+                            Predicate is_candidate) {
   const auto found = directory.ready_by_service.find(request.service);
   if (found == directory.ready_by_service.end()) return nullptr;
   const candidates& list = found->second;
   const double mean_response_s = MeanResponseTime(list);
   if (request.has_peer_flows && IsOwnCountSmall(list))
-    return ChooseOfTwo(SelectBestClass(list, request, mean_response_s, now),
-                       request.flow_hash);
+    return ChooseOfTwo(
+        SelectBestClass(list, request, mean_response_s, now, is_candidate),
+        request.flow_hash);
   known_upstream* best = nullptr;
   std::pair<preference, double> best_rank;
   for (size_t i = 0; i < list.size(); ++i) {
     known_upstream* const u = list[(request.flow_hash + i) % list.size()];
+    if (!is_candidate(*u)) continue;
     const std::pair rank(GetPreference(*u, request, now),
                          EstimateCost(*u, mean_response_s, now));
     if (best != nullptr && rank >= best_rank) continue;
@@ -114,4 +125,28 @@
   return best;
 }
 
+}  // namespace
+
+known_upstream* ChooseUpstream(const upstream_directory& directory,
+                               const placement_request& request,
+                               time_point now) {
+  return ChooseAmong(directory, request, now, [&](const known_upstream& u) {
+    return HasGrant(request, u);
+  });
+}
+
+known_upstream* ChooseUpstreamToRequest(const upstream_directory& directory,
+                                        const placement_request& request,
+                                        time_point now) {
+  const bool is_limited = request.starts != nullptr &&
+                          request.starts->limits.contains(request.service);
+  if (!is_limited) return nullptr;
+  known_upstream* const wanted =
+      ChooseAmong(directory, request, now, [&](const known_upstream& u) {
+        return HasGrant(request, u) ||
+               ExpectsGrant(*request.starts, u, request.start_now);
+      });
+  return wanted != nullptr && HasGrant(request, *wanted) ? nullptr : wanted;
+}
+
 }  // namespace radishyard
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "direct/grant_message.h"
 #include "direct/view_message.h"
 #include "roster/domain_summary.h"
 #include "roster/roster.h"
@@ -150,6 +151,6 @@
     std::variant<hello, heartbeat, heartbeat_ack, table_digest, table_records,
                  roster_record, handover_chunk, handover_ack, standby_flows,
                  view_report, snapshot_request, view_snapshot, silence_notice,
-                 load_notice>;
+                 load_notice, grant_request, grant_reply>;
 
 }  // namespace radishyard
