UDP packets wait for the roster instead of circulating to the hop limit

Cause, by a trace of every UDP packet and every view: for some milliseconds after a pool has moved, the new owner does not have the roster yet. It and the previous owner take each other for the owner, and send the answer of an upstream to each other until the hop limit drops it, 1 ms after it arrived. The caller does not retransmit, so its request has run and has no answer.

Change: a UDP packet that the supposed owner has sent here waits before it is sent back, longer with each hop, 500 ms in all, and is handled as soon as the roster is here. Idempotent requests and TCP do not wait: their callers retransmit, and a late copy could be executed twice. No response time changes where the views agree.

RequestReturnedByItsOwnerWaitsForTheRoster and ResponseReturnedByItsOwnerWaitsForTheRoster failed before the change.

--- a/src/daemon/balancer_metrics.cc
+++ b/src/daemon/balancer_metrics.cc
@@ -66,8 +66,8 @@
                 &traffic_counters::duplicates},
     traffic_row{
         "unsafe_withheld",
-        "Dropped: no lease for a non-idempotent request, or not refused "
-        "because it may have been executed.",
+        "Dropped: no lease for a non-idempotent request, no roster that names "
+        "the owner, or not refused because it may have been executed.",
         &traffic_counters::unsafe_withheld},
     traffic_row{"send_failed", "Dropped: the socket returned an error.",
                 &traffic_counters::send_failed}};
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -211,7 +211,8 @@
 
 // Handles deferred datagrams again from the start, because their route may have
 // changed: a new owner must wait for its lease before it places non-idempotent
-// requests, and a previous owner may have given up the pool meanwhile.
+// requests, a previous owner may have given up the pool meanwhile, and a roster
+// with another owner may have arrived.
 void traffic_core::RetryDeferredDatagrams(time_point now) {
   if (deferred_.empty() || now < next_deferred_retry_at_) return;
   next_deferred_retry_at_ = now + kDeferredRetryInterval;
@@ -232,6 +233,25 @@
   owner_.Tick(now);
 }
 
+// True if the owner of the pool according to the view here has forwarded the
+// packet, because its own view names this balancer or a third one. Until both
+// have the same roster they would send the packet to each other, and drop it at
+// the hop limit within a millisecond. Either view may be the older one, so the
+// packet is sent back after a wait that grows with the hops, 500 ms in all.
+// Requests that their callers retransmit need no wait, and a copy that is
+// placed late could be executed twice.
+bool traffic_core::MustWaitForRoster(const inbound_packet& in,
+                                     forward_kind kind, time_point now) const {
+  const bool is_retransmitted =
+      in.packet.proto != protocol::kUdp ||
+      (kind != forward_kind::kUpstreamToOwner && in.port.idempotent);
+  if (is_retransmitted || !in.forward ||
+      in.sender != view_->pools[in.pool].owner)
+    return false;
+  const duration wait = (in.Hops() - 1) * kDeferredRetryInterval;
+  return now - first_deferred_at_.value_or(now) < wait;
+}
+
 void traffic_core::ForwardToOwner(inbound_packet& in, forward_kind kind,
                                   uint32_t known_upstream, time_point now) {
   const pool_route& route = view_->pools[in.pool];
@@ -243,6 +263,10 @@
     ++counters_.no_pool;
     return;
   }
+  if (MustWaitForRoster(in, kind, now)) {
+    DeferDatagram(now);
+    return;
+  }
   ++counters_.forwarded;
   forward_option option{kind, static_cast<uint8_t>(in.Hops() + 1), route.tag,
                         known_upstream, 0};
--- a/src/traffic/traffic_core.h
+++ b/src/traffic/traffic_core.h
@@ -58,6 +58,8 @@
   std::optional<uint16_t> FindPoolOfUpstream(const inbound_packet& in,
                                              uint32_t upstream) const;
   void ServeOrForward(inbound_packet& in, time_point now);
+  bool MustWaitForRoster(const inbound_packet& in, forward_kind kind,
+                         time_point now) const;
   void ForwardToOwner(inbound_packet& in, forward_kind kind,
                       uint32_t known_upstream, time_point now);
   void ReplyToUpstreamLookup(inbound_packet& in);
@@ -80,7 +82,8 @@
   time_point start_;
   std::shared_ptr<const routing_view> view_;
   flow_owner owner_;
-  // A datagram that needs a lease. It is handled again until there is one.
+  // A datagram that needs a lease, or the roster that names its owner. It is
+  // handled again until there is one.
   struct deferred_datagram {
     byte_buffer bytes;
     endpoint sender;
--- a/src/traffic/traffic_counters.h
+++ b/src/traffic/traffic_counters.h
@@ -34,7 +34,8 @@
   uint64_t duplicates = 0;  ///< Dropped: duplicates of UDP requests.
   uint64_t unsafe_withheld =
       0;  ///< Dropped: without the lease that a non-idempotent request needs,
-          ///< or not refused since the request may have been executed.
+          ///< without the roster that names its owner, or not refused since
+          ///< the request may have been executed.
   uint64_t send_failed = 0;  ///< Dropped: the socket returned an error.
   auto operator<=>(const traffic_counters&) const = default;
 };
--- a/test/traffic_moves_test.cc
+++ b/test/traffic_moves_test.cc
@@ -324,6 +324,86 @@
       << "the digest was handed over with the flows";
 }
 
+// A balancer that takes its peer for the owner of the pool, and receives a
+// packet that the peer has forwarded to it as the owner.
+struct returned_packet_harness : harness {
+  returned_packet_harness() {
+    rennes().role = pool_role::kNone;
+    PublishView(AtMs(1));
+  }
+  std::vector<sent_packet> DeliverReturned(const packet_fields& fields,
+                                           uint8_t hops, time_point now) {
+    return Deliver(
+        fields, now,
+        forward_option{forward_kind::kCallerToOwner, hops, rennes().tag});
+  }
+  void ReceiveRoster(time_point now) {
+    rennes().role = pool_role::kOwner;
+    PublishView(now);
+  }
+};
+
+// Until the new owner has received the roster, the previous owner and the new
+// one consider each other the owner. They sent a datagram to each other up to
+// the hop limit and dropped it, so that a non-idempotent request got no
+// response.
+TEST(TrafficMoves, RequestReturnedByItsOwnerWaitsForTheRoster) {
+  returned_packet_harness new_owner;
+  EXPECT_TRUE(
+      new_owner.DeliverReturned(NonIdempotentRequest(), 2, AtMs(2)).empty());
+  EXPECT_TRUE(new_owner.Tick(AtMs(20)).empty());
+  new_owner.ReceiveRoster(AtMs(30));
+  const auto placed = new_owner.Tick(AtMs(70));
+  ASSERT_EQ(placed.size(), 1U);
+  EXPECT_EQ(placed[0].to.port, 0) << "it is sent to an upstream";
+}
+
+// The balancer that waits may be the one with the newer roster.
+TEST(TrafficMoves, RequestReturnedByItsOwnerIsSentBackAfterAWait) {
+  returned_packet_harness balancer;
+  EXPECT_EQ(balancer.DeliverReturned(NonIdempotentRequest(), 1, AtMs(2)).size(),
+            1U)
+      << "the ingress that sent it may have received the roster by now";
+  balancer.DeliverReturned(NonIdempotentRequest(), 2, AtMs(3));
+  EXPECT_TRUE(balancer.Tick(AtMs(20)).empty());
+  const auto sent_back = balancer.Tick(AtMs(70));
+  ASSERT_EQ(sent_back.size(), 1U);
+  EXPECT_EQ(sent_back[0].to, harness::kPeer);
+  EXPECT_EQ(sent_back[0].forward->hops, 3);
+}
+
+// The response to a request that was executed was dropped as well.
+TEST(TrafficMoves, ResponseReturnedByItsOwnerWaitsForTheRoster) {
+  for (const endpoint& service :
+       {harness::kNonIdempotentUdp, harness::kIdempotentUdp}) {
+    returned_packet_harness new_owner;
+    const packet_fields response{{0x0a1e0101, service.port},
+                                 harness::kCaller,
+                                 protocol::kUdp,
+                                 0,
+                                 0,
+                                 0,
+                                 7,
+                                 Payload()};
+    EXPECT_TRUE(new_owner.DeliverReturned(response, 3, AtMs(2)).empty());
+    new_owner.ReceiveRoster(AtMs(10));
+    EXPECT_EQ(new_owner.Tick(AtMs(60)).size(), service.port == 7002 ? 1U : 0U)
+        << "of a response to an idempotent request, parts may be lost";
+  }
+}
+
+// Callers retransmit these; a copy that waited could be executed a second time.
+TEST(TrafficMoves, RetransmittedPacketsReturnedByTheirOwnerDoNotWait) {
+  returned_packet_harness balancer;
+  const packet_fields syn{harness::kCaller, harness::kFeedAddress,
+                          protocol::kTcp, kSyn, 100};
+  EXPECT_EQ(balancer.DeliverReturned(syn, 2, AtMs(2)).size(), 1U);
+  const packet_fields request{
+      harness::kCaller, harness::kIdempotentUdp, protocol::kUdp, 0, 0, 0, 7,
+      Payload()};
+  EXPECT_EQ(balancer.DeliverReturned(request, 2, AtMs(2)).size(), 1U);
+}
+
 TEST(TrafficMoves, QueuedOpeningIsSentToTheNewOwnerAtOnce) {
   harness previous_owner(1);
   const endpoint caller{harness::kCaller.address, 3};
