--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -116,6 +116,10 @@
 auto Fields(T& m) {
   return std::tie(m.upstream, m.responses, m.mean_response_us, m.failures);
 }
+template <maybe_const<evacuation_report> T>
+auto Fields(T& m) {
+  return std::tie(m.revision, m.age_ms, m.is_read_by_sender, m.domains);
+}
 template <maybe_const<load_sample> T>
 auto Fields(T& m) {
   return std::tie(m.service, m.domain, m.busy_milli, m.ended_milli_per_s,
@@ -137,7 +141,7 @@
 auto Fields(T& m) {
   return std::tie(m.self, m.wants_reply, m.watches_table, m.table_version,
                   m.revision, m.digest, m.age_ms, m.members, m.outcomes,
-                  m.outage_age_ms, m.table_age_ms, m.load);
+                  m.outage_age_ms, m.table_age_ms, m.evacuations, m.load);
 }
 template <maybe_const<upstream_age> T>
 auto Fields(T& m) {
@@ -169,7 +173,7 @@
 auto Fields(T& m) {
   return std::tie(m.table_version, m.idle_timeout_ms, m.addresses, m.revision,
                   m.age_ms, m.digest, m.base_digest, m.upstreams, m.removed,
-                  m.outage_age_ms);
+                  m.outage_age_ms, m.evacuations);
 }
 
 void Write(packer& to, bool value) { to.pack(value); }
--- a/test/direct_settings_test.cc
+++ b/test/direct_settings_test.cc
@@ -38,6 +38,18 @@
   EXPECT_EQ(s->drain_bound, 3s);
   EXPECT_EQ(s->edit_bound, 2500500us);
   EXPECT_EQ(s->level, log_level::kInfo);
+  EXPECT_FALSE(s->spill_over) << "off unless a deployment enables it";
+}
+
+TEST(DirectSettings, ReadsOrRejectsSpillOver) {
+  json settings = ValidSettings();
+  settings["spill_over"] = true;
+  findings found;
+  const auto s = ParseDirectSettings(settings.dump(), found);
+  ASSERT_TRUE(s) << found.Text();
+  EXPECT_TRUE(s->spill_over);
+  settings["spill_over"] = 1;
+  EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
 }
 
 TEST(DirectSettings, ReadsAPublicPeerAddress) {
