--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -172,6 +172,7 @@
     if (!is_reader) return;
     const load_notice notice = MakeMemberNotice(state_, members_.self, now);
     std::vector<endpoint> peers;
+    peers.reserve(members.size());
     for (const view_member& member : members) peers.push_back(member.peer);
     SendToAll(notice, peers);
     const auto foreign = MakeDomainNotice(state_, members_.self, now);
--- a/test/direct_settings_test.cc
+++ b/test/direct_settings_test.cc
@@ -38,6 +38,7 @@
   EXPECT_EQ(s->drain_bound, 3s);
   EXPECT_EQ(s->edit_bound, 2500500us);
   EXPECT_EQ(s->level, log_level::kInfo);
+  EXPECT_FALSE(s->spill_over) << "off unless a deployment enables it";
   EXPECT_FALSE(s->is_admission_enabled);
 }
 
@@ -56,6 +57,17 @@
   EXPECT_EQ(found.size(), 2U);
 }
 
+TEST(DirectSettings, ReadsOrRejectsSpillOver) {
+  json settings = ValidSettings();
+  settings["spill_over"] = true;
+  findings found;
+  const auto s = ParseDirectSettings(settings.dump(), found);
+  ASSERT_TRUE(s) << found.Text();
+  EXPECT_TRUE(s->spill_over);
+  settings["spill_over"] = 1;
+  EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
+}
+
 TEST(DirectSettings, ReadsAPublicPeerAddress) {
   json settings = ValidSettings();
   settings["peer_public"] = "192.0.2.1:7003";
--- a/test/spill_over_replay_test.cc
+++ b/test/spill_over_replay_test.cc
@@ -21,7 +21,7 @@
 using testing_replay::scenario;
 
 replay_result RunPrinted(const char* name, const scenario& plan) {
-  const replay_result r = testing_replay::Replay(plan);
+  replay_result r = testing_replay::Replay(plan);
   std::printf(
       "%-10s %3zu %-3s value %.3f %.3f %.3f rejected %.3f foreign %.3f "
       "busiest %.2f reversals %d bytes/s %.0f lost %.0f |",
@@ -34,7 +34,7 @@
   return r;
 }
 
-class SpillOverReplay : public testing::TestWithParam<size_t> {
+class spill_over_replay : public testing::TestWithParam<size_t> {
  protected:
   /// Runs `plan` with the part off, then on.
   std::array<replay_result, 2> RunBoth(const char* name, scenario plan) {
@@ -51,25 +51,27 @@
 
 // Guards against flows that leave their domain by noise in the sums, and
 // against balancers that all choose the same upstream.
-TEST_P(SpillOverReplay, QuietLoadStaysInItsDomain) {
+TEST_P(spill_over_replay, QuietLoadStaysInItsDomain) {
   const auto [before, after] = RunBoth("quiet", {});
   EXPECT_LE(after.busiest, 1.3);
   EXPECT_EQ(after.foreign_openings, 0);
 }
 
 // Guards against rejections beside idle domains, and against shares that swing.
-TEST_P(SpillOverReplay, FourfoldLoadOfOneDomain) {
+TEST_P(spill_over_replay, FourfoldLoadOfOneDomain) {
   const auto [before, after] =
       RunBoth("fourfold", {.load = SpikeOfFirstDomain});
   EXPECT_GE(after.domains[0].Value(), 0.97);
   EXPECT_GE(after.domains[1].Value(), 0.98);
   EXPECT_GE(after.domains[2].Value(), 0.98);
+  // Retries hide most rejections in the value, so they are checked as well.
+  EXPECT_LE(after.rejected, before.rejected / 2);
   EXPECT_LE(after.busiest, 1.3);
   EXPECT_LE(after.reversals, 1);
 }
 
 // Guards against shares that follow the peak a quarter of a period late.
-TEST_P(SpillOverReplay, MovingPeak) {
+TEST_P(spill_over_replay, MovingPeak) {
   const auto swing = [](size_t domain, double t) {
     const double phase = t / 13 + static_cast<double>(domain) / kDomains;
     return 1 + 0.55 * std::sin(2 * std::numbers::pi * phase);
@@ -83,7 +85,7 @@
 }
 
 // Guards against slow upstreams that get as many flows as fast ones.
-TEST_P(SpillOverReplay, AThirdOfOneDomainIsSlow) {
+TEST_P(spill_over_replay, AThirdOfOneDomainIsSlow) {
   const auto slowness = [](size_t domain, uint32_t index) {
     return domain == 0 && index % 3 == 0 ? 6.0 : 1.0;
   };
@@ -94,7 +96,7 @@
 }
 
 // Guards against overflow that goes on to a domain that does not answer.
-TEST_P(SpillOverReplay, APartitionedNeighbourIsLeft) {
+TEST_P(spill_over_replay, APartitionedNeighbourIsLeft) {
   const auto [before, after] =
       RunBoth("partition", {.load = SpikeOfFirstDomain, .cut_at = 9});
   EXPECT_GE(after.domains[0].Value(), before.domains[0].Value());
@@ -106,7 +108,7 @@
 }
 
 // Guards against the whole load of a lost domain on one of the others.
-TEST_P(SpillOverReplay, TheLoadOfAnEvacuatedDomainIsDivided) {
+TEST_P(spill_over_replay, TheLoadOfAnEvacuatedDomainIsDivided) {
   const auto [before, after] = RunBoth("evacuated", {.evacuated_at = 6});
   for (const domain_result& d : after.domains) EXPECT_GE(d.Value(), 0.98);
   EXPECT_LE(after.rejected, 0.01 * after.served);
@@ -118,7 +120,7 @@
   return {8, 78, 300};
 }
 
-INSTANTIATE_TEST_SUITE_P(Balancers, SpillOverReplay,
+INSTANTIATE_TEST_SUITE_P(Balancers, spill_over_replay,
                          testing::ValuesIn(BalancerCounts()));
 
 }  // namespace
--- a/test/support/direct_replay.cc
+++ b/test/support/direct_replay.cc
@@ -80,7 +80,7 @@
     }
     for (size_t i = 0; i < plan.balancers; ++i) AddBalancer(i, list);
     for (size_t d = 0; d < kDomains; ++d) ScheduleOpening(d);
-    After(plan.evacuated_at, [this, list] { Evacuate(list); });
+    After(plan.evacuated_at, [this] { Evacuate(); });
   }
 
   replay_result Run() {
@@ -141,11 +141,9 @@
           [this, raw] { Report(*raw); });
   }
 
-  void Evacuate(upstream_list list) {
-    ++list.revision;
-    for (upstream_entry& e : list.upstreams) e.leaving = e.domain == kNames[1];
+  void Evacuate() {
     for (const auto& b : balancers_)
-      ApplyUpstreamList(b->state, list, Now(), Now());
+      SetEvacuatedDomains(b->state.directory, {kNames[1]});
   }
 
   void Maintain(sim_balancer& b) {
