A new delegate treats the delegates of other domains as alive from the start

Cause, by a trace of every UDP packet and every view: the paused owner was a delegate of its domain, and its successor became one. A delegate judges the delegates of other domains by their heartbeats instead of by summaries. It had had none of them so far, so that its failure detector held all of them for dead. For 250 ms no pool of another domain was reachable in its view (alive_changed alive=2 before=6). Two requests of vannes, one a retransmission after a lost part of the answer (id 4.102), one a copy by the fabric (id 4.87), came to it within that time; it sent them to rennes, where they were executed once more.

Change: a live peer is monitored anew once a link to it is wanted. If it is dead after all, the detector finds that in the usual time.

control_test.NewDelegateKeepsReachingTheOtherDomains failed before the change.

--- a/src/control/controller_peers.cc
+++ b/src/control/controller_peers.cc
@@ -154,6 +154,12 @@
     rosters.push_back(held.value);
   const std::vector<member_id> links =
       ChooseLinks(self_.id, rosters, LinkCandidates(rosters));
+  // A balancer that becomes a delegate has had no heartbeats of the delegates
+  // of other domains so far, only summaries that report them as alive.
+  for (const member_id& id : links) {
+    if (!linked_.contains(id) && alive_.contains(id))
+      liveness_ = RestartMonitoring(std::move(liveness_), id);
+  }
   linked_ = {links.begin(), links.end()};
   std::vector<hub_peer> peers;
   for (const roster& r : rosters) {
--- a/src/roster/liveness.cc
+++ b/src/roster/liveness.cc
@@ -43,6 +43,15 @@
   return state;
 }
 
+liveness_state RestartMonitoring(liveness_state state, const member_id& peer) {
+  peer_record* record = CurrentRecord(state, peer);
+  if (record == nullptr) return state;
+  *record = {};
+  record->incarnation = peer.incarnation;
+  record->heartbeat_in_interval = true;
+  return state;
+}
+
 liveness_state RecordHeartbeat(liveness_state state, const member_id& peer) {
   peer_record* record = CurrentRecord(state, peer);
   if (record != nullptr) record->heartbeat_in_interval = true;
--- a/src/roster/liveness.h
+++ b/src/roster/liveness.h
@@ -62,6 +62,11 @@
 /// run; a lower one changes nothing.
 liveness_state StartMonitoring(liveness_state state, const member_id& peer);
 
+/// \brief Starts to monitor a peer anew, as if a heartbeat had just been
+/// received. For a live peer that sent no heartbeats here so far, but does from
+/// now on.
+liveness_state RestartMonitoring(liveness_state state, const member_id& peer);
+
 /// \brief Records that a heartbeat of the peer, or a reply to one, was
 /// received.
 liveness_state RecordHeartbeat(liveness_state state, const member_id& peer);
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -2,6 +2,7 @@
 // ownership and the table under faults of the platform, kills and pauses.
 #include <gtest/gtest.h>
 
+#include "roster/link_topology.h"
 #include "support/controller_cluster.h"
 
 namespace radishyard {
@@ -108,6 +109,31 @@
   })) << new_owner;
 }
 
+// A balancer that becomes a delegate has had no heartbeats of the other domains
+// before. It treated all their members as dead for an interval and sent flows
+// of their pools elsewhere, retransmissions of running requests among them.
+TEST_F(control_test, NewDelegateKeepsReachingTheOtherDomains) {
+  StartAll();
+  world.RunFor(3s);  // Longer than members of other domains are presumed alive.
+  const roster listed =
+      world.nodes.at("quimper-1")->control.rosters().Latest("rennes").value;
+  std::set<member_id> members;
+  for (const member& m : listed.members) members.insert(m.id);
+  const auto delegates = ChooseDelegates(listed, members);
+  for (const member_id& id : delegates) members.erase(id);
+  ASSERT_EQ(members.size(), 1U);
+  controller_node& new_delegate = *world.nodes.at(members.begin()->name);
+  world.Kill(delegates.front().name);
+  EXPECT_FALSE(world.RunUntil(
+      [&] {
+        return std::ranges::any_of(
+            new_delegate.traffic.view->pools, [](const pool_route& pool) {
+              return pool.name.domain == "quimper" && !pool.reachable;
+            });
+      },
+      4s));
+}
+
 TEST_F(control_test, LostRepliesToRosterUpdatesLeaveOneOwner) {
   StartAll();
   SetFaults({.mode = fault_mode::kLostResponse});
--- a/test/liveness_test.cc
+++ b/test/liveness_test.cc
@@ -55,6 +55,22 @@
             peer_liveness::kAlive);
 }
 
+// A member of another domain is known by summaries until a link to it exists.
+// Its record was that of a dead peer then, until two heartbeats had arrived.
+TEST(Liveness, PeerIsMonitoredAnewOnceHeartbeatsAreExpected) {
+  liveness_state state = StateMonitoring(kPeer);
+  for (int tick = 1; tick <= 6; ++tick)
+    state = CountMissedIntervals(state, AtMs(250 * tick));
+  ASSERT_EQ(LivenessOf(state, kPeer), peer_liveness::kDead);
+  state = RestartMonitoring(state, kPeer);
+  EXPECT_EQ(LivenessOf(state, kPeer), peer_liveness::kAlive);
+  for (int tick = 7; tick <= 12; ++tick)
+    state = CountMissedIntervals(state, AtMs(250 * tick));
+  EXPECT_EQ(LivenessOf(state, kPeer), peer_liveness::kDead)
+      << "no heartbeat has arrived since";
+  EXPECT_EQ(RestartMonitoring(state, {"b", 0}), state) << "an earlier run";
+}
+
 TEST(Liveness, NewRunOfAPeerMakesTheEarlierRunDead) {
   liveness_state state = RecordHeartbeat(StateMonitoring(kPeer), {"b", 2});
   EXPECT_EQ(LivenessOf(state, kPeer), peer_liveness::kDead);
