The upstream of an idempotent UDP request is kept for as long as callers retry

A caller may retransmit for 10 s (kCallerRetryWindow), and the filter of seen requests remembers it for that time; the record, which holds the upstream, was removed earlier.

Change: the record of an ended idempotent UDP request is kept for kCallerRetryWindow after its last packet, and up to 2 s more. An owner holds up to 12 s instead of 4 s of such requests as ended records.

KeepsTheUpstreamThatRespondedAsLongAsCallersRetransmit failed without it.

--- a/src/traffic/flow_owner.h
+++ b/src/traffic/flow_owner.h
@@ -38,7 +38,8 @@
 struct flow_owner_timing {
   /// A SYN without a response after this time is placed on another upstream.
   duration opening_timeout = 300ms;
-  /// Time for which an ended flow is kept, so that late packets are forwarded.
+  /// Time for which an ended flow is kept, so that late packets are forwarded;
+  /// that of an idempotent UDP request for kCallerRetryWindow and up to this.
   duration linger = 2s;
   /// Time in which the search for idle flows visits each flow once.
   duration idle_sweep_period = 2s;
@@ -255,7 +256,7 @@
   void RemoveLingeringFlows(time_point now);
   void EndIdleFlows(time_point now);
   uint32_t IdleTimeoutMs(const flow_record& flow) const;
-  bool IsWaitingForItsUpstream(const flow_record& flow, time_point now) const;
+  bool MayBeRetransmitted(const flow_record& flow, time_point now) const;
   void PollPools(time_point now);
   void PassWaitingOpenings(served_pool& pool, time_point now);
   std::optional<uint16_t> FindPoolWithFreeSlots(const flow_record& flow) const;
--- a/src/traffic/flow_owner_timers.cc
+++ b/src/traffic/flow_owner_timers.cc
@@ -126,7 +126,7 @@
     if (!flows_.IsOccupied(timer.slot)) continue;
     const flow_record& flow = flows_.At(timer.slot);
     if (flow.key != timer.key || flow.phase != flow_phase::kClosed) continue;
-    if (IsWaitingForItsUpstream(flow, now)) {
+    if (MayBeRetransmitted(flow, now)) {
       linger_timers_.push_back({timer.slot, timer.key, now + timing_.linger});
     } else {
       RemoveFlow(timer.slot);
@@ -134,13 +134,18 @@
   }
 }
 
-// True if the request of an ended flow was retransmitted within the linger
-// time, but could not be placed since the upstream that responded to it before
-// has no room. The record is kept, because it holds that upstream.
-bool flow_owner::IsWaitingForItsUpstream(const flow_record& flow,
-                                         time_point now) const {
-  return flow.key.proto == protocol::kUdp &&
-         MsSinceStart(now) - flow.last_seen_ms < ToMs(timing_.linger);
+// True if the caller may still retransmit the idempotent request of an ended
+// flow. The record is kept, because it holds the upstream that has responded: a
+// part of the response may have been lost, and a retransmission may have been
+// lost or may wait until that upstream has room.
+bool flow_owner::MayBeRetransmitted(const flow_record& flow,
+                                    time_point now) const {
+  if (flow.key.proto != protocol::kUdp) return false;
+  const auto route = view_->ports.find({flow.key.proto, flow.key.service});
+  const bool is_idempotent =
+      route != view_->ports.end() && route->second.port.idempotent;
+  const duration kept = is_idempotent ? kCallerRetryWindow : timing_.linger;
+  return MsSinceStart(now) - flow.last_seen_ms < ToMs(kept);
 }
 
 uint32_t flow_owner::IdleTimeoutMs(const flow_record& flow) const {
--- a/test/traffic_test.cc
+++ b/test/traffic_test.cc
@@ -202,6 +202,35 @@
   EXPECT_EQ(retransmitted[0].View().destination, first_upstream);
 }
 
+// The retransmissions in between were lost. The record of the flow was removed
+// 2 s after the response, so that the next one came to another upstream.
+TEST(Traffic, KeepsTheUpstreamThatRespondedAsLongAsCallersRetransmit) {
+  harness balancer;
+  const packet_fields request = IdempotentRequest();
+  const endpoint first_upstream =
+      balancer.Deliver(request, AtMs(1)).at(0).View().destination;
+  balancer.Deliver(
+      {first_upstream, harness::kCaller, protocol::kUdp, 0, 0, 0, 1, Payload()},
+      AtMs(5));
+  const auto last_retry = static_cast<int>(ToMs(kCallerRetryWindow)) - 1;
+  for (int ms = 10; ms < last_retry; ms += 10) balancer.Tick(AtMs(ms));
+  // The other upstream has less load now.
+  ASSERT_EQ(
+      OpenFlow(balancer, harness::kRequestAddress, AtMs(last_retry - 1), 1)
+          .address,
+      first_upstream.address);
+  const auto retransmitted = balancer.Deliver(request, AtMs(last_retry));
+  ASSERT_EQ(retransmitted.size(), 1U);
+  EXPECT_EQ(retransmitted[0].View().destination, first_upstream);
+  balancer.Deliver(
+      {first_upstream, harness::kCaller, protocol::kUdp, 0, 0, 0, 1, Payload()},
+      AtMs(last_retry + 5));
+  for (int ms = 10'000; ms < 23'000; ms += 10) balancer.Tick(AtMs(ms));
+  EXPECT_FALSE(balancer.core.owner().flows().Find(
+      {harness::kCaller, harness::kIdempotentUdp, protocol::kUdp}))
+      << "the record is removed in the end";
+}
+
 TEST(Traffic, DropsRetransmissionsUntilTheUpstreamThatRespondedHasRoom) {
   harness balancer(1);
   const packet_fields request = IdempotentRequest();
