Admission: headroom for the highest priority, and no throttling while slots are free

Change: the threshold never falls below the part of the highest priority, ends at once below one request per slot, and the utilization is capped.

--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -18,6 +18,8 @@
 /// service and one queued. Slots stay busy only while requests wait, because
 /// arrivals at single upstreams vary.
 constexpr double kRoomPressure = 2;
+/// Below this pressure slots are free.
+constexpr double kFreePressure = 1;
 /// Relative decrease of the threshold for each unit of pressure above
 /// kRoomPressure. It is the gain of a loop with a delay of 1 to 3 s, in which
 /// the pressure rises by several units when the load rises from 0.8 to 1.2.
@@ -30,6 +32,10 @@
 /// that followed them faster than their age would oscillate.
 constexpr double kRiseSeconds = 1;
 constexpr double kFallSeconds = 3;
+/// Most of the offered work that is admitted whatever the pressure, for the
+/// highest priority. Requests on open flows may fill the upstreams, and
+/// refusing the most important openings would not relieve them.
+constexpr double kMaxHeadroom = 0.75;
 /// Part of the openings of each address that is admitted at any threshold, so
 /// that no class is starved for good.
 constexpr double kLeastShare = 0.03;
@@ -191,7 +197,9 @@
 /// if all is rejected, it counts as a second full queue.
 double MeasurePressure(const overload_evidence& evidence, double mean_work_s) {
   const double rejected = evidence.failures_per_s * mean_work_s;
-  return evidence.utilization +
+  // Upstreams hold no more than that; the rest are requests whose end was not
+  // seen.
+  return std::min(evidence.utilization, kFullUtilization) +
          kFullUtilization * rejected / (rejected + evidence.slots);
 }
 
@@ -207,15 +215,29 @@
   admission.pressure += weight * (measured - admission.pressure);
 }
 
+/// The part of the offered work that belongs to the highest priority, 0 if
+/// there is no other priority.
+double HeadroomOf(const std::vector<admission_class>& classes) {
+  double share = 0;
+  for (const admission_class& c : classes)
+    if (c.priority == classes.front().priority) share += c.share;
+  const bool has_others =
+      !classes.empty() && classes.back().priority != classes.front().priority;
+  return has_others ? std::min(share, kMaxHeadroom) : 0;
+}
+
 void UpdateAdmission(service_admission& admission,
                      const overload_evidence& evidence, time_point now) {
   const double measured =
       MeasurePressure(evidence, MeanWork(admission.classes));
-  if (!admission.is_known) admission.pressure = measured;
+  // Slots are free: nothing is throttled for the sake of smoothness.
+  const bool has_room = measured < kFreePressure;
+  if (!admission.is_known || has_room) admission.pressure = measured;
   SmoothPressure(admission, measured, now);
   const double excess =
       std::clamp(admission.pressure - kRoomPressure, 0.0, kMaxExcess);
-  const double admitted = std::exp(-kPressureGain * excess);
+  const double admitted = std::max(std::exp(-kPressureGain * excess),
+                                   HeadroomOf(admission.classes));
   admission.is_falling = admitted < admission.admitted;
   admission.admitted = admitted;
   admission.evidence = evidence;
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -148,6 +148,24 @@
   EXPECT_GT(admissions.at(kService).admitted, 0.9);
 }
 
+// Guards against requests on open flows that keep the pressure up, whatever is
+// refused, and then turn away the highest priority as well.
+RC_GTEST_PROP(Admission, TheHighestPriorityHasHeadroomAtAnyPressure,
+              (uint32_t caller)) {
+  const double utilization = *rc::gen::inRange(100, 2000) / 100.0;
+  const service_admission a = MakeAdmission(utilization, 5000);
+  RC_ASSERT(Decide(a, caller, kHigh) == admission_action::kPlace);
+}
+
+// Guards against refusals after a peak, while slots are free.
+TEST(Admission, EverythingIsAdmittedOnceSlotsAreFree) {
+  service_admissions admissions{{kService, MakeAdmission(5, 5000)}};
+  ASSERT_LT(admissions.at(kService).admitted, 0.6);
+  const load_view free{{{kService, kLocalDomain, 100, 60, 0, kNow}}};
+  UpdateAdmissions(admissions, MakeTable(), {}, free, kNow + 200ms);
+  EXPECT_EQ(admissions.at(kService).admitted, 1);
+}
+
 // Guards against a line a packet, and against counts that are lost.
 TEST(Admission, SummarizesOnceASecondWhileOverloaded) {
   admission_report report;
