Fix faults found in a review of evacuation and start limits

- A granter whose upstream or rate was removed and returned could find its own claim by a lookup and grant again with an empty record, beyond the limit.
Such a claim counts as lost.
- A report longer than a datagram was dropped without a log line, so members would lose sight of the sender and of evacuations.
The load is left out then, the limit of domain names counts their encoding, and a message that is not sent is logged once.
- explain reported evacuated and cold_upstream as a balancer without a table, and a flow as refused although its retransmission was placed.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -70,13 +70,14 @@
 /// The lines of a flow that determine its cause. If there are several lines of
 /// one kind, the last one counts.
 struct flow_summary {
-  const log_line* refused_opening = nullptr;  ///< Opening not placed.
+  /// Opening that was not placed, unless a later one was.
+  const log_line* refused_opening = nullptr;
   const log_line* reset_flow = nullptr;       ///< Open flow reset.
   const log_line* dropped_packet = nullptr;   ///< Packet dropped.
   const log_line* unanswered_data = nullptr;  ///< Data retransmitted.
-  const log_line* first_opening = nullptr;
-  const log_line* last_opening = nullptr;
-  size_t openings = 0;
+  const log_line* first_placed = nullptr;     ///< First opening placed.
+  const log_line* last_placed = nullptr;      ///< Last opening placed.
+  size_t placed_openings = 0;
 };
 
 flow_summary Summarize(const std::vector<const log_line*>& lines) {
@@ -86,10 +87,15 @@
     if (line->event == "packet_dropped") summary.dropped_packet = line;
     if (line->event == "data_repeated") summary.unanswered_data = line;
     if (line->event != "opening") continue;
-    if (summary.openings++ == 0) summary.first_opening = line;
-    summary.last_opening = line;
-    if (FieldOrEmpty(*line, "decision") != "placed")
+    if (FieldOrEmpty(*line, "decision") != "placed") {
       summary.refused_opening = line;
+      continue;
+    }
+    // A copy may be placed after an earlier one was left to the caller's
+    // retransmission.
+    summary.refused_opening = nullptr;
+    if (summary.placed_openings++ == 0) summary.first_placed = line;
+    summary.last_placed = line;
   }
   return summary;
 }
@@ -104,6 +110,12 @@
            FieldOrEmpty(line, "revision") + ", read " +
            FieldOrEmpty(line, "age_ms") +
            " ms before; the request was not executed";
+  if (decision == "evacuated")
+    return "refused: all failure domains with ready upstreams of the service "
+           "were evacuated; the request was not executed";
+  if (decision == "cold_upstream")
+    return "dropped or refused: all ready upstreams of the service were cold, "
+           "and none had a grant; the request was not executed";
   if (decision == "overload_refused")
     return "refused: the service was overloaded, see the lines of the event "
            "admission; the request was not executed";
@@ -128,16 +140,16 @@
            FieldOrEmpty(*summary.dropped_packet, "mark") +
            " referred to no upstream in the list at revision " +
            FieldOrEmpty(*summary.dropped_packet, "revision");
-  if (summary.openings > 1)
+  if (summary.placed_openings > 1)
     return "opened late or not at all: upstream " +
-           FieldOrEmpty(*summary.first_opening, "upstream") +
+           FieldOrEmpty(*summary.first_placed, "upstream") +
            " did not respond to its opening; " +
-           std::to_string(summary.openings) +
+           std::to_string(summary.placed_openings) +
            " opening packets were sent, the last to upstream " +
-           FieldOrEmpty(*summary.last_opening, "upstream");
-  if (summary.last_opening != nullptr)
+           FieldOrEmpty(*summary.last_placed, "upstream");
+  if (summary.last_placed != nullptr)
     return "placed on upstream " +
-           FieldOrEmpty(*summary.last_opening, "upstream") +
+           FieldOrEmpty(*summary.last_placed, "upstream") +
            "; nothing else was logged, so its packets were forwarded "
            "without an error";
   return "no balancer logged this flow";
--- a/src/direct/cold_starts.cc
+++ b/src/direct/cold_starts.cc
@@ -56,6 +56,13 @@
   return known.claim.phase == claim_phase::kHeld;
 }
 
+/// True if this process has won the claim `name` and not deleted it yet.
+bool IsHeld(const cold_starts& starts, const std::string& name) {
+  return std::any_of(
+      starts.held_claims.begin(), starts.held_claims.end(),
+      [&name](const claim_to_delete& claim) { return claim.name == name; });
+}
+
 granter_state ToGranterState(const limited_upstream& known) {
   if (IsGranter(known)) return granter_state::kHolds;
   return known.claim.phase == claim_phase::kLost ? granter_state::kNone
@@ -178,6 +185,10 @@
 
 void ApplyClaimResult(cold_starts& starts, const start_incarnation& of,
                       claim_result result, time_point now) {
+  // A claim won before, whose upstream or rate was removed and has returned:
+  // the record of what was granted is lost, so nothing more may be granted.
+  if (result == claim_result::kCreated && IsHeld(starts, ToClaimName(of)))
+    result = claim_result::kOthers;
   start_counters& counters = starts.counters;
   counters.claims_won += result == claim_result::kCreated ? 1 : 0;
   counters.claims_refused += result == claim_result::kRefused ? 1 : 0;
--- a/src/direct/evacuation.cc
+++ b/src/direct/evacuation.cc
@@ -78,7 +78,7 @@
   size_t bytes = 0;
   const auto first_left_out = std::find_if(
       list.domains.begin(), list.domains.end(), [&bytes](const auto& domain) {
-        bytes += domain.size();
+        bytes += domain.size() + kNameHeaderBytes;
         return bytes > kMaxEvacuationBytes;
       });
   const bool is_complete = first_left_out == list.domains.end();
--- a/src/direct/evacuation.h
+++ b/src/direct/evacuation.h
@@ -14,9 +14,11 @@
 
 namespace radishyard {
 
-/// \brief Most bytes of domain names in a set, so that a report with it fits
-/// into a datagram.
+/// \brief Most bytes of encoded domain names in a set, so that a report with it
+/// fits into a datagram.
 inline constexpr size_t kMaxEvacuationBytes = 4096;
+/// \brief Most bytes that the encoding adds to a name of at most 255 bytes.
+inline constexpr size_t kNameHeaderBytes = 2;
 
 /// \brief The requests in the platform's store at one revision.
 struct evacuation_list {
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -13,6 +13,7 @@
 #include "direct/snapshot_fetcher.h"
 #include "direct/snapshot_server.h"
 #include "observe/guard.h"
+#include "observe/log.h"
 #include "peer/peer_codec.h"
 
 namespace radishyard {
@@ -93,6 +94,9 @@
     view_report report = MakeReport(now);
     report.load = MeasureLoad(state_, now);
     report.outcomes = ExtractOutcomes(state_);
+    // The other parts have bounds. Without them, the members would take this
+    // balancer for dead and not learn of evacuations.
+    if (!FitsDatagram(report)) report.load = {};
     for (const endpoint& to :
          SelectReportTargets(members_, count, ++round_, now))
       Send(report, to);
@@ -134,10 +138,24 @@
     return report;
   }
 
+  static bool FitsDatagram(const peer_message& message) {
+    failure why;
+    const auto frame = EncodeFrame(message, why);
+    return frame && frame->size() <= kDatagramBytes;
+  }
+
+  /// Logs once that a message was not sent: each of the following ones may be
+  /// too long as well.
+  void LogUnsent(const failure& why) {
+    if (std::exchange(has_logged_unsent_, true)) return;
+    Log(severity::kWarn, "peer_message_unsent",
+        {{"reason", why.text.empty() ? "too long for a datagram" : why.text}});
+  }
+
   void SendToAll(const peer_message& message, std::span<const endpoint> to) {
     failure why;
     const auto frame = EncodeFrame(message, why);
-    if (!frame || frame->size() > kDatagramBytes) return;
+    if (!frame || frame->size() > kDatagramBytes) return LogUnsent(why);
     // Later reports replace a lost one, and each further retransmission of a
     // caller leads to another notice.
     error_code ignored;
@@ -362,6 +380,7 @@
   snapshot_server server_;
   std::array<uint8_t, kDatagramBytes> receive_buffer_{};
   time_point last_discovery_at_{};
+  bool has_logged_unsent_ = false;
   uint64_t discovery_count_ = 0;  ///< Rounds of discovery requests so far.
   uint64_t round_ = 0;            ///< Rounds of reports so far.
   uint64_t fetch_round_ = 0;      ///< Fetches so far.
--- a/src/direct/start_claim.h
+++ b/src/direct/start_claim.h
@@ -76,11 +76,12 @@
 /// is created after its upstream has registered, so the upstream is warm by
 /// then, also by a fast clock.
 inline constexpr duration kOrphanAge = 2 * kMaxColdTime;
-/// \brief Most claims of others that a balancer keeps in mind.
+/// \brief Most names in observed_claims. The names beyond are observed once
+/// earlier ones have been deleted.
 inline constexpr size_t kMaxObservedClaims = 4096;
 
 /// \brief Claims found in the store, by name, with the time at which each was
-/// first found.
+/// first found. At most kMaxObservedClaims.
 using observed_claims = std::map<std::string, time_point>;
 
 /// \brief Records the names of all claims that the store has at present.
--- a/test/evacuation_test.cc
+++ b/test/evacuation_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "direct/registry_follower.h"
+#include "peer/peer_codec.h"
 #include "radishyard/direct.h"
 #include "support/direct_world.h"
 
@@ -197,6 +198,22 @@
   EXPECT_EQ(small.domains.size(), 2U);
 }
 
+// Thousands of short names: their headers are as long as the names.
+TEST(EvacuationLimit, CountsTheEncodingOfShortNames) {
+  evacuation_list list{3, {}};
+  for (int i = 1000; i < 4000; ++i) list.domains.push_back(std::to_string(i));
+  EXPECT_FALSE(LimitDomains(list, {}));
+  const auto encoded_bytes = [](const view_report& report) {
+    failure why;
+    const auto frame = EncodeFrame(report, why);
+    return frame ? frame->size() : SIZE_MAX;
+  };
+  view_report report;
+  const size_t others = encoded_bytes(report);
+  report.evacuations.domains = list.domains;
+  EXPECT_LE(encoded_bytes(report), others + kMaxEvacuationBytes);
+}
+
 // The stated target is the bound from the request to the last new flow.
 TEST(EvacuationTiming, TheSumOfWorstTimesKeepsTheBound) {
   for (const duration bound : {3000ms, 4000ms, 5000ms, 6000ms, 30000ms}) {
--- a/test/explain_test.cc
+++ b/test/explain_test.cc
@@ -95,6 +95,28 @@
   EXPECT_TRUE(result.upstreams.empty());
 }
 
+// The cause of an unknown decision would send the operator to a balancer that
+// has started.
+TEST(Explain, NamesTheCauseOfOpeningsWithoutAUsableUpstream) {
+  const auto cause_of = [](const std::string& decision) {
+    return ExplainLog(
+               MakeLine("01", FlowEvent("opening", "decision=" + decision +
+                                                       " upstream=0")))
+        .cause;
+  };
+  EXPECT_THAT(cause_of("evacuated"), HasSubstr("were evacuated"));
+  EXPECT_THAT(cause_of("cold_upstream"), HasSubstr("were cold"));
+}
+
+// Otherwise a flow that was served is reported as refused.
+TEST(Explain, AnOpeningThatWasPlacedAtItsRetransmissionIsNotRefused) {
+  const auto result = ExplainLog(
+      MakeLine("01",
+               FlowEvent("opening", "decision=cold_upstream upstream=0")) +
+      MakeLine("02", FlowEvent("opening", "decision=placed upstream=7")));
+  EXPECT_THAT(result.cause, HasSubstr("placed on upstream 7"));
+}
+
 TEST(Explain, FindsTheFlowByItsCallerAlone) {
   const auto result = ExplainLog(
       MakeLine("01", FlowEvent("flow_reset", "decision=silent_upstream")),
--- a/test/start_limit_test.cc
+++ b/test/start_limit_test.cc
@@ -202,6 +202,27 @@
   EXPECT_EQ(world.SendOpening(2, AtMs(3)).action, verdict_action::kRefuse);
 }
 
+// A lookup finds the claim again after the rate was removed from the table and
+// returned, but what was granted is forgotten: granting would exceed the limit.
+TEST(ColdStarts, AClaimFoundAgainGrantsNothing) {
+  cold_world world;
+  cold_starts& starts = world.state.starts;
+  ApplyClaimResult(starts, kRun, claim_result::kCreated, AtMs(1));
+  EXPECT_EQ(
+      AnswerRequest(starts, {.of = kRun, .openings = 5}, AtMs(2)).openings, 5U);
+  const auto rates = std::exchange(world.state.table.start_rates, {});
+  world.Learn(2s);
+  ASSERT_TRUE(starts.upstreams.empty());
+  world.state.table.start_rates = rates;
+  world.Learn(2s);
+  ApplyClaimResult(starts, kRun, claim_result::kUnknown, AtMs(5));
+  ApplyClaimResult(starts, kRun, claim_result::kCreated, AtMs(6));
+  EXPECT_EQ(world.Cold().claim.phase, claim_phase::kLost);
+  EXPECT_EQ(
+      AnswerRequest(starts, {.of = kRun, .openings = 5}, AtMs(7)).openings, 0U);
+  EXPECT_EQ(starts.held_claims.size(), 1U);
+}
+
 TEST(ColdStarts, ASuspensionEndsAllGrants) {
   cold_world world;
   cold_starts& starts = world.state.starts;
