Move evacuations, interruptions and the stop out of direct_balancer.cc

- Fault: if a peer's report brought the evacuation requests last, packets held until then waited for the next list.

--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -9,8 +9,10 @@
 #include "admin/admin_server.h"
 #include "direct/decision_log.h"
 #include "direct/direct_counters.h"
-#include "direct/evacuation_follower.h"
+#include "direct/evacuation_coordinator.h"
 #include "direct/forwarder.h"
+#include "direct/idle_stop.h"
+#include "direct/interruption.h"
 #include "direct/peer_exchange.h"
 #include "direct/registry_follower.h"
 #include "direct/start_coordinator.h"
@@ -30,14 +32,6 @@
 /// Packets handled in one turn before other handlers of the io_context run.
 constexpr int kMaxPacketsPerTurn = 64;
 constexpr int kReceiveBufferBytes = 1 << 20;
-/// A stopping balancer exits this long before the grace period ends.
-constexpr duration kStopMargin = 700ms;
-/// Least time from Stop() to exit: routers need about a second to take a
-/// balancer out of their rotation.
-constexpr duration kMinStopTime = 1300ms;
-/// A stopping balancer that receives no packet for this long is no longer used.
-constexpr duration kIdleTimeBeforeStop = 500ms;
-constexpr duration kStopCheckInterval = 100ms;
 /// Most packets held until table and upstreams are known, so that callers need
 /// not retransmit them. At a high packet rate this is a fraction of a second.
 constexpr size_t kMaxHeldPackets = 1024;
@@ -45,24 +39,11 @@
 /// A balancer that receives the upstream list from other balancers reads the
 /// registry itself once its list is older than this many list intervals.
 constexpr double kStaleListIntervals = 1.5;
-/// Shorter suspensions of the VM are ignored.
-constexpr duration kMinSuspension = 300ms;
-/// Shorter gaps between packets or maintenance runs are no pause.
-constexpr duration kMinPause = 500ms;
 
 udp::endpoint ToUdp(const endpoint& e) {
   return {asio::ip::address_v4(e.address), e.port};
 }
 
-/// Total time that this VM has been suspended since it booted.
-duration MeasureSuspendedTime() {
-  timespec since_boot{};
-  clock_gettime(CLOCK_BOOTTIME, &since_boot);
-  return seconds(since_boot.tv_sec) +
-         std::chrono::nanoseconds(since_boot.tv_nsec) -
-         clock::now().time_since_epoch();
-}
-
 }  // namespace
 
 class direct_balancer::core {
@@ -74,7 +55,7 @@
         codec_(codec),
         socket_(io, ToUdp(config.traffic)),
         maintenance_timer_(io),
-        stop_timer_(io),
+        stop_(io),
         peers_(io, config.peer,
                {PublicPeerAddress(config), config.domain,
                 config.capacity_millicores},
@@ -101,18 +82,12 @@
     // The others are asked first; the follower reads only what they lack.
     peers_.Start();
     follower_.Start();
-    if (evacuation_follower_) evacuation_follower_->Start();
+    if (evacuations_) evacuations_->Start();
     WaitForPackets();
     RunMaintenance();
   }
 
-  void Stop() {
-    if (is_stopping_) return;
-    is_stopping_ = true;
-    Log(severity::kInfo, "stopping", {{"name", config_.name}});
-    const time_point now = clock::now();
-    CheckStop(now + kMinStopTime, now + config_.stop_grace - kStopMargin);
-  }
+  void Stop() { stop_.Begin(config_.name, config_.stop_grace); }
 
   void Reconfigure(const direct_settings& config) {
     config_.stop_grace = config.stop_grace;
@@ -141,6 +116,8 @@
         .on_evacuations =
             [this](const endpoint& peer) {
               LogEvacuations(ToString(peer), state_.evacuations);
+              // The requests may be the last that IsReady() lacked.
+              CheckReady();
             },
         .watches_table =
             [this] { return follower_.IsFollowingTable(clock::now()); },
@@ -181,45 +158,22 @@
   }
 
   void FollowEvacuations(asio::io_context& io, registry& source) {
-    state_.honours_evacuations = true;
-    evacuation_times_ = MakeEvacuationTimes(
-        *config_.evacuation_bound, kRegistryTiming, kEvacuationRecheckInterval);
-    evacuation_follower_.emplace(
-        io, source, evacuation_times_.read_interval,
-        evacuation_handlers{
-            .on_list = [this](const evacuation_list& list,
-                              time_point at) { HandleEvacuations(list, at); },
+    evacuations_.emplace(
+        io, source,
+        evacuation_options{*config_.evacuation_bound,
+                           std::hash<std::string>()(config_.name)},
+        state_, peers_,
+        evacuation_callbacks{
+            .awaits_peers = [this] { return AwaitsPeers(clock::now()); },
+            .on_read =
+                [this] {
+                  ++counters_.evacuation_reads;
+                  CheckReady();
+                },
             .on_platform_state =
                 [this](const std::string& reason) {
                   HandlePlatformState("evacuations", reason);
-                },
-            .needs_list = [this] { return NeedsEvacuations(clock::now()); },
-            .is_reader =
-                [this] { return peers_.IsRegistryReader(clock::now()); },
-            .has_list =
-                [this] { return state_.evacuations.list.revision != 0; }},
-        std::hash<std::string>()(config_.name));
-  }
-
-  bool NeedsEvacuations(time_point now) const {
-    if (state_.evacuations.list.revision == 0) return !AwaitsPeers(now);
-    if (!evacuation_times_.is_relayed || peers_.IsRegistryReader(now))
-      return true;
-    return now - state_.evacuations.confirmed_at >
-           evacuation_times_.confirmation_timeout;
-  }
-
-  void HandleEvacuations(evacuation_list list, time_point at) {
-    ++counters_.evacuation_reads;
-    if (!LimitDomains(list, ListDomains(state_.directory)))
-      Log(severity::kWarn, "evacuations_limited",
-          {{"domains", uint64_t{list.domains.size()}}});
-    const bool is_changed = ApplyEvacuations(state_, std::move(list), at) ==
-                            evacuation_effect::kChanged;
-    CheckReady();
-    if (!is_changed) return;
-    LogEvacuations("platform", state_.evacuations);
-    peers_.ReportNow();
+                }});
   }
 
   void HandlePeerSnapshot(const endpoint& peer, const snapshot_effect& effect) {
@@ -260,7 +214,7 @@
   admin_page MakeReadinessPage() const {
     constexpr unsigned kOk = 200;
     constexpr unsigned kServiceUnavailable = 503;
-    const bool is_ready = IsReady(state_) && !is_stopping_;
+    const bool is_ready = IsReady(state_) && !stop_.HasBegun();
     return {"text/plain", "", is_ready ? kOk : kServiceUnavailable};
   }
 
@@ -309,23 +263,6 @@
         {{"reading", name}, {"reason", reason}});
   }
 
-  /// Stops the io_context once packets cease to arrive, but not before
-  /// `earliest` and no later than `latest`.
-  void CheckStop(time_point earliest, time_point latest) {
-    const time_point now = clock::now();
-    const bool is_idle = now - last_packet_at_ >= kIdleTimeBeforeStop;
-    if (now >= latest || (now >= earliest && is_idle)) {
-      Log(severity::kInfo, "stopped",
-          {{"name", config_.name}, {"quiet", is_idle ? "yes" : "no"}});
-      io_.stop();
-      return;
-    }
-    stop_timer_.expires_after(kStopCheckInterval);
-    stop_timer_.async_wait([this, earliest, latest](error_code error) {
-      if (!error) CheckStop(earliest, latest);
-    });
-  }
-
   void WaitForPackets() {
     socket_.async_wait(udp::socket::wait_read, [this](error_code error) {
       if (error) return;
@@ -346,8 +283,9 @@
                                           receive_buffer_.size() - headroom),
                              from, 0, error);
     if (error) return error != asio::error::would_block;
-    last_packet_at_ = clock::now();
-    DetectPause(last_packet_at_);
+    const time_point now = clock::now();
+    stop_.RecordPacket(now);
+    DetectPause(now);
     const mutable_bytes datagram(receive_buffer_.data(), headroom + size);
     // A decision changes only the statistics of flows, which may be lost.
     RunGuarded("packet", [&] {
@@ -412,32 +350,26 @@
         {{"to", to.address().to_string()}, {"reason", error.message()}});
   }
 
-  /// Detects that this process did not run for a while: RunMaintenance() runs
-  /// several times a second, so a longer gap is a pause. What other balancers
-  /// confirmed meanwhile may no longer hold.
+  /// What other balancers confirmed before a pause may no longer hold.
   void DetectPause(time_point now) {
-    const duration elapsed = now - last_active_at_;
-    last_active_at_ = now;
-    if (elapsed < kMinPause) return;
+    const auto elapsed = interruptions_.DetectPause(now);
+    if (!elapsed) return;
     Log(severity::kWarn, "paused",
-        {{"ms", static_cast<uint64_t>(ToMs(elapsed))}});
+        {{"ms", static_cast<uint64_t>(ToMs(*elapsed))}});
     state_.tracker.resumed_at = now;
     peers_.DiscardReceived();
   }
 
-  /// Detects that the VM was suspended. The steady clock stands still during a
-  /// suspension, so the upstream list is older than it appears by that time.
+  /// Everything known is older than it appears by the time of a suspension.
   void DetectSuspension() {
-    const duration suspended = MeasureSuspendedTime();
-    const duration elapsed = suspended - suspended_time_;
-    suspended_time_ = suspended;
-    if (elapsed < kMinSuspension) return;
+    const auto elapsed = interruptions_.DetectSuspension();
+    if (!elapsed) return;
     Log(severity::kWarn, "suspended",
-        {{"ms", static_cast<uint64_t>(ToMs(elapsed))}});
-    state_.directory.read_at -= elapsed;
-    RecordSuspension(state_.evacuations, elapsed);
-    peers_.RecordSuspension(elapsed);
-    follower_.RecordSuspension(elapsed);
+        {{"ms", static_cast<uint64_t>(ToMs(*elapsed))}});
+    state_.directory.read_at -= *elapsed;
+    RecordSuspension(state_.evacuations, *elapsed);
+    peers_.RecordSuspension(*elapsed);
+    follower_.RecordSuspension(*elapsed);
     starts_.RecordSuspension();
   }
 
@@ -476,28 +408,22 @@
   const packet_codec& codec_;
   forwarding_state state_;
   direct_counters counters_;
-  /// Total suspended time at the last maintenance run.
-  duration suspended_time_ = MeasureSuspendedTime();
-  /// Time of the last packet or maintenance run.
-  time_point last_active_at_ = clock::now();
+  interruption_monitor interruptions_;
   time_point started_at_ = clock::now();
   bool was_ready_ = false;
-  bool is_stopping_ = false;
   std::array<uint8_t, kDatagramBytes> receive_buffer_{};
   /// Datagrams with headroom that arrived before IsReady().
   std::vector<std::vector<uint8_t>> held_packets_;
-  time_point last_packet_at_{};
   udp::socket socket_;
   asio::steady_timer maintenance_timer_;
-  asio::steady_timer stop_timer_;
+  idle_stop stop_;
   std::optional<admin_server> readiness_server_;
   std::optional<admin_server> metrics_server_;
   peer_exchange peers_;
   start_coordinator starts_;
   follower_times times_;
   registry_follower follower_;
-  evacuation_times evacuation_times_;
-  std::optional<evacuation_follower> evacuation_follower_;
+  std::optional<evacuation_coordinator> evacuations_;
 };
 
 direct_balancer::direct_balancer(asio::io_context& io,
--- a/src/direct/start_coordinator.cc
+++ b/src/direct/start_coordinator.cc
@@ -1,7 +1,6 @@
 // Connects the decisions on cold starts to the store and to other balancers.
 #include "direct/start_coordinator.h"
 
-#include <ctime>
 #include <random>
 #include <utility>
 
@@ -43,13 +42,6 @@
 
 }  // namespace
 
-time_point ReadSuspensionClock() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return time_point(seconds(now.tv_sec) +
-                    std::chrono::nanoseconds(now.tv_nsec));
-}
-
 start_environment MakeStartEnvironment(peer_exchange& peers,
                                        const direct_settings& settings) {
   return {.self = PublicPeerAddress(settings),
--- a/src/direct/start_coordinator.h
+++ b/src/direct/start_coordinator.h
@@ -11,14 +11,12 @@
 #include "direct/claim_store.h"
 #include "direct/direct_settings.h"
 #include "direct/forwarder.h"
+#include "direct/interruption.h"
 #include "direct/peer_exchange.h"
 #include "peer/peer_message.h"
 
 namespace radishyard {
 
-/// \brief The present instant on the clock that counts suspensions of the VM.
-time_point ReadSuspensionClock();
-
 /// \brief What the coordinator needs of its balancer.
 struct start_environment {
   endpoint self;       ///< Address at which other balancers reach this one.
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "base/asio.h"
+#include "peer/peer_codec.h"
 #include "support/direct_world.h"
 #include "support/free_port.h"
 #include "support/http_client.h"
@@ -100,7 +101,8 @@
   void ListEvacuations(store_handler<evacuation_list> handler) override {
     ++evacuation_reads;
     asio::post(io_, [this, handler = std::move(handler)] {
-      if (is_unreachable) return handler(std::nullopt, Unreachable());
+      if (is_unreachable || refuses_evacuations)
+        return handler(std::nullopt, Unreachable());
       handler(evacuations, {});
     });
   }
@@ -110,6 +112,7 @@
   upstream_list list;
   routing_table table = MakeRoutingTable();
   bool is_unreachable = false;
+  bool refuses_evacuations = false;
   bool loses_watches = false;
   int list_reads = 0;  ///< Of the list or its changes.
 
@@ -245,6 +248,30 @@
   EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
 }
 
+// The report of a peer is the last that the balancer lacks. The packets would
+// otherwise be held until the next list, when their callers have given up.
+TEST_F(balancer_on_loopback, ForwardsHeldPacketsOnceAPeerReportsEvacuations) {
+  source_.refuses_evacuations = true;
+  direct_settings config = MakeSettings(FindFreePort());
+  config.evacuation_bound = 5s;
+  direct_balancer balancer(io_, config, codec_, source_);
+  balancer.Start();
+  RunFor(50ms);
+  SendOpening(config.traffic);
+  RunFor(20ms);
+  ASSERT_EQ(ReceiveDatagram(upstream_, bytes_), 0U);
+  view_report report;
+  report.self = {{kLoopback, FindFreePort()}, kLocalDomain, 1};
+  report.evacuations = {.revision = 1, .age_ms = 0, .is_read_by_sender = true};
+  failure why;
+  const auto frame = EncodeFrame(report, why);
+  ASSERT_TRUE(frame) << why.text;
+  caller_.send_to(asio::buffer(*frame),
+                  {asio::ip::address_v4(kLoopback), config.peer.port});
+  RunFor(50ms);
+  EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
+}
+
 // A store that was silent for a second loses the watches that it received then
 // and answers everything else. Callers were sent to upstreams of the table
 // before the edit until the watches failed.
@@ -407,8 +434,8 @@
   EXPECT_FALSE(DoesMemberPlace());
 }
 
-// After a restart without the platform, a peer's word must keep the domain
-// evacuated.
+// Otherwise a balancer that restarts while the platform is away would place
+// flows on the evacuated domain.
 TEST_F(evacuating_balancers, ARestartedMemberTakesTheRequestsFromAPeer) {
   RequestEvacuation({kLocalDomain});
   RunFor(3s);
