--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -36,8 +36,10 @@
 void StopAwaitingResponse(tracked_flow& flow, upstream_directory& directory) {
   if (!flow.is_awaiting_response) return;
   flow.is_awaiting_response = false;
-  if (known_upstream* const u = FindByMark(directory, flow.mark))
-    --u->stats.pending_requests;
+  known_upstream* const u = FindByMark(directory, flow.mark);
+  if (u == nullptr) return;
+  --u->stats.pending_requests;
+  if (flow.is_overdue) --u->stats.overdue_requests;
 }
 
 /// Removes the flow from the counts of its upstream.
@@ -87,8 +89,7 @@
 /// Records data from the caller: a new request, further data of a request, or a
 /// retransmission.
 /// \returns for a counted retransmission, when the data was first forwarded.
-std::optional<time_point> TrackData(const flow_tracker& tracker,
-                                    tracked_flow& flow,
+std::optional<time_point> TrackData(flow_tracker& tracker, tracked_flow& flow,
                                     const direct_packet& packet,
                                     known_upstream& upstream, time_point now) {
   const uint32_t end = packet.sequence + packet.length;
@@ -101,6 +102,7 @@
   flow.is_awaiting_response = true;
   flow.is_overdue = false;
   flow.requested_at = now;
+  RecordRequest(tracker.demands, packet.flow.service, now);
   ++upstream.stats.pending_requests;
   return std::nullopt;
 }
@@ -123,6 +125,9 @@
   tracker.response_times.Add(now - flow.requested_at);
   const bool is_small =
       RecordResponseSize(tracker.sizes_by_address, packet.flow.service, bytes);
+  if (!is_small)
+    RecordWork(tracker.demands, packet.flow.service, now - flow.requested_at,
+               tracker.is_queueing);
   if (is_small)
     RecordFailure(upstream.stats, now);
   else if (!flow.is_overdue)
@@ -263,6 +268,7 @@
         now - std::max(flow.requested_at, tracker.resumed_at);
     if (waited.count() < timeout_s) continue;
     flow.is_overdue = true;
+    ++u->stats.overdue_requests;
     RecordFailure(u->stats, now);
   }
 }
@@ -271,12 +277,15 @@
   for (auto& [id, known] : directory.upstreams) {
     known.stats.flows = 0;
     known.stats.pending_requests = 0;
+    known.stats.overdue_requests = 0;
   }
   for (const auto& [key, flow] : tracker.flows) {
     known_upstream* const u = FindByMark(directory, flow.mark);
     if (u == nullptr) continue;
     ++u->stats.flows;
-    if (flow.is_awaiting_response) ++u->stats.pending_requests;
+    if (!flow.is_awaiting_response) continue;
+    ++u->stats.pending_requests;
+    if (flow.is_overdue) ++u->stats.overdue_requests;
   }
 }
 
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "direct/address_demand.h"
 #include "direct/direct_packet.h"
 #include "direct/response_sizes.h"
 #include "direct/upstream_directory.h"
@@ -48,8 +49,9 @@
 /// \brief The recorded flows, keyed by caller and service address.
 ///
 /// Invariant: for each upstream of the directory, `stats.flows` is the number
-/// of recorded flows with its mark, and `stats.pending_requests` the number of
-/// those that await a response.
+/// of recorded flows with its mark, `stats.pending_requests` the number of
+/// those that await a response, and `stats.overdue_requests` that of overdue
+/// ones.
 struct flow_tracker {
   absl::flat_hash_map<flow_key, tracked_flow> flows;
   size_t max_flows = kMaxTrackedFlows;
@@ -63,6 +65,9 @@
   /// IsCallerPathDelayed().
   std::deque<time_point> answered_retransmissions;
   response_sizes sizes_by_address;
+  address_demands demands;  ///< Of admission control.
+  /// Response times contain waits in upstreams' queues; see RecordWork().
+  bool is_queueing = false;
   time_histogram confirm_times;   ///< Samples of `mean_confirm_s`.
   time_histogram response_times;  ///< From a request to its response.
 };
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -14,8 +14,10 @@
 
 /// Names of verdict_reason in logs and metrics, in the order of its values.
 constexpr std::array<std::string_view, kVerdictReasonCount> kReasonNames{
-    "placed",      "marked",       "no_table",        "unknown_address",
-    "no_upstream", "unknown_mark", "silent_upstream", "evacuated"};
+    "placed",           "marked",       "no_table",
+    "unknown_address",  "no_upstream",  "unknown_mark",
+    "silent_upstream",  "evacuated",    "overload_delayed",
+    "overload_refused", "cold_upstream"};
 
 verdict ForwardTo(const known_upstream& upstream, verdict_reason reason) {
   return {verdict_action::kForward, reason, upstream.entry.id,
@@ -61,27 +63,91 @@
              : verdict_reason::kNoUpstream;
 }
 
+/// Decides whether the opening to `service` is admitted, and records it.
+/// \returns the decision if it is not placed.
+std::optional<verdict> CheckAdmission(forwarding_state& state,
+                                      const direct_packet& packet,
+                                      const published_address& row,
+                                      const std::string& service,
+                                      time_point now) {
+  const auto found = state.admissions.find(service);
+  if (found == state.admissions.end()) return std::nullopt;
+  if (packet.retransmission_count == 0)
+    RecordOfferedOpening(state.tracker.demands, row.address, now);
+  const admission_action action = DecideAdmission(
+      found->second, row, packet.flow, packet.retransmission_count, now);
+  RecordDecision(state.admission_decisions, service, row.priority, action);
+  if (action == admission_action::kDelay)
+    return Drop(verdict_reason::kDelayedByAdmission);
+  if (action == admission_action::kRefuse)
+    return Refuse(verdict_reason::kRefusedByAdmission);
+  return std::nullopt;
+}
+
+/// An opening is not left to its second retransmission: it has waited for 600
+/// ms by then, and the caller does better with another flow.
+constexpr uint32_t kMaxDroppedCopies = 2;
+
+/// The decision on an opening for which no upstream was found.
+/// \param wanted the cold upstream from which a grant is expected, or null.
+verdict HandleUnplaced(const forwarding_state& state,
+                       const direct_packet& packet, const std::string& service,
+                       const known_upstream* wanted) {
+  const bool is_cold = state.directory.ready_by_service.contains(service);
+  if (!is_cold) return Refuse(ReasonWithoutUpstream(state, service));
+  const bool may_wait =
+      wanted != nullptr && packet.retransmission_count < kMaxDroppedCopies;
+  return may_wait ? Drop(verdict_reason::kColdUpstream)
+                  : Refuse(verdict_reason::kColdUpstream);
+}
+
 verdict PlaceOpening(forwarding_state& state, const direct_packet& packet,
-                     time_point now) {
+                     time_point now, time_point start_now) {
   if (!IsReady(state)) return Drop(verdict_reason::kNotReady);
+  // Each copy of an opening counts at a cold upstream.
   if (const known_upstream* const previous =
           FindPreviousPlacement(state, packet))
-    return ForwardTo(*previous, verdict_reason::kPlaced);
+    return UseGrant(state.starts, *previous, start_now)
+               ? ForwardTo(*previous, verdict_reason::kPlaced)
+               : Drop(verdict_reason::kColdUpstream);
   const published_address* const row =
       FindAddress(state.table, packet.flow.service);
   if (row == nullptr) return Refuse(verdict_reason::kUnknownAddress);
+  const std::string& service = SelectService(*row, packet.flow);
+  if (const auto held = CheckAdmission(state, packet, *row, service, now))
+    return *held;
+  const uint64_t flow_hash = StableHash(packet.flow);
+  const duration opening_timeout = OpeningTimeout(state.tracker);
+  const domain_choice choice =
+      SelectDomain(state.spill, state.directory, service, state.domain,
+                   flow_hash, opening_timeout, now);
   const placement_request request{
-      .service = SelectService(*row, packet.flow),
-      .domain = state.domain,
+      .service = service,
+      .domain = choice.domain,
+      .silent_domains = choice.silent,
       .avoided_mark = FindPreviousMark(state.tracker, packet.flow),
-      .flow_hash = StableHash(packet.flow),
-      .opening_timeout = OpeningTimeout(state.tracker)};
+      .flow_hash = flow_hash,
+      .opening_timeout = opening_timeout,
+      .has_peer_flows = HasPeerFlows(state.spill, now),
+      .starts = state.starts.limits.empty() ? nullptr : &state.starts,
+      .start_now = start_now};
   known_upstream* const upstream =
       ChooseUpstream(state.directory, request, now);
-  if (upstream == nullptr)
-    return Refuse(ReasonWithoutUpstream(state, request.service));
-  TrackOpening(state.tracker, state.directory, packet, *upstream, now);
-  return ForwardTo(*upstream, verdict_reason::kPlaced);
+  const known_upstream* const wanted =
+      ChooseUpstreamToRequest(state.directory, request, now);
+  verdict decision;
+  if (upstream == nullptr) {
+    decision = HandleUnplaced(state, packet, service, wanted);
+  } else {
+    UseGrant(state.starts, *upstream, start_now);
+    TrackOpening(state.tracker, state.directory, packet, *upstream, now);
+    RecordPlacedOpening(state.tracker.demands, row->address, now);
+    if (state.spill.is_enabled)
+      CountOpening(state.spill.meter, upstream->entry);
+    decision = ForwardTo(*upstream, verdict_reason::kPlaced);
+  }
+  if (wanted != nullptr) decision.wanted_start = wanted->entry.id;
+  return decision;
 }
 
 /// True if callers may retry the requests to the flow's service address.
@@ -114,8 +180,8 @@
 }
 
 verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
-                    time_point now) {
-  if (packet.is_opening) return PlaceOpening(state, packet, now);
+                    time_point now, time_point start_now) {
+  if (packet.is_opening) return PlaceOpening(state, packet, now, start_now);
   known_upstream* const upstream = FindByMark(state.directory, packet.mark);
   if (upstream == nullptr) return Drop(verdict_reason::kUnknownMark);
   const auto first_sent_at =
@@ -184,6 +250,17 @@
   return changes;
 }
 
+std::vector<service_shares> UpdateLoads(forwarding_state& state,
+                                        time_point now) {
+  if (!state.spill.is_enabled) return {};
+  const duration opening_timeout = OpeningTimeout(state.tracker);
+  SampleLoad(state.spill.meter, state.directory, opening_timeout, now);
+  state.loads =
+      MakeLoadView(state.spill.pool, state.directory, opening_timeout, now);
+  return UpdateShares(state.spill, state.loads, state.directory, state.domain,
+                      opening_timeout, now);
+}
+
 bool IsReady(const forwarding_state& state) {
   const bool knows_evacuations =
       !state.honours_evacuations || state.evacuations.list.revision != 0;
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -9,11 +9,16 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "direct/admission.h"
+#include "direct/admission_report.h"
+#include "direct/cold_starts.h"
 #include "direct/direct_packet.h"
 #include "direct/evacuation.h"
 #include "direct/flow_tracker.h"
 #include "direct/list_history.h"
 #include "direct/routing_table.h"
+#include "direct/service_load.h"
+#include "direct/spill_over.h"
 #include "direct/upstream_directory.h"
 
 namespace radishyard {
@@ -40,10 +45,16 @@
   /// All upstreams of the service that could take new flows are in evacuated
   /// domains.
   kEvacuated,
+  kDelayedByAdmission,  ///< Overload: left to the caller's retransmission.
+  kRefusedByAdmission,  ///< Overload: the opening was refused.
+  /// All upstreams of the service that take new flows are cold, and none has a
+  /// grant; see start_limit.h. Dropped while a grant is expected, so that the
+  /// caller's retransmission finds it, otherwise refused.
+  kColdUpstream,
 };
 
 /// \brief Size of an array that is indexed by verdict_reason.
-inline constexpr size_t kVerdictReasonCount = 8;
+inline constexpr size_t kVerdictReasonCount = 11;
 
 /// \brief The name of the reason in logs and metrics.
 std::string_view ToName(verdict_reason reason);
@@ -59,6 +70,9 @@
   /// For data that the caller retransmits: when this balancer first forwarded
   /// it. Nothing for new data.
   std::optional<time_point> first_sent_at;
+  /// For an opening: the cold upstream for which a grant should be requested,
+  /// whatever the action; 0 if there is none.
+  upstream_id wanted_start = 0;
   auto operator<=>(const verdict&) const = default;
 };
 
@@ -86,12 +100,27 @@
   bool honours_evacuations = false;
   evacuation_set evacuations;
   silence_counters silences;
+  load_view loads;  ///< Pooled loads, of any age; see kMaxLoadAge.
+  spill_over_state spill;
+  /// Thresholds of admission; empty if the part is not enabled, and then every
+  /// opening is placed.
+  service_admissions admissions;
+  admission_report admission_decisions;
+  cold_starts starts;  ///< Limit of openings on cold upstreams.
 };
 
 /// \brief Decides what to do with a packet that arrived at `now`, and updates
 /// `state.tracker`.
+/// \param start_now the same instant on a clock that counts suspensions of the
+/// VM, for `state.starts`.
 verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
-                    time_point now);
+                    time_point now, time_point start_now);
+
+/// \brief The same for a VM that has never been suspended.
+inline verdict RoutePacket(forwarding_state& state, const direct_packet& packet,
+                           time_point now) {
+  return RoutePacket(state, packet, now, now);
+}
 
 /// \brief Replaces the routing table if `table` is a newer version of it.
 /// \returns true if it was applied.
@@ -128,6 +157,13 @@
 std::vector<health_change> UpdateHealthStates(forwarding_state& state,
                                               time_point now);
 
+/// \brief Samples the load of this balancer, and updates `state.loads` and the
+/// shares of the domains from the known sums. Does nothing while the part is
+/// off. To be called several times a second.
+/// \returns the services whose shares are to be logged; see UpdateShares().
+std::vector<service_shares> UpdateLoads(forwarding_state& state,
+                                        time_point now);
+
 /// \brief True once a routing table, an upstream list and, if they are to be
 /// honoured, the evacuation requests have been applied. Before, no opening can
 /// be placed.
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -8,10 +8,12 @@
 #include <utility>
 
 #include "direct/decision_log.h"
+#include "direct/load_exchange.h"
 #include "direct/silence.h"
 #include "direct/snapshot_fetcher.h"
 #include "direct/snapshot_server.h"
 #include "observe/guard.h"
+#include "observe/log.h"
 #include "peer/peer_codec.h"
 
 namespace radishyard {
@@ -84,10 +86,17 @@
       socket_.receive_from(asio::buffer(receive_buffer_), from, 0, error);
   }
 
+  /// Drops the known loads, whose ages do not contain a suspension.
+  void DiscardLoads() { state_.spill.pool = {}; }
+
   void SendReports(size_t count) {
     const time_point now = clock::now();
     view_report report = MakeReport(now);
+    report.load = MeasureLoad(state_, now);
     report.outcomes = ExtractOutcomes(state_);
+    // The other parts have bounds. Without them, the members would take this
+    // balancer for dead and not learn of evacuations.
+    if (!FitsDatagram(report)) report.load = {};
     for (const endpoint& to :
          SelectReportTargets(members_, count, ++round_, now))
       Send(report, to);
@@ -104,6 +113,10 @@
 
   bool IsFetching() const { return fetcher_->IsActive(); }
 
+  void Send(const peer_message& message, const endpoint& to) {
+    SendToAll(message, {&to, 1});
+  }
+
   peer_members members_;
   std::vector<endpoint> seeds_;
   table_confirmation table_confirmation_;
@@ -125,14 +138,29 @@
     return report;
   }
 
-  void Send(const peer_message& message, const endpoint& to) {
+  static bool FitsDatagram(const peer_message& message) {
+    failure why;
+    const auto frame = EncodeFrame(message, why);
+    return frame && frame->size() <= kDatagramBytes;
+  }
+
+  /// Logs once that a message was not sent: each of the following ones may be
+  /// too long as well.
+  void LogUnsent(const failure& why) {
+    if (std::exchange(has_logged_unsent_, true)) return;
+    Log(severity::kWarn, "peer_message_unsent",
+        {{"reason", why.text.empty() ? "too long for a datagram" : why.text}});
+  }
+
+  void SendToAll(const peer_message& message, std::span<const endpoint> to) {
     failure why;
     const auto frame = EncodeFrame(message, why);
-    if (!frame || frame->size() > kDatagramBytes) return;
+    if (!frame || frame->size() > kDatagramBytes) return LogUnsent(why);
     // Later reports replace a lost one, and each further retransmission of a
     // caller leads to another notice.
     error_code ignored;
-    socket_.send_to(asio::buffer(*frame), ToUdp(to), 0, ignored);
+    for (const endpoint& each : to)
+      socket_.send_to(asio::buffer(*frame), ToUdp(each), 0, ignored);
   }
 
   void RunPeriodicTasks() {
@@ -142,6 +170,7 @@
     state_.has_peers =
         !FindLiveMembers(members_, members_.self.domain, now).empty();
     SendReports(kTargetsPerReport);
+    SendLoadNotices(now);
     DiscoverMembers(now);
     report_timer_.expires_after(kReportInterval);
     report_timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -149,6 +178,41 @@
     });
   }
 
+  /// Sends the sums of loads, if this balancer is a reader.
+  void SendLoadNotices(time_point now) {
+    if (!state_.spill.is_enabled) return;
+    const auto members = FindLiveMembers(members_, members_.self.domain, now);
+    const bool is_reader = radishyard::IsRegistryReader(members_, now);
+    // Members that are no readers hear each other seldom, so many of those
+    // known are not live here.
+    UpdateOwnSum(state_, is_reader,
+                 is_reader ? members.size() : CountKnown(members_), now);
+    if (!is_reader) return;
+    const load_notice notice = MakeMemberNotice(state_, members_.self, now);
+    std::vector<endpoint> peers;
+    peers.reserve(members.size());
+    for (const view_member& member : members) peers.push_back(member.peer);
+    SendToAll(notice, peers);
+    const auto foreign = MakeDomainNotice(state_, members_.self, now);
+    if (!foreign) return;
+    SendToAll(*foreign, SelectForeignTargets(members_, round_, now));
+  }
+
+  /// Applies a notice of loads. Of another domain's notices a member that is no
+  /// reader forwards those with fresher sums to the readers.
+  void HandleLoadNotice(const load_notice& notice, time_point now) {
+    if (notice.sender.peer == members_.self.peer) return;
+    RecordMember(members_, notice.sender, now);
+    const bool is_news = ApplyLoadNotice(state_, notice, now);
+    if (!is_news || radishyard::IsRegistryReader(members_, now)) return;
+    // From a member of their own domain, so that readers do not forward it.
+    load_notice forwarded = notice;
+    forwarded.sender = members_.self;
+    for (const endpoint& to :
+         SelectReportTargets(members_, kMaxReadersPerDomain, round_, now))
+      Send(forwarded, to);
+  }
+
   /// Requests the members of this balancer's domain from the seeds, more often
   /// while no other member is known.
   void DiscoverMembers(time_point now) {
@@ -197,6 +261,12 @@
   void HandleMessage(const peer_message& message, time_point now) {
     if (const auto* report = std::get_if<view_report>(&message))
       return HandleReport(*report, now);
+    if (const auto* loads = std::get_if<load_notice>(&message))
+      return HandleLoadNotice(*loads, now);
+    if (const auto* request = std::get_if<grant_request>(&message))
+      return HandleGrantRequest(*request);
+    if (const auto* reply = std::get_if<grant_reply>(&message))
+      return HandleGrantReply(*reply);
     const auto* notice = std::get_if<silence_notice>(&message);
     if (notice == nullptr || notice->sender == members_.self.peer) return;
     const auto reply = ApplySilenceNotice(state_, *notice, now);
@@ -204,6 +274,14 @@
     if (reply) SendNotice(*reply, notice->sender);
   }
 
+  void HandleGrantRequest(const grant_request& request) {
+    if (handlers_.on_grant_request) handlers_.on_grant_request(request);
+  }
+
+  void HandleGrantReply(const grant_reply& reply) {
+    if (handlers_.on_grant_reply) handlers_.on_grant_reply(reply);
+  }
+
   void HandleReport(const view_report& report, time_point now) {
     if (report.self.peer == members_.self.peer) return;
     RecordMember(members_, report.self, now);
@@ -211,6 +289,8 @@
     for (const view_member& m : std::span(report.members).first(listed))
       if (!members_.known.contains(m.peer)) ContactMember(m, now);
     if (report.wants_reply) SendReply(report.self, now);
+    if (state_.spill.is_enabled && report.self.domain == state_.domain)
+      RecordMemberLoad(state_.spill.pool, report, now);
     ApplyOutcomes(state_, report.outcomes, now);
     ApplyConfirmation(table_confirmation_, report, state_.table.version, now);
     const bool has_new_evacuations =
@@ -300,6 +380,7 @@
   snapshot_server server_;
   std::array<uint8_t, kDatagramBytes> receive_buffer_{};
   time_point last_discovery_at_{};
+  bool has_logged_unsent_ = false;
   uint64_t discovery_count_ = 0;  ///< Rounds of discovery requests so far.
   uint64_t round_ = 0;            ///< Rounds of reports so far.
   uint64_t fetch_round_ = 0;      ///< Fetches so far.
@@ -326,6 +407,7 @@
 
 void peer_exchange::RecordSuspension(duration elapsed) {
   core_->DiscardReceived();
+  core_->DiscardLoads();
   radishyard::RecordSuspension(core_->table_confirmation_, elapsed);
 }
 
@@ -346,6 +428,19 @@
   return radishyard::IsRegistryReader(core_->members_, now);
 }
 
+void peer_exchange::SendTo(const peer_message& message, const endpoint& to) {
+  core_->Send(message, to);
+}
+
+std::vector<view_member> peer_exchange::FindMembers(const std::string& domain,
+                                                    time_point now) const {
+  std::vector<view_member> found =
+      FindLiveMembers(core_->members_, domain, now);
+  if (domain == core_->members_.self.domain)
+    found.push_back(core_->members_.self);
+  return found;
+}
+
 const table_confirmation& peer_exchange::confirmation() const {
   return core_->table_confirmation_;
 }
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -69,7 +69,7 @@
 template <maybe_const<heartbeat> T>
 auto Fields(T& m) {
   return std::tie(m.sender, m.sequence, m.sent_ms, m.epochs, m.table_digest,
-                  m.loads, m.summaries);
+                  m.loads, m.summaries, m.evacuation_digest);
 }
 template <maybe_const<heartbeat_ack> T>
 auto Fields(T& m) {
@@ -81,7 +81,7 @@
 }
 template <maybe_const<table_digest> T>
 auto Fields(T& m) {
-  return std::tie(m.services);
+  return std::tie(m.services, m.evacuations);
 }
 template <maybe_const<table_record> T>
 auto Fields(T& m) {
@@ -89,7 +89,7 @@
 }
 template <maybe_const<table_records> T>
 auto Fields(T& m) {
-  return std::tie(m.records);
+  return std::tie(m.records, m.evacuations);
 }
 template <maybe_const<roster_record> T>
 auto Fields(T& m) {
@@ -120,11 +120,28 @@
 auto Fields(T& m) {
   return std::tie(m.revision, m.age_ms, m.is_read_by_sender, m.domains);
 }
+template <maybe_const<load_sample> T>
+auto Fields(T& m) {
+  return std::tie(m.service, m.domain, m.busy_milli, m.ended_milli_per_s,
+                  m.failures_milli_per_s);
+}
+template <maybe_const<load_report> T>
+auto Fields(T& m) {
+  return std::tie(m.interval_ms, m.samples, m.upstream_flows);
+}
+template <maybe_const<domain_sum> T>
+auto Fields(T& m) {
+  return std::tie(m.domain, m.age_ms, m.samples);
+}
+template <maybe_const<load_notice> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.sums, m.list_digest, m.upstream_flows);
+}
 template <maybe_const<view_report> T>
 auto Fields(T& m) {
   return std::tie(m.self, m.wants_reply, m.watches_table, m.table_version,
                   m.revision, m.digest, m.age_ms, m.members, m.outcomes,
-                  m.outage_age_ms, m.table_age_ms, m.evacuations);
+                  m.outage_age_ms, m.table_age_ms, m.evacuations, m.load);
 }
 template <maybe_const<upstream_age> T>
 auto Fields(T& m) {
@@ -152,11 +169,27 @@
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.leaving,
                   m.cold_remaining_ms, m.started_unix_ms);
 }
+template <maybe_const<view_start_rate> T>
+auto Fields(T& m) {
+  return std::tie(m.service, m.openings_per_1000s, m.cold_start_ms);
+}
 template <maybe_const<view_snapshot> T>
 auto Fields(T& m) {
   return std::tie(m.table_version, m.idle_timeout_ms, m.addresses, m.revision,
                   m.age_ms, m.digest, m.base_digest, m.upstreams, m.removed,
-                  m.outage_age_ms, m.evacuations);
+                  m.outage_age_ms, m.evacuations, m.start_rates);
+}
+template <maybe_const<start_incarnation> T>
+auto Fields(T& m) {
+  return std::tie(m.upstream, m.started_unix_ms);
+}
+template <maybe_const<grant_request> T>
+auto Fields(T& m) {
+  return std::tie(m.sender, m.of, m.id, m.openings);
+}
+template <maybe_const<grant_reply> T>
+auto Fields(T& m) {
+  return std::tie(m.of, m.id, m.granter, m.openings, m.cold_remaining_ms);
 }
 
 void Write(packer& to, bool value) { to.pack(value); }
--- a/src/traffic/traffic_core.cc
+++ b/src/traffic/traffic_core.cc
@@ -119,7 +119,11 @@
     if (const uint32_t upstream = FindUpstream(in, slot))
       pool = FindPoolOfUpstream(in, upstream);
   }
-  if (!pool) pool = PickPool(*view_, route, in.hash);
+  if (!pool) {
+    pool = in.MustKeepItsPool()
+               ? PickPoolBeforeEvacuation(*view_, route, in.hash)
+               : PickPool(*view_, route, in.hash);
+  }
   if (!pool) return false;
   in.pool = *pool;
   return true;
@@ -195,10 +199,29 @@
 
 void traffic_core::HandleOutcome(inbound_packet& in, flow_owner::outcome result,
                                  time_point now) {
-  if (result == flow_owner::outcome::kUnknownFlow) SendUpstreamLookups(in, now);
+  if (result == flow_owner::outcome::kUnknownFlow &&
+      !ForwardToEvacuatedPool(in, now))
+    SendUpstreamLookups(in, now);
   if (result == flow_owner::outcome::kNeedsLease) DeferDatagram(now);
 }
 
+// Forwards a packet of a flow without a record here to the owner of the
+// evacuated pool that the flow may have been placed in before the evacuation.
+// \returns false if there is none, or if that owner has sent the packet here.
+bool traffic_core::ForwardToEvacuatedPool(inbound_packet& in, time_point now) {
+  const auto port = view_->ports.find({in.key.proto, in.key.service});
+  if (port == view_->ports.end() ||
+      in.WasForwardedAs(forward_kind::kPassedOpening))
+    return false;
+  const auto pool = PickPoolBeforeEvacuation(*view_, port->second, in.hash);
+  if (!pool || *pool == in.pool || !view_->pools[*pool].evacuated ||
+      view_->pools[*pool].role != pool_role::kNone)
+    return false;
+  in.pool = *pool;
+  ForwardToOwner(in, forward_kind::kCallerToOwner, 0, now);
+  return true;
+}
+
 void traffic_core::DeferDatagram(time_point now) {
   if (deferred_.size() >= kMaxDeferredDatagrams) {
     ++counters_.unsafe_withheld;
@@ -211,7 +234,8 @@
 
 // Handles deferred datagrams again from the start, because their route may have
 // changed: a new owner must wait for its lease before it places non-idempotent
-// requests, and a previous owner may have given up the pool meanwhile.
+// requests, a previous owner may have given up the pool meanwhile, and a roster
+// with another owner may have arrived.
 void traffic_core::RetryDeferredDatagrams(time_point now) {
   if (deferred_.empty() || now < next_deferred_retry_at_) return;
   next_deferred_retry_at_ = now + kDeferredRetryInterval;
@@ -232,6 +256,25 @@
   owner_.Tick(now);
 }
 
+// True if the owner of the pool according to the view here has forwarded the
+// packet, because its own view names this balancer or a third one. Until both
+// have the same roster they would send the packet to each other, and drop it at
+// the hop limit within a millisecond. Either view may be the older one, so the
+// packet is sent back after a wait that grows with the hops, 500 ms in all.
+// Requests that their callers retransmit need no wait, and a copy that is
+// placed late could be executed twice.
+bool traffic_core::MustWaitForRoster(const inbound_packet& in,
+                                     forward_kind kind, time_point now) const {
+  const bool is_retransmitted =
+      in.packet.proto != protocol::kUdp ||
+      (kind != forward_kind::kUpstreamToOwner && in.port.idempotent);
+  if (is_retransmitted || !in.forward ||
+      in.sender != view_->pools[in.pool].owner)
+    return false;
+  const duration wait = (in.Hops() - 1) * kDeferredRetryInterval;
+  return now - first_deferred_at_.value_or(now) < wait;
+}
+
 void traffic_core::ForwardToOwner(inbound_packet& in, forward_kind kind,
                                   uint32_t known_upstream, time_point now) {
   const pool_route& route = view_->pools[in.pool];
@@ -243,6 +286,10 @@
     ++counters_.no_pool;
     return;
   }
+  if (MustWaitForRoster(in, kind, now)) {
+    DeferDatagram(now);
+    return;
+  }
   ++counters_.forwarded;
   forward_option option{kind, static_cast<uint8_t>(in.Hops() + 1), route.tag,
                         known_upstream, 0};
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "base/asio.h"
+#include "peer/peer_codec.h"
 #include "support/direct_world.h"
 #include "support/free_port.h"
 #include "support/http_client.h"
@@ -100,7 +101,8 @@
   void ListEvacuations(store_handler<evacuation_list> handler) override {
     ++evacuation_reads;
     asio::post(io_, [this, handler = std::move(handler)] {
-      if (is_unreachable) return handler(std::nullopt, Unreachable());
+      if (is_unreachable || refuses_evacuations)
+        return handler(std::nullopt, Unreachable());
       handler(evacuations, {});
     });
   }
@@ -110,6 +112,7 @@
   upstream_list list;
   routing_table table = MakeRoutingTable();
   bool is_unreachable = false;
+  bool refuses_evacuations = false;
   bool loses_watches = false;
   int list_reads = 0;  ///< Of the list or its changes.
 
@@ -120,6 +123,28 @@
   asio::io_context& io_;
 };
 
+/// The same with claims, of which each can be created once.
+class claiming_registry : public fake_registry, public claim_store {
+ public:
+  explicit claiming_registry(asio::io_context& io)
+      : fake_registry(io), io_(io) {}
+  claim_store* Claims() override { return this; }
+  void CreateClaim(const stored_claim& claim,
+                   store_handler<bool> handler) override {
+    asio::post(io_, [this, claim, handler = std::move(handler)] {
+      if (claims.emplace(claim.name, claim).second) return handler(true, {});
+      handler(std::nullopt, {failure_kind::kConflict, "exists"});
+    });
+  }
+  void ListClaims(store_handler<std::vector<stored_claim>>) override {}
+  void DeleteClaim(const std::string&, store_handler<bool>) override {}
+
+  std::map<std::string, stored_claim> claims;
+
+ private:
+  asio::io_context& io_;
+};
+
 class balancer_on_loopback : public testing::Test {
  protected:
   balancer_on_loopback() {
@@ -223,6 +248,30 @@
   EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
 }
 
+// The report of a peer is the last that the balancer lacks. The packets would
+// otherwise be held until the next list, when their callers have given up.
+TEST_F(balancer_on_loopback, ForwardsHeldPacketsOnceAPeerReportsEvacuations) {
+  source_.refuses_evacuations = true;
+  direct_settings config = MakeSettings(FindFreePort());
+  config.evacuation_bound = 5s;
+  direct_balancer balancer(io_, config, codec_, source_);
+  balancer.Start();
+  RunFor(50ms);
+  SendOpening(config.traffic);
+  RunFor(20ms);
+  ASSERT_EQ(ReceiveDatagram(upstream_, bytes_), 0U);
+  view_report report;
+  report.self = {{kLoopback, FindFreePort()}, kLocalDomain, 1};
+  report.evacuations = {.revision = 1, .age_ms = 0, .is_read_by_sender = true};
+  failure why;
+  const auto frame = EncodeFrame(report, why);
+  ASSERT_TRUE(frame) << why.text;
+  caller_.send_to(asio::buffer(*frame),
+                  {asio::ip::address_v4(kLoopback), config.peer.port});
+  RunFor(50ms);
+  EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
+}
+
 // A store that was silent for a second loses the watches that it received then
 // and answers everything else. Callers were sent to upstreams of the table
 // before the edit until the watches failed.
@@ -243,6 +292,35 @@
   EXPECT_GT(ReceiveDatagram(upstream_, bytes_), 0U);
 }
 
+// The second balancer has no access to claims, so what it places on the cold
+// upstream was granted by the first one.
+TEST_F(balancer_on_loopback, PlacesOnAColdUpstreamUnderAGrantOfAnother) {
+  constexpr int kLimit = 5;
+  claiming_registry source(io_);
+  upstream_entry cold = MakeUpstreamEntry();
+  cold.cold_remaining = 60s;
+  source.list = source_.list = {1, {cold}};
+  source.table.start_rates = {{kService, kLimit * 1000, 60s}};
+  source_.table = source.table;
+  const direct_settings first = MakeSettings(FindFreePort());
+  direct_settings second = MakeSettings(FindFreePort());
+  second.peers = {first.peer};
+  direct_balancer granter(io_, first, codec_, source);
+  direct_balancer requester(io_, second, codec_, source_);
+  granter.Start();
+  requester.Start();
+  RunFor(1500ms);
+  int arrivals = 0;
+  for (int i = 0; i < 20; ++i) {
+    SendOpening(second.traffic);
+    RunFor(45ms);
+    while (ReceiveDatagram(upstream_, bytes_) > 0) ++arrivals;
+  }
+  EXPECT_EQ(source.claims.size(), 1U);
+  EXPECT_GE(arrivals, 1);
+  EXPECT_LE(arrivals, kLimit);
+}
+
 TEST_F(balancer_on_loopback, StopsOncePacketsCeaseToArrive) {
   direct_balancer balancer(io_, MakeSettings(FindFreePort()), codec_, source_);
   balancer.Start();
@@ -316,7 +394,7 @@
     RunFor(i < 2 ? 300ms : 700ms);
   }
 
-  void RequestEvacuation(std::vector<std::string> domains) {
+  void RequestEvacuation(const std::vector<std::string>& domains) {
     ++revision_;
     for (const auto& source : sources_)
       source->evacuations = {revision_, domains};
@@ -356,8 +434,8 @@
   EXPECT_FALSE(DoesMemberPlace());
 }
 
-// After a restart without the platform, a peer's word must keep the domain
-// evacuated.
+// Otherwise a balancer that restarts while the platform is away would place
+// flows on the evacuated domain.
 TEST_F(evacuating_balancers, ARestartedMemberTakesTheRequestsFromAPeer) {
   RequestEvacuation({kLocalDomain});
   RunFor(3s);
--- a/test/direct_settings_test.cc
+++ b/test/direct_settings_test.cc
@@ -38,6 +38,34 @@
   EXPECT_EQ(s->drain_bound, 3s);
   EXPECT_EQ(s->edit_bound, 2500500us);
   EXPECT_EQ(s->level, log_level::kInfo);
+  EXPECT_FALSE(s->spill_over) << "off unless a deployment enables it";
+  EXPECT_FALSE(s->is_admission_enabled);
+}
+
+TEST(DirectSettings, ReadsTheBoundsOfOpeningsOnColdUpstreams) {
+  json settings = ValidSettings();
+  findings found;
+  EXPECT_EQ(ParseDirectSettings(settings.dump(), found)->start,
+            (start_bounds{1, 0}));
+  settings["start_overage"] = 1.5;
+  settings["start_slack"] = 5;
+  EXPECT_EQ(ParseDirectSettings(settings.dump(), found)->start,
+            (start_bounds{1.5, 5}));
+  settings["start_overage"] = 0.5;
+  settings["start_slack"] = "many";
+  EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
+  EXPECT_EQ(found.size(), 2U);
+}
+
+TEST(DirectSettings, ReadsOrRejectsSpillOver) {
+  json settings = ValidSettings();
+  settings["spill_over"] = true;
+  findings found;
+  const auto s = ParseDirectSettings(settings.dump(), found);
+  ASSERT_TRUE(s) << found.Text();
+  EXPECT_TRUE(s->spill_over);
+  settings["spill_over"] = 1;
+  EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
 }
 
 TEST(DirectSettings, ReadsAPublicPeerAddress) {
@@ -59,10 +87,12 @@
   EXPECT_EQ(ParseDirectSettings(settings.dump(), found)->link_mbps, 1000U);
   settings["link_mbps"] = 0.5;
   settings["first_start"] = true;
+  settings["admission"] = true;
   const auto s = ParseDirectSettings(settings.dump(), found);
   ASSERT_TRUE(s) << found.Text();
   EXPECT_EQ(s->link_mbps, 1U);
   EXPECT_TRUE(s->is_first_start);
+  EXPECT_TRUE(s->is_admission_enabled);
   settings["link_mbps"] = -1;
   settings["first_start"] = "yes";
   EXPECT_FALSE(ParseDirectSettings(settings.dump(), found));
