Keep all flows in a domain without demand, and bound the load pool and times

An idle domain, or one of unknown load, divided 0 overflow by 0 demand; the NaN became a share of 1 for other domains as soon as another domain overflowed. Without overflow the share is 0 now.

Further faults, each with a test: sums of domains that are gone filled the pool for good, and loads of members that are gone stayed on balancers that make no sums; requests on a domain without usable slots counted as overload of the others; an absurd utilization overflowed the expected response time; the count of work samples could wrap to 0 and give an infinite mean; a pause of the process counted as work of the requests before it. A forwarded notice no longer carries flows of upstreams (no test: none of our senders sets them).

CountUsableSlots() and DrawFraction() replace duplicated code.

--- a/src/direct/address_demand.cc
+++ b/src/direct/address_demand.cc
@@ -61,7 +61,8 @@
   address_demand& demand = found->second;
   if (is_queueing && demand.work_samples >= kMinWorkSamples) return;
   const double sample_s = std::chrono::duration<double>(elapsed).count();
-  ++demand.work_samples;
+  // A count that wrapped to 0 would give an infinite weight.
+  if (demand.work_samples < UINT32_MAX) ++demand.work_samples;
   const double weight = std::max(kWorkWeight, 1.0 / demand.work_samples);
   demand.work_s += weight * (sample_s - demand.work_s);
 }
--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -61,9 +61,14 @@
   return std::ldexp(static_cast<double>(StableHash(flow) >> kBits), -kBits);
 }
 
+/// Longest assumed wait, as a factor of the work. Any higher one leads to the
+/// same decision, and the time stays within the range of `duration`.
+constexpr double kMaxSlowdown = 1000;
+
 /// Time from a request to its response at the present load, by Little's law.
 duration ExpectedResponse(const service_admission& admission, double work_s) {
-  const double slowdown = std::max(1.0, admission.evidence.utilization);
+  const double slowdown =
+      std::clamp(admission.evidence.utilization, 1.0, kMaxSlowdown);
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(work_s * slowdown));
 }
@@ -78,7 +83,8 @@
          row.target_latency;
 }
 
-/// Sums the loads of a service that are recent enough.
+/// Sums the loads of a service that are recent enough, over the domains with
+/// usable slots.
 /// \returns nothing if there is none.
 std::optional<overload_evidence> SumLoads(const load_view& view,
                                           const std::string& service,
@@ -88,6 +94,8 @@
   for (const service_load& load : view.loads) {
     const duration age = now - load.measured_at;
     if (load.service != service || age > kMaxLoadAge) continue;
+    // Requests on unusable upstreams are no load on the usable ones.
+    if (load.slots <= 0) continue;
     busy += load.busy;
     sum.slots += load.slots;
     sum.failures_per_s += load.failures_per_s;
--- a/src/direct/decision_log.cc
+++ b/src/direct/decision_log.cc
@@ -30,10 +30,10 @@
   if (packet.is_opening) {
     // Under overload the summary lines of admission control take the place of
     // these, which would use up the limit on lines of this event.
-    const bool is_held =
+    const bool is_not_admitted =
         decision.reason == verdict_reason::kDelayedByAdmission ||
         decision.reason == verdict_reason::kRefusedByAdmission;
-    Log(is_held ? severity::kDebug : severity::kInfo, "opening",
+    Log(is_not_admitted ? severity::kDebug : severity::kInfo, "opening",
         {{"flow", ToString(packet.flow)},
          {"copy", uint64_t{packet.retransmission_count}},
          {"decision", ToName(decision.reason)},
--- a/src/direct/decision_log.h
+++ b/src/direct/decision_log.h
@@ -24,8 +24,8 @@
 void LogDirectoryChanges(const std::vector<directory_change>& changes,
                          uint64_t revision);
 
-/// \brief Logs which domains are evacuated now, and whether the platform or
-/// which balancer said so.
+/// \brief Logs which domains are evacuated now.
+/// \param source the platform, or the balancer that reported the change.
 void LogEvacuations(const std::string& source,
                     const evacuation_set& evacuations);
 
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -125,7 +125,8 @@
   tracker.response_times.Add(now - flow.requested_at);
   const bool is_small =
       RecordResponseSize(tracker.sizes_by_address, packet.flow.service, bytes);
-  if (!is_small)
+  // The time of a request from before a pause of this process contains it.
+  if (!is_small && flow.requested_at >= tracker.resumed_at)
     RecordWork(tracker.demands, packet.flow.service, now - flow.requested_at,
                tracker.is_queueing);
   if (is_small)
--- a/src/direct/load_meter.cc
+++ b/src/direct/load_meter.cc
@@ -44,6 +44,16 @@
          CountWitnesses(upstream, now) < kMinSilenceWitnesses;
 }
 
+std::map<std::string, double> CountUsableSlots(
+    const std::vector<known_upstream*>& upstreams, duration opening_timeout,
+    time_point now) {
+  std::map<std::string, double> slots;
+  for (const known_upstream* u : upstreams)
+    slots[u->entry.domain] +=
+        IsUsable(*u, opening_timeout, now) ? u->entry.slots : 0;
+  return slots;
+}
+
 void SampleLoad(load_meter& meter, const upstream_directory& directory,
                 duration opening_timeout, time_point now) {
   if (meter.samples++ == 0 && meter.measured_since == time_point{})
--- a/src/direct/load_meter.h
+++ b/src/direct/load_meter.h
@@ -50,6 +50,12 @@
 bool IsUsable(const known_upstream& upstream, duration opening_timeout,
               time_point now);
 
+/// \brief Returns the slots of the usable ones of `upstreams` by their domain,
+/// 0 for a domain without any.
+std::map<std::string, double> CountUsableSlots(
+    const std::vector<known_upstream*>& upstreams, duration opening_timeout,
+    time_point now);
+
 /// \brief Adds a sample of the requests in service on usable upstreams. To be
 /// called several times in each report interval.
 void SampleLoad(load_meter& meter, const upstream_directory& directory,
--- a/src/direct/load_pool.cc
+++ b/src/direct/load_pool.cc
@@ -60,15 +60,16 @@
   }
 }
 
-/// Returns the usable slots of each domain with ready upstreams.
-std::map<std::string, double> CountSlots(
-    const std::vector<known_upstream*>& upstreams, duration opening_timeout,
-    time_point now) {
-  std::map<std::string, double> slots;
-  for (const known_upstream* u : upstreams)
-    slots[u->entry.domain] +=
-        IsUsable(*u, opening_timeout, now) ? u->entry.slots : 0;
-  return slots;
+void RemoveExpiredMembers(load_pool& pool, time_point now) {
+  std::erase_if(pool.members, [now](const auto& item) {
+    return now - item.second.received_at > kMaxLoadAge;
+  });
+}
+
+void RemoveExpiredSums(load_pool& pool, time_point now) {
+  std::erase_if(pool.sums, [now](const auto& item) {
+    return now - item.second.measured_at > kMaxLoadAge;
+  });
 }
 
 }  // namespace
@@ -77,6 +78,9 @@
                       time_point now) {
   if (report.load.interval_ms == 0) return;
   const bool is_new = !pool.members.contains(report.self.peer);
+  // A member that does not estimate sums would otherwise keep the loads of all
+  // balancers that it has ever heard.
+  if (is_new) RemoveExpiredMembers(pool, now);
   if (is_new && pool.members.size() >= kMaxMembers) return;
   pool.members[report.self.peer] = {report.load, report.digest, now};
 }
@@ -86,9 +90,7 @@
                                       const load_report& own,
                                       size_t other_members, time_point now) {
   if (own.interval_ms == 0) return std::nullopt;
-  std::erase_if(pool.members, [now](const auto& item) {
-    return now - item.second.received_at > kMaxLoadAge;
-  });
+  RemoveExpiredMembers(pool, now);
   std::map<load_key, sample_sum> totals;
   duration total_age{};
   for (const load_sample& s : own.samples) totals[{s.service, s.domain}].Add(s);
@@ -109,6 +111,8 @@
   const time_point measured_at = now - milliseconds(sum.age_ms);
   const auto known = pool.sums.find(sum.domain);
   if (known == pool.sums.end()) {
+    // Sums of domains that no longer exist must not exclude new ones for good.
+    if (pool.sums.size() >= kMaxDomains) RemoveExpiredSums(pool, now);
     if (pool.sums.size() >= kMaxDomains) return false;
   } else if (known->second.measured_at >= measured_at) {
     return false;
@@ -176,7 +180,7 @@
   load_view view;
   for (const auto& [service, upstreams] : directory.ready_by_service) {
     for (const auto& [domain, slots] :
-         CountSlots(upstreams, opening_timeout, now)) {
+         CountUsableSlots(upstreams, opening_timeout, now)) {
       const auto own = pool.sums.find(domain);
       if (own == pool.sums.end()) continue;
       service_load load{.service = service,
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -185,11 +185,13 @@
   void HandleLoadNotice(const load_notice& notice, time_point now) {
     if (notice.sender.peer == members_.self.peer) return;
     RecordMember(members_, notice.sender, now);
-    const bool is_news = ApplyLoadNotice(state_, notice, now);
-    if (!is_news || radishyard::IsRegistryReader(members_, now)) return;
+    const bool has_fresher_sums = ApplyLoadNotice(state_, notice, now);
+    if (!has_fresher_sums || radishyard::IsRegistryReader(members_, now))
+      return;
     // From a member of their own domain, so that readers do not forward it.
-    load_notice forwarded = notice;
-    forwarded.sender = members_.self;
+    // Flows of upstreams are left out: readers would take them for the sums of
+    // their own domain.
+    const load_notice forwarded{.sender = members_.self, .sums = notice.sums};
     for (const endpoint& to :
          SelectReportTargets(members_, kMaxReadersPerDomain, round_, now))
       Send(forwarded, to);
--- a/src/direct/pooled_choice.cc
+++ b/src/direct/pooled_choice.cc
@@ -6,14 +6,6 @@
 namespace radishyard {
 namespace {
 
-/// Returns a number in [0, 1) that depends on the flow and on `draw`.
-double DrawFraction(uint64_t flow_hash, uint64_t draw) {
-  constexpr double kHashes = 18446744073709551616.0;  // 2^64.
-  const double fraction =
-      static_cast<double>(XXH64(&flow_hash, sizeof flow_hash, draw)) / kHashes;
-  return fraction < 1 ? fraction : 0;
-}
-
 const pooled_candidate& Draw(const std::vector<pooled_candidate>& candidates,
                              double total_speed, double fraction) {
   double remaining = total_speed * fraction;
@@ -31,6 +23,13 @@
 
 }  // namespace
 
+double DrawFraction(uint64_t flow_hash, uint64_t seed) {
+  constexpr double kHashes = 18446744073709551616.0;  // 2^64.
+  const double fraction =
+      static_cast<double>(XXH64(&flow_hash, sizeof flow_hash, seed)) / kHashes;
+  return fraction < 1 ? fraction : 0;
+}
+
 bool IsOwnCountSmall(const std::vector<known_upstream*>& upstreams) {
   uint64_t own = 0;
   uint64_t peers = 0;
--- a/src/direct/pooled_choice.h
+++ b/src/direct/pooled_choice.h
@@ -16,6 +16,10 @@
   double speed = 1;  ///< Requests a second that it can serve; above 0.
 };
 
+/// \brief Returns a number in [0, 1) that depends on the flow and on `seed`.
+/// Draws with different seeds are independent.
+double DrawFraction(uint64_t flow_hash, uint64_t seed);
+
 /// \brief True if other balancers hold most of the flows on the upstreams, so
 /// that the numbers of this balancer say little of their load.
 bool IsOwnCountSmall(const std::vector<known_upstream*>& upstreams);
--- a/src/direct/spill_over.cc
+++ b/src/direct/spill_over.cc
@@ -1,14 +1,14 @@
 // Computes, smooths and applies the shares of domains.
 #include "direct/spill_over.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
 
+#include "direct/pooled_choice.h"
+
 namespace radishyard {
 namespace {
 
@@ -21,7 +21,7 @@
 /// Above this share, failures are evidence of overload. A few broken upstreams
 /// cause less until new flows avoid them.
 constexpr double kOverloadFailureShare = 0.1;
-/// Rejected requests come again, so a higher share says no more about demand.
+/// Callers retry rejected requests, so a higher share shows no more demand.
 constexpr double kMaxFailureShare = 0.6;
 /// Part of the slots that is assumed to be free in a domain of unknown load.
 constexpr double kUnknownSpareShare = 0.05;
@@ -62,10 +62,10 @@
   if (!input.is_known) return kUnknownSpareShare * input.slots;
   if (input.failure_share > kOverloadFailureShare) return 0;
   const double utilization = input.busy / input.slots;
-  const double trust = std::clamp(
+  const double part = std::clamp(
       (kFullUtilization - utilization) / (kFullUtilization - kBusyUtilization),
       0.0, 1.0);
-  return trust * std::max(0.0, kSpillThreshold * input.slots - input.demand);
+  return part * std::max(0.0, kSpillThreshold * input.slots - input.demand);
 }
 
 double FindShare(const std::vector<domain_share>& shares,
@@ -89,10 +89,12 @@
 double ShareOfOthers(const std::vector<spill_input>& inputs,
                      const spill_input& own, double spare) {
   if (own.slots <= 0) return 1;
+  // Without overflow the own demand may be 0, also because it is unknown.
+  const double own_overflow = Overflow(own);
+  if (own_overflow <= 0 || spare <= 0) return 0;
   double overflow = 0;
   for (const spill_input& input : inputs) overflow += Overflow(input);
-  if (overflow <= 0 || spare <= 0) return 0;
-  const double placed = Overflow(own) * std::min(1.0, spare / overflow);
+  const double placed = own_overflow * std::min(1.0, spare / overflow);
   return std::min(1.0, placed / OwnDemand(own));
 }
 
@@ -151,10 +153,9 @@
     const load_pool& pool, const load_view& loads, const std::string& service,
     const std::vector<known_upstream*>& upstreams,
     const std::string& own_domain, duration opening_timeout, time_point now) {
-  std::map<std::string, double> slots{{own_domain, 0}};
-  for (const known_upstream* u : upstreams)
-    slots[u->entry.domain] +=
-        IsUsable(*u, opening_timeout, now) ? u->entry.slots : 0;
+  std::map<std::string, double> slots =
+      CountUsableSlots(upstreams, opening_timeout, now);
+  slots.try_emplace(own_domain, 0);
   std::vector<spill_input> inputs;
   for (const auto& [domain, count] : slots) {
     spill_input input{.domain = domain, .slots = count};
@@ -219,11 +220,11 @@
     duration elapsed) {
   const bool spills_more =
       FindShare(target, own_domain) < FindShare(in_effect, own_domain);
-  const double constants =
+  const double time_constants =
       std::chrono::duration<double>(elapsed) /
       std::chrono::duration<double>(spills_more ? kSpillTimeConstant
                                                 : kReturnTimeConstant);
-  const double weight = 1 - std::exp(-constants);
+  const double weight = 1 - std::exp(-time_constants);
   std::vector<domain_share> smoothed = target;
   for (domain_share& s : smoothed) {
     const double before = FindShare(in_effect, s.domain);
@@ -312,9 +313,7 @@
     usable.push_back(s);
     sum += s.share;
   }
-  constexpr double kHashes = 18446744073709551616.0;  // 2^64.
-  const uint64_t hash = XXH64(&flow_hash, sizeof flow_hash, kDomainSeed);
-  double remaining = sum * (static_cast<double>(hash) / kHashes);
+  double remaining = sum * DrawFraction(flow_hash, kDomainSeed);
   for (const domain_share& s : usable) {
     if (s.share <= 0) continue;
     choice.domain = s.domain;
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -139,6 +139,50 @@
   EXPECT_EQ(Decide(a, 1, kHigh, 2), admission_action::kRefuse);
 }
 
+// Guards against times out of range, which would be negative, where a sum of
+// another balancer is absurd.
+TEST(Admission, AnAbsurdUtilizationIsNoRoom) {
+  service_admission a = MakeAdmission(10, 1000);
+  a.evidence.utilization = 1e30;
+  EXPECT_EQ(Decide(a, 1, kHigh), admission_action::kRefuse);
+}
+
+// Guards against an infinite mean after the count of samples has wrapped.
+TEST(Admission, TheMeanWorkStaysFiniteAfterManySamples) {
+  address_demands demands;
+  demands[kHigh] = {.work_s = 0.02, .work_samples = UINT32_MAX};
+  RecordWork(demands, kHigh, 40ms, false);
+  EXPECT_NEAR(demands[kHigh].work_s, 0.0201, 1e-9);
+}
+
+// Guards against a pause of the process that counts as work of the requests
+// that were in service before it.
+TEST(Admission, APauseIsNoWork) {
+  direct_world world({MakeEntry(1)});
+  address_demands& demands = world.state.tracker.demands;
+  RecordOfferedOpening(demands, kIdempotentAddress, AtMs(0));
+  const auto work_after = [&](uint32_t caller, int64_t sent, int64_t answered) {
+    const uint32_t mark = world.SendOpening(caller, AtMs(sent)).mark;
+    world.SendPacket(caller, mark, 1, 300, 1, AtMs(sent));
+    world.SendPacket(caller, mark, 301, 0, 2000, AtMs(answered));
+    return demands.at(kIdempotentAddress).work_s;
+  };
+  EXPECT_NEAR(work_after(1, 1000, 1040), 0.04, 1e-9);
+  world.state.tracker.resumed_at = AtMs(9000);
+  EXPECT_NEAR(work_after(2, 2000, 9001), 0.04, 1e-9);
+}
+
+// Guards against throttling on requests that a domain without any usable
+// upstream has left behind.
+TEST(Admission, ADomainWithoutUsableSlotsIsNoOverload) {
+  service_admissions admissions;
+  const load_view view{{{kService, kLocalDomain, 100, 100, 0, kNow},
+                        {kService, kRemoteDomain, 0, 500, 0, kNow}}};
+  UpdateAdmissions(admissions, MakeTable(), {}, view, kNow);
+  EXPECT_FALSE(IsOverloaded(admissions.at(kService), kNow));
+  EXPECT_EQ(admissions.at(kService).evidence.utilization, 1);
+}
+
 // Guards against a threshold that jumps with a single sample.
 TEST(Admission, TheThresholdMovesSmoothly) {
   EXPECT_GT(MakeAdmission(5, 0, 1s, 0s).admitted, 0.1);
--- a/test/spill_over_test.cc
+++ b/test/spill_over_test.cc
@@ -104,6 +104,17 @@
   EXPECT_LT(ComputeShares({own, MakeInput("b", 0)}, "a")[0].share, 0.6);
 }
 
+// Guards against a division of 0 overflow by 0 demand, by which balancers of an
+// idle domain sent all flows away as soon as another domain overflowed.
+TEST(SpillOver, WithoutDemandOrAKnownLoadAllFlowsStayInTheOwnDomain) {
+  spill_input unknown = MakeInput("a", 0);
+  unknown.is_known = false;
+  for (const spill_input& own : {MakeInput("a", 0), unknown})
+    EXPECT_THAT(
+        ComputeShares({own, MakeInput("b", 56), MakeInput("c", 0)}, "a"),
+        Shares(1, 0, 0));
+}
+
 RC_GTEST_PROP(SpillOver, SharesAddUpToOneAndAreNeverNegative, ()) {
   const auto percent = rc::gen::inRange(0, 300);
   std::vector<spill_input> inputs;
@@ -134,6 +145,22 @@
   EXPECT_TRUE(FreshSums(pool, AtMs(12'600)).empty()) << "3.1 s old";
 }
 
+// Guards against a pool that sums of removed or invented domains fill for good.
+TEST(LoadPool, ExpiredSumsAndMembersMakeRoom) {
+  load_pool pool;
+  for (int i = 0; i < 100; ++i)
+    RecordSum(pool, MakeSum(std::to_string(i).c_str(), 5), AtMs(10'000));
+  EXPECT_FALSE(RecordSum(pool, MakeSum("b", 5), AtMs(12'000)));
+  EXPECT_TRUE(RecordSum(pool, MakeSum("b", 5), AtMs(13'001)));
+  view_report report;
+  report.load.interval_ms = 1000;
+  for (uint16_t i = 0; i < 10; ++i) {
+    report.self.peer = {i, 2};
+    RecordMemberLoad(pool, report, AtMs(10'000 + 4000 * i));
+  }
+  EXPECT_EQ(pool.members.size(), 1U);
+}
+
 TEST(LoadPool, AnEstimateIsScaledToTheMembersNotHeard) {
   load_pool pool;
   const load_report own{1000, {{kService, "a", 2000, 0, 0}}, {}};
