Admission follows the domain with the least pressure

Change: while one domain has room, everything is admitted; the metrics page is split into shorter functions.

--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -89,29 +89,6 @@
          row.target_latency;
 }
 
-/// Sums the loads of a service that are recent enough, over the domains with
-/// usable slots.
-/// \returns nothing if there is none.
-std::optional<overload_evidence> SumLoads(const load_view& view,
-                                          const std::string& service,
-                                          time_point now) {
-  overload_evidence sum;
-  double busy = 0;
-  for (const service_load& load : view.loads) {
-    const duration age = now - load.measured_at;
-    if (load.service != service || age > kMaxLoadAge) continue;
-    // Requests on unusable upstreams are no load on the usable ones.
-    if (load.slots <= 0) continue;
-    busy += load.busy;
-    sum.slots += load.slots;
-    sum.failures_per_s += load.failures_per_s;
-    sum.age = std::max(sum.age, age);
-  }
-  if (sum.slots <= 0) return std::nullopt;
-  sum.utilization = busy / sum.slots;
-  return sum;
-}
-
 /// Part of an address's new flows that goes to `service`.
 double WeightOf(const published_address& row, const std::string& service) {
   double weight = 0;
@@ -211,6 +188,31 @@
          kFullUtilization * rejected / (rejected + evidence.slots);
 }
 
+/// Selects the load of the domain with the least pressure, among those that are
+/// recent enough and have usable upstreams. While one domain has room, the
+/// overflow of the others belongs there, and nothing needs to be refused.
+/// \returns nothing if there is none.
+std::optional<overload_evidence> FindLeastPressure(const load_view& view,
+                                                   const std::string& service,
+                                                   double mean_work_s,
+                                                   time_point now) {
+  std::optional<overload_evidence> least;
+  for (const service_load& load : view.loads) {
+    const duration age = now - load.measured_at;
+    if (load.service != service || age > kMaxLoadAge) continue;
+    // Requests on unusable upstreams are no load on the usable ones.
+    if (load.slots <= 0) continue;
+    const overload_evidence evidence{.utilization = load.busy / load.slots,
+                                     .failures_per_s = load.failures_per_s,
+                                     .slots = load.slots,
+                                     .age = age};
+    const bool is_less = !least || MeasurePressure(evidence, mean_work_s) <
+                                       MeasurePressure(*least, mean_work_s);
+    if (is_less) least = evidence;
+  }
+  return least;
+}
+
 /// Moves the smoothed pressure towards `measured`.
 void SmoothPressure(service_admission& admission, double measured,
                     time_point now) {
@@ -267,7 +269,8 @@
                 [&](const auto& a) { return !services.contains(a.first); });
   for (const std::string& service : services) {
     service_admission& admission = admissions[service];
-    const auto evidence = SumLoads(loads, service, now);
+    const auto evidence =
+        FindLeastPressure(loads, service, MeanWork(admission.classes), now);
     if (!evidence) {
       admission = {};
       continue;
--- a/src/direct/admission.h
+++ b/src/direct/admission.h
@@ -27,13 +27,13 @@
 
 namespace radishyard {
 
-/// \brief Evidence of overload of one service, summed over the domains whose
-/// load is known.
+/// \brief Evidence of overload of one service: the load of the domain that has
+/// the most room.
 struct overload_evidence {
   double utilization = 0;     ///< Requests in service or queued per slot.
   double failures_per_s = 0;  ///< Requests that upstreams rejected or failed.
   double slots = 0;
-  duration age{};  ///< Of the oldest load that was used.
+  duration age{};  ///< Of the load.
   auto operator<=>(const overload_evidence&) const = default;
 };
 
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -80,6 +80,35 @@
              counters.openings_placed);
 }
 
+void AddSilenceCounters(metrics_page& page, const silence_counters& silences) {
+  AddCounter(page, "radishyard_silence_notices_sent_total",
+             "Notices that an upstream leaves data unanswered.", silences.sent);
+  AddCounter(page, "radishyard_silence_notices_received_total",
+             "Upstreams that other balancers called silent.",
+             silences.received);
+  AddCounter(page, "radishyard_silence_notices_contradicted_total",
+             "Of these, upstreams that had answered here since.",
+             silences.contradicted);
+}
+
+/// Adds what is observed of each upstream that is still registered.
+void AddUpstreamGauges(metrics_page& page, const forwarding_state& state) {
+  AddUpstreamGauge(page, state, "radishyard_upstream_flows",
+                   "Open flows seen here, by upstream.",
+                   [](const known_upstream& u) { return u.stats.flows; });
+  AddUpstreamGauge(
+      page, state, "radishyard_upstream_waiting",
+      "Requests without an acknowledged answer, by upstream.",
+      [](const known_upstream& u) { return u.stats.pending_requests; });
+  AddUpstreamGauge(
+      page, state, "radishyard_upstream_answer_seconds",
+      "Smoothed time to the first acknowledged answer.",
+      [](const known_upstream& u) { return u.stats.mean_response_s; });
+  AddUpstreamGauge(page, state, "radishyard_upstream_unanswered",
+                   "Openings and repeated data since the last sign of life.",
+                   [](const known_upstream& u) { return u.stats.unanswered; });
+}
+
 }  // namespace
 
 std::string RenderMetricsPage(const direct_counters& counters,
@@ -108,15 +137,7 @@
   AddCounter(page, "radishyard_platform_losses_total",
              "Times that a reading of the platform began to fail.",
              counters.platform_losses);
-  AddCounter(page, "radishyard_silence_notices_sent_total",
-             "Notices that an upstream leaves data unanswered.",
-             state.silences.sent);
-  AddCounter(page, "radishyard_silence_notices_received_total",
-             "Upstreams that other balancers called silent.",
-             state.silences.received);
-  AddCounter(page, "radishyard_silence_notices_contradicted_total",
-             "Of these, upstreams that had answered here since.",
-             state.silences.contradicted);
+  AddSilenceCounters(page, state.silences);
   AddStartMetrics(page, state.starts);
   AddGauge(page, "radishyard_table_version", "Version of the table in force.",
            static_cast<double>(state.table.version));
@@ -137,20 +158,7 @@
   page.BeginMetric(metric_kind::kHistogram, "radishyard_answer_seconds",
                    "From a request to the acknowledgement of its answer.");
   page.AddHistogram({}, state.tracker.response_times);
-  AddUpstreamGauge(page, state, "radishyard_upstream_flows",
-                   "Open flows seen here, by upstream.",
-                   [](const known_upstream& u) { return u.stats.flows; });
-  AddUpstreamGauge(
-      page, state, "radishyard_upstream_waiting",
-      "Requests without an acknowledged answer, by upstream.",
-      [](const known_upstream& u) { return u.stats.pending_requests; });
-  AddUpstreamGauge(
-      page, state, "radishyard_upstream_answer_seconds",
-      "Smoothed time to the first acknowledged answer.",
-      [](const known_upstream& u) { return u.stats.mean_response_s; });
-  AddUpstreamGauge(page, state, "radishyard_upstream_unanswered",
-                   "Openings and repeated data since the last sign of life.",
-                   [](const known_upstream& u) { return u.stats.unanswered; });
+  AddUpstreamGauges(page, state);
   if (state.honours_evacuations)
     AddEvacuations(page, counters, state.evacuations, now);
   AddSpillOverMetrics(page, state, now);
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -201,6 +201,17 @@
   RC_ASSERT(Decide(a, caller, kHigh) == admission_action::kPlace);
 }
 
+// Guards against refusals while the overflow of a crowded domain still finds
+// room in another one.
+TEST(Admission, NothingIsThrottledWhileOneDomainHasRoom) {
+  service_admissions admissions;
+  const load_view view{{{kService, "crowded", 100, 500, 2000, kNow},
+                        {kService, "other", 100, 110, 0, kNow}}};
+  for (int i = 0; i < 20; ++i)
+    UpdateAdmissions(admissions, MakeTable(), {}, view, kNow + i * 100ms);
+  EXPECT_EQ(admissions.at(kService).admitted, 1);
+}
+
 // Guards against refusals after a peak, while slots are free.
 TEST(Admission, EverythingIsAdmittedOnceSlotsAreFree) {
   service_admissions admissions{{kService, MakeAdmission(5, 5000)}};
