--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -32,9 +32,9 @@
 /// that followed them faster than their age would oscillate.
 constexpr double kRiseSeconds = 1;
 constexpr double kFallSeconds = 3;
-/// Most of the offered work that is admitted whatever the pressure, for the
-/// highest priority. Requests on open flows may fill the upstreams, and
-/// refusing the most important openings would not relieve them.
+/// Most of the offered work that is admitted whatever the pressure, for all
+/// priorities above the lowest. Requests on open flows may fill the upstreams,
+/// and refusing the most important openings would not relieve them.
 constexpr double kMaxHeadroom = 0.75;
 /// Part of the openings of each address that is admitted at any threshold, so
 /// that no class is starved for good.
@@ -225,15 +225,12 @@
   admission.pressure += weight * (measured - admission.pressure);
 }
 
-/// The part of the offered work that belongs to the highest priority, 0 if
-/// there is no other priority.
+/// The part of the offered work that is above the lowest priority.
 double HeadroomOf(const std::vector<admission_class>& classes) {
   double share = 0;
   for (const admission_class& c : classes)
-    if (c.priority == classes.front().priority) share += c.share;
-  const bool has_others =
-      !classes.empty() && classes.back().priority != classes.front().priority;
-  return has_others ? std::min(share, kMaxHeadroom) : 0;
+    if (c.priority != classes.back().priority) share += c.share;
+  return std::min(share, kMaxHeadroom);
 }
 
 void UpdateAdmission(service_admission& admission,
@@ -242,7 +239,12 @@
       MeasurePressure(evidence, MeanWork(admission.classes));
   // Slots are free: nothing is throttled for the sake of smoothness.
   const bool has_room = measured < kFreePressure;
-  if (!admission.is_known || has_room) admission.pressure = measured;
+  if (has_room) admission.pressure = measured;
+  // A first sample, as after a restart of all balancers, shows no trend yet.
+  if (!admission.is_known) {
+    admission.pressure = std::min(measured, kRoomPressure);
+    admission.updated_at = now;
+  }
   SmoothPressure(admission, measured, now);
   const double excess =
       std::clamp(admission.pressure - kRoomPressure, 0.0, kMaxExcess);
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -212,6 +212,15 @@
   EXPECT_EQ(admissions.at(kService).admitted, 1);
 }
 
+// Guards against a restart of all balancers, after which all callers open at
+// once for a moment and the first load that is heard shows full queues.
+TEST(Admission, AFirstSampleRefusesNothing) {
+  service_admissions admissions;
+  const load_view full{{{kService, kLocalDomain, 100, 500, 5000, kNow}}};
+  UpdateAdmissions(admissions, MakeTable(), {}, full, kNow);
+  EXPECT_EQ(admissions.at(kService).admitted, 1);
+}
+
 // Guards against refusals after a peak, while slots are free.
 TEST(Admission, EverythingIsAdmittedOnceSlotsAreFree) {
   service_admissions admissions{{kService, MakeAdmission(5, 5000)}};
