--- a/test/view_sharing_test.cc
+++ b/test/view_sharing_test.cc
@@ -102,7 +102,7 @@
   // array, and an empty load, an array of 0, an empty array and an empty blob.
   const auto drop_last_field = [&payload](size_t bytes) {
     payload[2] = static_cast<char>(payload[2] - 1);
-    payload.resize(payload.size() - bytes);
+    payload.erase(payload.size() - bytes);
   };
   constexpr size_t kEmptyLoadBytes = 5;
   constexpr size_t kEmptyEvacuationsBytes = 9;
