radishyardctl check: errors, rows without effect, contradicting limits, differences

Operators asked for a check of a table before it is sent. It reports the findings of apply, warns of rows that have no effect and of limits that contradict each other, and compares files with the store or with other files.

--- a/include/radishyard/ctl.h
+++ b/include/radishyard/ctl.h
@@ -5,6 +5,7 @@
 //                                services;
 //   ApplyFiles, SetUpstreamState and others
 //                                the commands that edit the table;
+//   CheckFiles                   the command `check`;
 //   SetEvacuation                the commands `evacuate` and `restore`;
 //   ReportStatus, ReportFlows    the versions in force and the flows on each
 //                                balancer;
@@ -13,6 +14,7 @@
 #pragma once
 #include "ctl/apply.h"
 #include "ctl/blocking_store.h"
+#include "ctl/check_command.h"
 #include "ctl/command_result.h"
 #include "ctl/edit.h"
 #include "ctl/evacuation_commands.h"
--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -21,6 +21,7 @@
     "\n"
     "Commands:\n"
     "  validate FILE...             check files without the platform\n"
+    "  check FILE...                check files, warn, and compare them\n"
     "  diff -f FILE                 show what apply would change\n"
     "  apply -f FILE                write the services of files to the "
     "platform\n"
@@ -43,6 +44,7 @@
 struct raw_options {
   char* text = nullptr;  // Argument of the option that popt returned last.
   char* base = nullptr;
+  char* against = nullptr;
   int merge = 0;
   int timeout_ms = 2000;
   int version = 0;
@@ -131,12 +133,17 @@
                  "a file with a service, a folder of them, or a log", "FILE"},
       poptOption{"base", 'b', POPT_ARG_STRING, &raw.base, 0,
                  "the file or folder that the edit was made from", "FILE"},
+      poptOption{"against", 0, POPT_ARG_STRING, &raw.against, 0,
+                 "what check compares with: live, a file or a folder",
+                 "live|FILE"},
       poptOption{"merge", 'm', POPT_ARG_NONE, &raw.merge, 0,
                  "merge with edits that others have made since", nullptr},
       poptOption{"after", 0, POPT_ARG_STRING, &raw.text, kAfter,
                  "version that the edit to settle was made from", "VERSION"},
       poptOption{"output", 'o', POPT_ARG_STRING, &raw.text, kOutput,
                  "format of the report: text or json", "FORM"},
+      poptOption{"format", 0, POPT_ARG_STRING, &raw.text, kOutput,
+                 "the same as --output", "FORM"},
       poptOption{"timeout", 't', POPT_ARG_INT, &raw.timeout_ms, 0,
                  "timeout of each call in ms, 2000 by default", "MS"},
       poptOption{"version", 'V', POPT_ARG_NONE, &raw.version, 0,
@@ -150,6 +157,7 @@
   if (!ReadOptions(context.get(), raw, line, why)) return std::nullopt;
   ReadArguments(context.get(), line);
   line.base = CopyAndFree(raw.base);
+  line.against = CopyAndFree(raw.against);
   line.merge = raw.merge != 0;
   line.wants_version = raw.version != 0;
   line.timeout = milliseconds(raw.timeout_ms);
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -20,6 +20,7 @@
   std::vector<std::string> arguments;  ///< Arguments after the command.
   std::vector<std::string> files;      ///< --file, may be repeated
   std::string base;                    ///< --base
+  std::string against;                 ///< --against
   bool merge = false;                  ///< --merge
   std::optional<uint64_t> after;       ///< --after
   std::optional<endpoint> platform;    ///< --platform
--- a/src/ctl/run_command.cc
+++ b/src/ctl/run_command.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 
+#include "ctl/check_command.h"
 #include "ctl/evacuation_commands.h"
 #include "ctl/explain.h"
 #include "ctl/service_commands.h"
@@ -24,10 +25,22 @@
 
 constexpr size_t kUnlimitedArguments = 100'000;
 
+command_result Usage(const std::string& text) {
+  return {exit_code::kUsage,
+          text + "; see radishyardctl --help\n",
+          {{"error", text}}};
+}
+
 command_result RunValidate(const command_line& line, const command_context&) {
   return Validate(line.arguments);
 }
 
+command_result RunCheck(const command_line& line, const command_context& c) {
+  if (line.against == kAgainstLive && !line.platform)
+    return Usage("check --against live needs --platform ADDRESS:PORT");
+  return CheckFiles(c.store, {line.arguments, line.against});
+}
+
 command_result RunDiff(const command_line& line, const command_context& c) {
   return DiffFiles(c.store, line.files);
 }
@@ -84,6 +97,7 @@
 constexpr std::array kCommands{
     command_entry{"validate", 1, kUnlimitedArguments, false, false,
                   RunValidate},
+    command_entry{"check", 1, kUnlimitedArguments, false, false, RunCheck},
     command_entry{"diff", 0, 0, true, true, RunDiff},
     command_entry{"apply", 0, 0, true, true, RunApply},
     command_entry{"get", 0, 1, false, true, RunGet},
@@ -101,12 +115,6 @@
     command_entry{"flows", 0, 0, false, true, RunFlows},
     command_entry{"explain", 1, 1, true, false, RunExplain}};
 
-command_result Usage(const std::string& text) {
-  return {exit_code::kUsage,
-          text + "; see radishyardctl --help\n",
-          {{"error", text}}};
-}
-
 }  // namespace
 
 command_result RunCommand(const command_line& line,
