Spill-over fills all domains alike once they need more than 0.7 together

Overflow that did not fit below 0.7 of the other domains' slots stayed in the crowded domain, which rejected while the others had room. The threshold is now the common demand per slot, between 0.7 and 0.8, and the spare capacity shrinks from the number of requests that belongs to it.

A share below 0.01 for each domain was dropped at every step, so that a small overflow or one that many domains divide never began; the sum of all other domains counts now.

--- a/src/direct/spill_over.cc
+++ b/src/direct/spill_over.cc
@@ -25,17 +25,17 @@
 constexpr double kMaxFailureShare = 0.6;
 /// Part of the slots that is assumed to be free in a domain of unknown load.
 constexpr double kUnknownSpareShare = 0.05;
-/// Between these utilizations the assumed spare capacity falls to none: the
-/// domain is busier than the demand of its own callers explains.
-constexpr double kFullUtilization = 2;
-constexpr double kBusyUtilization = 1.2;
+/// Between the requests per slot that belong to the threshold and this multiple
+/// of them, the assumed spare capacity falls to none: the domain is busier than
+/// the demand of its own callers explains.
+constexpr double kFullToBusy = 1.5;
 /// Time constants of the smoothing. The longer one exceeds the age of sums, so
 /// that changes that all balancers make at once are seen before they continue.
 constexpr duration kSpillTimeConstant = 500ms;
 constexpr duration kReturnTimeConstant = 2500ms;
-/// A smaller share of another domain is dropped, so that the last bytes between
-/// domains end when the overflow does.
-constexpr double kMinShare = 0.01;
+/// A smaller share of all other domains together is dropped, so that the last
+/// bytes between domains end when the overflow does.
+constexpr double kMinShareOutside = 0.01;
 /// Change of a share that is logged.
 constexpr double kLoggedStep = 0.1;
 /// Delay after an unanswered opening until a silent domain receives another
@@ -52,20 +52,39 @@
   return std::max(input.demand, input.slots / served);
 }
 
-double Overflow(const spill_input& input) {
+double Overflow(const spill_input& input, double threshold) {
   if (!input.is_known) return 0;
-  return std::max(0.0, OwnDemand(input) - kSpillThreshold * input.slots);
+  return std::max(0.0, OwnDemand(input) - threshold * input.slots);
 }
 
-double Spare(const spill_input& input) {
+/// Returns the requests in service or queued for each slot at `demand` per
+/// slot: those of a queue with two servers and random arrivals (M/M/2).
+double RequestsPerSlot(double demand) { return demand / (1 - demand * demand); }
+
+double Spare(const spill_input& input, double threshold) {
   if (input.slots <= 0 || input.is_silent) return 0;
   if (!input.is_known) return kUnknownSpareShare * input.slots;
   if (input.failure_share > kOverloadFailureShare) return 0;
-  const double utilization = input.busy / input.slots;
-  const double part = std::clamp(
-      (kFullUtilization - utilization) / (kFullUtilization - kBusyUtilization),
-      0.0, 1.0);
-  return part * std::max(0.0, kSpillThreshold * input.slots - input.demand);
+  const double busy = RequestsPerSlot(threshold);
+  const double full = kFullToBusy * busy;
+  const double part =
+      std::clamp((full - input.busy / input.slots) / (full - busy), 0.0, 1.0);
+  return part * std::max(0.0, threshold * input.slots - input.demand);
+}
+
+/// Returns the demand per slot that all domains share. If the domains together
+/// need more than kSpillThreshold, an overloaded one may use what is left of
+/// the others, up to kMaxSpillThreshold.
+double FindThreshold(const std::vector<spill_input>& inputs) {
+  double demand = 0;
+  double slots = 0;
+  for (const spill_input& input : inputs) {
+    if (!input.is_known || input.is_silent) continue;
+    demand += OwnDemand(input);
+    slots += input.slots;
+  }
+  if (slots <= 0) return kSpillThreshold;
+  return std::clamp(demand / slots, kSpillThreshold, kMaxSpillThreshold);
 }
 
 double FindShare(const std::vector<domain_share>& shares,
@@ -75,25 +94,37 @@
   return 0;
 }
 
-/// Drops shares below kMinShare and scales the others to a sum of 1.
+double ShareOutside(const std::vector<domain_share>& shares,
+                    std::string_view own_domain) {
+  double sum = 0;
+  for (const domain_share& s : shares)
+    if (s.domain != own_domain) sum += s.share;
+  return sum;
+}
+
+/// Gives all new flows to the own domain.
+void EndOverflow(std::vector<domain_share>& shares,
+                 std::string_view own_domain) {
+  for (domain_share& s : shares) s.share = s.domain == own_domain ? 1 : 0;
+}
+
+/// Scales the shares to a sum of 1.
 void Normalize(std::vector<domain_share>& shares) {
   double sum = 0;
-  for (domain_share& s : shares) {
-    if (s.share < kMinShare) s.share = 0;
-    sum += s.share;
-  }
+  for (const domain_share& s : shares) sum += s.share;
   if (sum <= 0) return;
   for (domain_share& s : shares) s.share /= sum;
 }
 
 double ShareOfOthers(const std::vector<spill_input>& inputs,
-                     const spill_input& own, double spare) {
+                     const spill_input& own, double spare, double threshold) {
   if (own.slots <= 0) return 1;
   // Without overflow the own demand may be 0, also because it is unknown.
-  const double own_overflow = Overflow(own);
+  const double own_overflow = Overflow(own, threshold);
   if (own_overflow <= 0 || spare <= 0) return 0;
   double overflow = 0;
-  for (const spill_input& input : inputs) overflow += Overflow(input);
+  for (const spill_input& input : inputs)
+    overflow += Overflow(input, threshold);
   const double placed = own_overflow * std::min(1.0, spare / overflow);
   return std::min(1.0, placed / OwnDemand(own));
 }
@@ -190,16 +221,17 @@
                                         std::string_view own_domain) {
   const auto own = std::ranges::find(inputs, own_domain, &spill_input::domain);
   if (own == inputs.end()) return {};
+  const double threshold = FindThreshold(inputs);
   double spare = 0;
   double slots = 0;
   for (const spill_input& input : inputs) {
     if (input.domain == own_domain) continue;
-    spare += Spare(input);
+    spare += Spare(input, threshold);
     slots += input.is_silent ? 0 : input.slots;
   }
   // Where no upstream is usable, placement takes the least suspect one.
   const double others =
-      spare + slots > 0 ? ShareOfOthers(inputs, *own, spare) : 0;
+      spare + slots > 0 ? ShareOfOthers(inputs, *own, spare, threshold) : 0;
   std::vector<domain_share> shares;
   for (const spill_input& input : inputs) {
     if (input.domain == own_domain) {
@@ -207,7 +239,7 @@
       continue;
     }
     // Without spare capacity and without an own upstream, slots decide.
-    double part = spare > 0 ? Spare(input) / spare : 0;
+    double part = spare > 0 ? Spare(input, threshold) / spare : 0;
     if (spare <= 0 && slots > 0 && !input.is_silent) part = input.slots / slots;
     shares.push_back({input.domain, others * part});
   }
@@ -234,6 +266,10 @@
       continue;
     s.share = before + weight * (s.share - before);
   }
+  const bool has_ended =
+      ShareOutside(smoothed, own_domain) < kMinShareOutside &&
+      ShareOutside(target, own_domain) < kMinShareOutside;
+  if (has_ended) EndOverflow(smoothed, own_domain);
   Normalize(smoothed);
   return smoothed;
 }
--- a/src/direct/spill_over.h
+++ b/src/direct/spill_over.h
@@ -26,6 +26,9 @@
 /// \brief Demand per slot above which a domain has no spare capacity. Above it,
 /// the queues of upstreams grow fast with the load.
 inline constexpr double kSpillThreshold = 0.7;
+/// \brief The highest threshold, which applies if the domains together need as
+/// much. Requests wait for about as long as they are served there.
+inline constexpr double kMaxSpillThreshold = 0.8;
 
 /// \brief What a decision knows of one domain and one service.
 struct spill_input {
@@ -72,8 +75,8 @@
 
 /// \brief Computes the shares that the inputs call for, without smoothing.
 ///
-/// The overflow of a domain is its demand beyond kSpillThreshold x slots, its
-/// spare capacity what its own callers leave below that. All overflowing
+/// The overflow of a domain is its demand beyond a threshold x slots, its spare
+/// capacity what its own callers leave below that. All overflowing
 /// domains divide the spare capacity in proportion to their overflow. What
 /// fits nowhere stays in the own domain. Failures raise the demand of the own
 /// domain and take the spare capacity of another one. A domain whose load is
