--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -19,6 +19,9 @@
 
 /// \brief Interval of the reports to other balancers.
 inline constexpr duration kReportInterval = 1s;
+/// \brief The same while requests wait in the queues of upstreams. A peak fills
+/// the queues within seconds, and decisions on older loads come too late.
+inline constexpr duration kBusyReportInterval = 500ms;
 
 /// \brief Callbacks of the exchange to its owner.
 struct exchange_handlers {
--- a/src/direct/service_load.cc
+++ b/src/direct/service_load.cc
@@ -1,4 +1,4 @@
-// Looks up loads by service and domain.
+// Looks up loads by service and domain, and whether requests wait.
 #include "direct/service_load.h"
 
 #include <algorithm>
@@ -18,4 +18,10 @@
   return &*found;
 }
 
+bool HasQueues(const load_view& view, time_point now) {
+  return std::ranges::any_of(view.loads, [now](const service_load& load) {
+    return load.busy > load.slots && now - load.measured_at <= kMaxLoadAge;
+  });
+}
+
 }  // namespace radishyard
--- a/src/direct/service_load.h
+++ b/src/direct/service_load.h
@@ -41,4 +41,8 @@
 const service_load* FindLoad(const load_view& view, std::string_view service,
                              std::string_view domain);
 
+/// \brief True if requests wait in the queues of upstreams, by a load that is
+/// not older than kMaxLoadAge.
+bool HasQueues(const load_view& view, time_point now);
+
 }  // namespace radishyard
