--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -31,7 +31,7 @@
 /// Time constants of the smoothed pressure. Loads are 1 to 3 s old; a threshold
 /// that followed them faster than their age would oscillate.
 constexpr double kRiseSeconds = 1;
-constexpr double kFallSeconds = 3;
+constexpr double kFallSeconds = 1.5;
 /// Most of the offered work that is admitted whatever the pressure, for all
 /// priorities above the lowest. Requests on open flows may fill the upstreams,
 /// and refusing the most important openings would not relieve them.
@@ -45,6 +45,14 @@
 /// Openings that can still be served later rank as if they needed more work by
 /// this factor.
 constexpr double kLaterFactor = 1.25;
+/// Time without overload in which the classes are learned. A balancer that has
+/// started in a peak, as after a power loss, knows neither their shares nor how
+/// long the peak lasts: callers that all open their flows again cause a peak
+/// that queues and retries serve.
+constexpr duration kLearningTime = 3s;
+/// Longest time between two updates that counts as learning; loads may have
+/// been unknown in a longer one.
+constexpr duration kMaxLearningStep = 1s;
 /// Times from the first copy of an opening to its second and third copy.
 constexpr std::array<duration, 2> kCopyTimes{200ms, 600ms};
 /// Consecutive ports of one caller that share a hash. Each request of a refused
@@ -71,12 +79,20 @@
 /// same decision, and the time stays within the range of `duration`.
 constexpr double kMaxSlowdown = 1000;
 
-/// Time from a request to its response at the present load, by Little's law.
+/// Mean work of a request over the offered requests of a service, in seconds.
+double MeanWork(const std::vector<admission_class>& classes) {
+  double requests = 0;
+  for (const admission_class& c : classes) requests += c.share / c.work_s;
+  return requests > 0 ? 1 / requests : kDefaultWorkSeconds;
+}
+
+/// Time from a request to its response at the present load: its own work after
+/// that of the requests that wait before it, which need the mean work.
 duration ExpectedResponse(const service_admission& admission, double work_s) {
-  const double slowdown =
-      std::clamp(admission.evidence.utilization, 1.0, kMaxSlowdown);
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(work_s * slowdown));
+  const double waiting =
+      std::clamp(admission.evidence.utilization, 1.0, kMaxSlowdown) - 1;
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+      work_s + waiting * MeanWork(admission.classes)));
 }
 
 /// True if a request is served within its target latency although its flow is
@@ -170,13 +186,6 @@
   return rows == admission.classes.size();
 }
 
-/// Mean work of a request over the offered requests of a service, in seconds.
-double MeanWork(const std::vector<admission_class>& classes) {
-  double requests = 0;
-  for (const admission_class& c : classes) requests += c.share / c.work_s;
-  return requests > 0 ? 1 / requests : kDefaultWorkSeconds;
-}
-
 /// The pressure that the evidence shows, in the unit of utilization. The part
 /// of the arriving work that is rejected counts in addition to what is queued;
 /// if all is rejected, it counts as a second full queue.
@@ -233,8 +242,17 @@
   return std::min(share, kMaxHeadroom);
 }
 
+/// Counts the time since the last update if no overload is seen.
+void AdvanceLearning(service_admission& admission, time_point now) {
+  if (!admission.is_known || admission.admitted < 1) return;
+  const duration step =
+      std::clamp(now - admission.updated_at, duration{}, kMaxLearningStep);
+  admission.learned = std::min(admission.learned + step, kLearningTime);
+}
+
 void UpdateAdmission(service_admission& admission,
                      const overload_evidence& evidence, time_point now) {
+  AdvanceLearning(admission, now);
   const double measured =
       MeasurePressure(evidence, MeanWork(admission.classes));
   // Slots are free: nothing is throttled for the sake of smoothness.
@@ -274,7 +292,9 @@
     const auto evidence =
         FindLeastPressure(loads, service, MeanWork(admission.classes), now);
     if (!evidence) {
-      admission = {};
+      // What was learned before a gap in the loads still holds.
+      admission = {.learned = admission.learned,
+                   .classes = std::move(admission.classes)};
       continue;
     }
     // Refused callers try again, so the openings seen under overload overstate
@@ -291,7 +311,8 @@
 }
 
 bool IsOverloaded(const service_admission& admission, time_point now) {
-  return IsRecent(admission, now) && admission.admitted < 1;
+  return IsRecent(admission, now) && admission.admitted < 1 &&
+         admission.learned >= kLearningTime;
 }
 
 admission_action DecideAdmission(const service_admission& admission,
--- a/src/direct/admission.h
+++ b/src/direct/admission.h
@@ -56,6 +56,9 @@
   double pressure = 0;  ///< Smoothed pressure; see admission.cc.
   double admitted = 1;  ///< Admitted part of the offered work: the threshold.
   bool is_falling = false;  ///< The last update lowered the threshold.
+  /// How long loads without overload have been seen, up to kLearningTime. Below
+  /// it the classes are not known, and everything is admitted.
+  duration learned{};
   time_point updated_at{};
   std::vector<admission_class> classes;  ///< Sorted by rank.
   auto operator<=>(const service_admission&) const = default;
@@ -75,8 +78,8 @@
 /// kMaxLoadAge.
 bool IsRecent(const service_admission& admission, time_point now);
 
-/// \brief True if the load is recent and shows overload, so that not everything
-/// is admitted.
+/// \brief True if the load is recent and shows overload, and the classes are
+/// known, so that not everything is admitted.
 bool IsOverloaded(const service_admission& admission, time_point now);
 
 /// \brief What to do with an opening.
