--- a/src/ctl/check_command.cc
+++ b/src/ctl/check_command.cc
@@ -122,15 +122,18 @@
   return comparison;
 }
 
+bool Contains(const std::vector<loaded_file>& files, const std::string& name) {
+  return std::ranges::any_of(files, [&name](const loaded_file& file) {
+    return file.content.value.name == name;
+  });
+}
+
 void AddServicesNotInFiles(const std::vector<loaded_file>& files,
                            const services_in_force& in_force,
                            std::vector<service_comparison>& comparisons) {
-  for (const auto& [name, value] : in_force.services) {
-    const bool is_in_files = std::ranges::any_of(
-        files, [&](const auto& f) { return f.content.value.name == name; });
-    if (!is_in_files && !value.deleted)
+  for (const auto& [name, value] : in_force.services)
+    if (!value.deleted && !Contains(files, name))
       comparisons.push_back({name, "not in the files", {}});
-  }
 }
 
 void CompareWith(const services_in_force& in_force,
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -172,9 +172,8 @@
     SendReports(kTargetsPerReport);
     SendLoadNotices(now);
     DiscoverMembers(now);
-    report_timer_.expires_after(HasQueues(state_.loads, now)
-                                    ? kBusyReportInterval
-                                    : kReportInterval);
+    report_timer_.expires_after(
+        HasQueues(state_.loads, now) ? kBusyReportInterval : kReportInterval);
     report_timer_.async_wait([self = shared_from_this()](error_code error) {
       if (!error) self->RunPeriodicTasks();
     });
