--- a/src/ctl/check_command.cc
+++ b/src/ctl/check_command.cc
@@ -27,11 +27,17 @@
   std::set<std::string> evacuated_domains;
 };
 
-/// The differences of one service. `state` is "new", "changed", "unchanged" or
-/// "not in the files".
+enum class comparison_state : uint8_t {
+  kNew,
+  kChanged,
+  kUnchanged,
+  kNotInFiles,
+};
+
+/// The differences of one service.
 struct service_comparison {
   std::string name;
-  std::string state;
+  comparison_state state = comparison_state::kUnchanged;
   std::vector<service_change> changes;
 };
 
@@ -116,9 +122,9 @@
       .changes = DiffServices(
           is_new ? service{.name = desired.name} : stored->second, desired)};
   if (is_new)
-    comparison.state = "new";
-  else
-    comparison.state = comparison.changes.empty() ? "unchanged" : "changed";
+    comparison.state = comparison_state::kNew;
+  else if (!comparison.changes.empty())
+    comparison.state = comparison_state::kChanged;
   return comparison;
 }
 
@@ -133,7 +139,7 @@
                            std::vector<service_comparison>& comparisons) {
   for (const auto& [name, value] : in_force.services)
     if (!value.deleted && !Contains(files, name))
-      comparisons.push_back({name, "not in the files", {}});
+      comparisons.push_back({name, comparison_state::kNotInFiles, {}});
 }
 
 void CompareWith(const services_in_force& in_force,
@@ -150,9 +156,23 @@
   AddServicesNotInFiles(files, in_force, report.comparisons);
 }
 
+std::string ToText(comparison_state state) {
+  switch (state) {
+    case comparison_state::kNew:
+      return "new";
+    case comparison_state::kChanged:
+      return "changed";
+    case comparison_state::kUnchanged:
+      return "unchanged";
+    case comparison_state::kNotInFiles:
+      return "not in the files";
+  }
+  return "";
+}
+
 std::string FormatComparison(const service_comparison& c) {
-  if (c.state == "unchanged") return "";
-  return c.name + " is " + c.state + "\n" + FormatChanges(c.changes);
+  if (c.state == comparison_state::kUnchanged) return "";
+  return c.name + " is " + ToText(c.state) + "\n" + FormatChanges(c.changes);
 }
 
 exit_code ToExitCode(const check_report& report) {
@@ -180,7 +200,7 @@
   for (const service_comparison& c : report.comparisons) {
     result.text += FormatComparison(c);
     services.push_back({{"service", c.name},
-                        {"state", c.state},
+                        {"state", ToText(c.state)},
                         {"changes", ToChangesJson(c.changes)}});
   }
   if (result.text.empty()) result.text = "no errors, warnings or differences\n";
--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -21,15 +21,15 @@
 /// Below this pressure slots are free.
 constexpr double kFreePressure = 1;
 /// Relative decrease of the threshold for each unit of pressure above
-/// kRoomPressure. It is the gain of a loop with a delay of 1 to 3 s, in which
+/// kRoomPressure. It is the gain of a loop with a delay of a second, in which
 /// the pressure rises by several units when the load rises from 0.8 to 1.2.
 constexpr double kPressureGain = 0.5;
 /// More pressure than this above kRoomPressure does not lower the threshold
 /// further. It comes from upstreams that are slow or failing, which fewer
 /// openings would not relieve.
 constexpr double kMaxExcess = 4;
-/// Time constants of the smoothed pressure. Loads are 1 to 3 s old; a threshold
-/// that followed them faster than their age would oscillate.
+/// Time constants of the smoothed pressure. Under overload loads are 0.5 to 1.5
+/// s old; a threshold that followed them faster than that would oscillate.
 constexpr double kRiseSeconds = 1;
 constexpr double kFallSeconds = 1.5;
 /// Most of the offered work that is admitted whatever the pressure, for all
