check: finds conflicts beside malformed files, and warns of a version only where apply refuses it

Each has a check in check_command_test.

The tests of lost history run on after the second list read, in an interval of 1 s, so that a follower that keeps reading still fails them. Comments on ages, thresholds and intervals agree with the code.

--- a/src/ctl/check_command.cc
+++ b/src/ctl/check_command.cc
@@ -75,7 +75,12 @@
   return in_force;
 }
 
+bool Contains(const findings& found, const finding& f) {
+  return std::ranges::find(found.list(), f) != found.list().end();
+}
+
 /// Adds the conflicts between files and services that they do not replace.
+/// Those among the files are errors already.
 void CheckOtherServices(const std::vector<loaded_file>& files,
                         const services_in_force& in_force, findings& errors) {
   std::map<std::string, service> table = in_force.services;
@@ -84,7 +89,10 @@
   std::vector<service> services;
   services.reserve(table.size());
   for (const auto& [name, value] : table) services.push_back(value);
-  CheckConflicts(files, services, errors);
+  findings conflicts;
+  CheckConflicts(files, services, conflicts);
+  for (const finding& f : conflicts.list())
+    if (!Contains(errors, f)) errors.Add(f.place, f.reason);
 }
 
 /// Returns the service of the file as `apply` would write it.
@@ -101,16 +109,23 @@
     warnings.Add(file.path + "#" + f.place, f.reason);
 }
 
-void CheckVersion(const loaded_file& file, const services_in_force& in_force,
-                  findings& warnings) {
+/// Warns of a file that was made from another version, unless there is nothing
+/// to apply.
+void CheckVersion(const loaded_file& file, const service& desired,
+                  const services_in_force& in_force, findings& warnings) {
   if (!file.content.version) return;
-  const auto stored = in_force.versions.find(file.content.value.name);
-  const uint64_t version =
-      stored == in_force.versions.end() ? 0 : stored->second;
-  if (*file.content.version == version) return;
-  warnings.Add(file.path + "#/version", "is not the version in force, " +
-                                            std::to_string(version) +
-                                            ": the file would not be accepted");
+  const auto stored = in_force.services.find(desired.name);
+  const bool is_stored = stored != in_force.services.end();
+  if (is_stored && stored->second == desired) return;
+  const auto version = in_force.versions.find(desired.name);
+  const bool has_version = version != in_force.versions.end();
+  // A file to compare with need not name its version.
+  if (is_stored && !has_version) return;
+  if (has_version && version->second == *file.content.version) return;
+  warnings.Add(file.path + "#/version",
+               "is not the version in force, " +
+                   (has_version ? std::to_string(version->second) : "none") +
+                   ": apply accepts it with --base only");
 }
 
 service_comparison Compare(const service& desired,
@@ -144,11 +159,10 @@
 
 void CompareWith(const services_in_force& in_force,
                  const std::vector<loaded_file>& files, check_report& report) {
-  // Conflicts among the files are errors already.
-  if (report.errors.empty()) CheckOtherServices(files, in_force, report.errors);
+  CheckOtherServices(files, in_force, report.errors);
   for (const loaded_file& file : files) {
     const service desired = DesiredService(file, in_force);
-    CheckVersion(file, in_force, report.warnings);
+    CheckVersion(file, desired, in_force, report.warnings);
     AddWarnings(file, AdviseOnEvacuations(desired, in_force.evacuated_domains),
                 report.warnings);
     report.comparisons.push_back(Compare(desired, in_force));
--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -29,7 +29,7 @@
 /// openings would not relieve.
 constexpr double kMaxExcess = 4;
 /// Time constants of the smoothed pressure. Under overload loads are 0.5 to 1.5
-/// s old; a threshold that followed them faster than that would oscillate.
+/// s old; a threshold that followed them much faster would oscillate.
 constexpr double kRiseSeconds = 1;
 constexpr double kFallSeconds = 1.5;
 /// Most of the offered work that is admitted whatever the pressure, for all
@@ -75,9 +75,9 @@
   return std::ldexp(static_cast<double>(StableHash(flow) >> kBits), -kBits);
 }
 
-/// Longest assumed wait, as a factor of the work. Any higher one leads to the
-/// same decision, and the time stays within the range of `duration`.
-constexpr double kMaxSlowdown = 1000;
+/// Highest utilization assumed for a wait. Any higher one leads to the same
+/// decision, and the time stays within the range of `duration`.
+constexpr double kMaxAssumedUtilization = 1000;
 
 /// Mean work of a request over the offered requests of a service, in seconds.
 double MeanWork(const std::vector<admission_class>& classes) {
@@ -90,7 +90,8 @@
 /// that of the requests that wait before it, which need the mean work.
 duration ExpectedResponse(const service_admission& admission, double work_s) {
   const double waiting =
-      std::clamp(admission.evidence.utilization, 1.0, kMaxSlowdown) - 1;
+      std::clamp(admission.evidence.utilization, 1.0, kMaxAssumedUtilization) -
+      1;
   return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
       work_s + waiting * MeanWork(admission.classes)));
 }
@@ -292,7 +293,8 @@
     const auto evidence =
         FindLeastPressure(loads, service, MeanWork(admission.classes), now);
     if (!evidence) {
-      // What was learned before a gap in the loads still holds.
+      // A gap in the loads does not start the learning time anew. The classes
+      // serve as the mean work until the next load.
       admission = {.learned = admission.learned,
                    .classes = std::move(admission.classes)};
       continue;
--- a/src/direct/admission.h
+++ b/src/direct/admission.h
@@ -56,8 +56,8 @@
   double pressure = 0;  ///< Smoothed pressure; see admission.cc.
   double admitted = 1;  ///< Admitted part of the offered work: the threshold.
   bool is_falling = false;  ///< The last update lowered the threshold.
-  /// How long loads without overload have been seen, up to kLearningTime. Below
-  /// it the classes are not known, and everything is admitted.
+  /// How long loads without overload have been seen, up to the learning time in
+  /// admission.cc. Until then everything is admitted.
   duration learned{};
   time_point updated_at{};
   std::vector<admission_class> classes;  ///< Sorted by rank.
--- a/src/direct/load_exchange.h
+++ b/src/direct/load_exchange.h
@@ -3,8 +3,9 @@
 //
 // Members report their measurement to the members of their domain. The readers
 // of a domain, which all members report to, send the sum of the domain to all
-// members and to one balancer of each other domain, once a second. A sum that
-// arrives from another domain goes on with the next notice of a reader.
+// members and to one balancer of each other domain, once a second or more
+// often. A sum that arrives from another domain goes on with the next notice of
+// a reader.
 #pragma once
 #include <optional>
 
--- a/src/direct/load_pool.h
+++ b/src/direct/load_pool.h
@@ -15,8 +15,8 @@
 
 namespace radishyard {
 
-/// \brief A member that hears no sum of its own domain for this long, because
-/// the readers are gone, estimates it itself. Readers send it once a second.
+/// \brief A member without a sum of its own domain for this long, because the
+/// readers are gone, estimates it itself. Readers send one a second at least.
 inline constexpr duration kSumTimeout = 1500ms;
 
 /// \brief The measurement of one member, and when it was received.
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -36,6 +36,9 @@
 /// Longest report in bytes.
 constexpr size_t kDatagramBytes = 8192;
 
+static_assert(kBusyReportInterval >= kMinMeasurement,
+              "a report would repeat the measurement of the one before");
+
 udp::endpoint ToUdp(const endpoint& e) {
   return {asio::ip::address_v4(e.address), e.port};
 }
--- a/src/direct/peer_members.cc
+++ b/src/direct/peer_members.cc
@@ -18,7 +18,8 @@
 /// are listed in replies to balancers that look for them.
 constexpr duration kMemberRetention = 30s;
 /// A member of another domain that was heard less recently may be gone. Its
-/// readers send their sums once a second, alternating between two members.
+/// readers send their sums each second at least, alternating between two
+/// members.
 constexpr duration kForeignLiveTimeout = 5s;
 /// Most members kept.
 constexpr size_t kMaxMembers = 4096;
--- a/src/direct/spill_over.cc
+++ b/src/direct/spill_over.cc
@@ -25,10 +25,10 @@
 constexpr double kMaxFailureShare = 0.6;
 /// Part of the slots that is assumed to be free in a domain of unknown load.
 constexpr double kUnknownSpareShare = 0.05;
-/// Between the requests per slot that belong to the threshold and this multiple
-/// of them, the assumed spare capacity falls to none: the domain is busier than
-/// the demand of its own callers explains.
-constexpr double kFullToBusy = 1.5;
+/// The assumed spare capacity falls from all to none between the requests per
+/// slot expected at the threshold and this multiple of them: the domain is
+/// busier than the demand of its own callers explains.
+constexpr double kNoSpareRatio = 1.5;
 /// Time constants of the smoothing. The longer one exceeds the age of sums, so
 /// that changes that all balancers make at once are seen before they continue.
 constexpr duration kSpillTimeConstant = 500ms;
@@ -66,14 +66,14 @@
   if (!input.is_known) return kUnknownSpareShare * input.slots;
   if (input.failure_share > kOverloadFailureShare) return 0;
   const double busy = RequestsPerSlot(threshold);
-  const double full = kFullToBusy * busy;
+  const double full = kNoSpareRatio * busy;
   const double part =
       std::clamp((full - input.busy / input.slots) / (full - busy), 0.0, 1.0);
   return part * std::max(0.0, threshold * input.slots - input.demand);
 }
 
-/// Returns the demand per slot that all domains share. If the domains together
-/// need more than kSpillThreshold, an overloaded one may use what is left of
+/// Returns the demand per slot up to which every domain is filled. If they need
+/// more than kSpillThreshold, an overloaded one may use what is left of
 /// the others, up to kMaxSpillThreshold.
 double FindThreshold(const std::vector<spill_input>& inputs) {
   double demand = 0;
--- a/src/direct/spill_over.h
+++ b/src/direct/spill_over.h
@@ -23,11 +23,11 @@
 
 namespace radishyard {
 
-/// \brief Demand per slot above which a domain has no spare capacity. Above it,
-/// the queues of upstreams grow fast with the load.
+/// \brief Lowest demand per slot above which a domain has no spare capacity.
+/// Above it, the queues of upstreams grow fast with the load.
 inline constexpr double kSpillThreshold = 0.7;
-/// \brief The highest threshold, which applies if the domains together need as
-/// much. Requests wait for about as long as they are served there.
+/// \brief The highest one, which applies if the domains together need as much.
+/// Requests wait for 1.8 times as long as they are served there (M/M/2).
 inline constexpr double kMaxSpillThreshold = 0.8;
 
 /// \brief What a decision knows of one domain and one service.
@@ -75,8 +75,8 @@
 
 /// \brief Computes the shares that the inputs call for, without smoothing.
 ///
-/// The overflow of a domain is its demand beyond a threshold x slots, its spare
-/// capacity what its own callers leave below that. All overflowing
+/// The overflow of a domain is its demand beyond a threshold x slots (see
+/// kMaxSpillThreshold), its spare capacity what is left below. All overflowing
 /// domains divide the spare capacity in proportion to their overflow. What
 /// fits nowhere stays in the own domain. Failures raise the demand of the own
 /// domain and take the spare capacity of another one. A domain whose load is
--- a/src/direct/view_message.h
+++ b/src/direct/view_message.h
@@ -92,7 +92,7 @@
   auto operator<=>(const evacuation_report&) const = default;
 };
 
-/// \brief The report that a balancer sends to others about once a second.
+/// \brief The report that a balancer sends to others each second at least.
 struct view_report {
   /// Fields that every version of the protocol has; see peer/peer_codec.
   static constexpr size_t kRequiredFields = 9;
--- a/src/table/table_advice.cc
+++ b/src/table/table_advice.cc
@@ -105,7 +105,7 @@
     if (evacuated_domains.contains(u.domain)) ++evacuated;
   }
   if (taking > 0 && evacuated == taking)
-    found.Add("/upstreams", "are all in evacuated domains");
+    found.Add("/upstreams", "that take new flows are all in evacuated domains");
   return found;
 }
 
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -251,8 +251,8 @@
   EXPECT_TRUE(refuses(4s));
 }
 
-// Guards against a gap in the loads that makes a balancer learn anew.
-TEST(Admission, WhatWasLearnedOutlastsAGapInTheLoads) {
+// Guards against a gap in the loads that starts the learning time anew.
+TEST(Admission, TheLearningTimeOutlastsAGapInTheLoads) {
   service_admissions admissions{{kService, MakeAdmission(1)}};
   UpdateAdmissions(admissions, MakeTable(), {}, {}, kNow + 1s);
   EXPECT_FALSE(admissions.at(kService).is_known);
--- a/test/check_command_test.cc
+++ b/test/check_command_test.cc
@@ -6,6 +6,9 @@
 
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <string>
+#include <vector>
 
 #include "ctl/edit.h"
 #include "ctl/evacuation_commands.h"
@@ -67,7 +70,7 @@
             places{});
 }
 
-// Guards against limits of which one can never be reached.
+// Guards against limits that leave slots unused.
 TEST(TableAdvice, FindsLimitsThatContradictEachOther) {
   const auto few_connections = [](service& s) {
     s.upstreams[1].connections = 1;
@@ -90,6 +93,16 @@
             places{"/upstreams/3/weight"});
 }
 
+// Guards against a warning while one upstream still takes flows.
+TEST(TableAdvice, FindsServicesWithoutAnUpstreamOutsideEvacuatedDomains) {
+  service s = MakeService("a", 0x0a000100);
+  s.upstreams[0].domain = "quimper";
+  EXPECT_TRUE(AdviseOnEvacuations(s, {"rennes"}).empty());
+  EXPECT_FALSE(AdviseOnEvacuations(s, {"quimper", "rennes"}).empty());
+  s.upstreams[0].state = upstream_state::kLeaving;
+  EXPECT_FALSE(AdviseOnEvacuations(s, {"rennes"}).empty());
+}
+
 class check_command : public testing::Test {
  protected:
   check_command() {
@@ -153,15 +166,21 @@
   EXPECT_EQ(result.json["services"][1]["state"], "not in the files");
 }
 
-// Guards against a malformed file that hides the report on the others, and
-// against an unreachable store that passes for an empty one.
+// Guards against a malformed file that hides conflicts and differences of the
+// others, and against an unreachable store that passes for an empty one.
 TEST_F(check_command, ReportsValidFilesBesideMalformedOnes) {
-  WriteFile(MakeService("a", 0x0a000100));
+  const std::string a = WriteFile(MakeService("a", 0x0a000100));
+  Apply(a);
+  std::filesystem::remove(a);
   WriteFile("b.json", "{");
+  service c = MakeService("c", 0x0a000300);
+  c.upstreams[0].address = 0x0a000101;
+  WriteFile(c);
   const command_result result = Check(folder_);
   EXPECT_EQ(result.code, exit_code::kFindings);
-  EXPECT_EQ(result.json["errors"].size(), 1U);
-  EXPECT_EQ(result.json["services"].size(), 1U);
+  EXPECT_EQ(result.json["errors"].size(), 2U);
+  EXPECT_EQ(result.json["services"].size(), 2U);
+  EXPECT_EQ(result.text.find("error: "), 0U);
   store_.SetFault({.mode = fault_mode::kOutage});
   EXPECT_EQ(Check(folder_).code, exit_code::kUnavailable);
 }
@@ -173,10 +192,26 @@
   Apply(path);
   SetEvacuation(blocking_, "rennes", true, RandomEditId);
   EXPECT_EQ(Check(path).json["warnings"][0]["place"], path + "#/upstreams");
-  const std::string old = WriteFile(
-      "old.json",
-      ToFileJson({.value = MakeService("a", 0x0a000100), .version = 7}));
+  service a = MakeService("a", 0x0a000100);
+  const std::string same =
+      WriteFile("same.json", ToFileJson({.value = a, .version = 7}));
+  EXPECT_EQ(Check(same).json["warnings"].size(), 1U) << "nothing to apply";
+  a.upstreams[0].slots = 3;
+  const std::string old =
+      WriteFile("old.json", ToFileJson({.value = a, .version = 7}));
   EXPECT_EQ(Check(old).json["warnings"][0]["place"], old + "#/version");
+  EXPECT_EQ(Check(old, path).code, exit_code::kNotDone);
+  EXPECT_TRUE(Check(old, path).json["warnings"].empty())
+      << "the file to compare with names no version";
+}
+
+// Guards against a comparison with the store that is left out without a word.
+TEST_F(check_command, NeedsThePlatformToCompareWithTheStore) {
+  const command_line line{.command = "check",
+                          .arguments = {WriteFile(MakeService("a", 1 << 24))},
+                          .against = kAgainstLive};
+  EXPECT_EQ(RunCommand(line, {blocking_, {}, RandomEditId}).code,
+            exit_code::kUsage);
 }
 
 // Guards against a comparison with files that asks the store.
--- a/test/registry_follower_test.cc
+++ b/test/registry_follower_test.cc
@@ -90,8 +90,7 @@
     follower_->Start();
   }
 
-  /// Runs until the whole list has been read `count` times, but not through the
-  /// reads of later intervals, as a busy machine may do within a fixed time.
+  /// Runs until the whole list has been read `count` times.
   void RunUntilListReads(int count) {
     const auto deadline = clock::now() + 10s;
     while (source_.list_reads < count && clock::now() < deadline)
@@ -106,6 +105,12 @@
   bool must_read_ = true;
 };
 
+/// Longer than the stalls of a busy machine, so that no second interval begins
+/// in a test of one.
+constexpr follower_times kOneInterval{.list_interval = 1s,
+                                      .watch_wait = 10s,
+                                      .recheck_interval = 10ms,
+                                      .backoff = {20ms, 40ms}};
 constexpr follower_times kShortIntervals{.list_interval = 50ms,
                                          .watch_wait = 100ms,
                                          .recheck_interval = 10ms,
@@ -170,20 +175,22 @@
 }
 
 TEST_F(registry_following, ReadsTheWholeListAgainAfterLostHistory) {
-  Start(kShortIntervals);
+  Start(kOneInterval);
   RunUntilListReads(1);
   source_.change_failure = failure{failure_kind::kNotFound, "410"};
   RunUntilListReads(2);
+  io_.run_for(60ms);
   EXPECT_EQ(source_.list_reads, 2);
   EXPECT_EQ(source_.change_reads, 1);
   EXPECT_TRUE(state_changes_.empty());
 }
 
 TEST_F(registry_following, ReadsTheWholeListAgainIfTheStoreHasGoneBack) {
-  Start(kShortIntervals);
+  Start(kOneInterval);
   RunUntilListReads(1);
   source_.changes = {.revision = 0};
   RunUntilListReads(2);
+  io_.run_for(60ms);
   EXPECT_EQ(source_.list_reads, 2);
   EXPECT_EQ(source_.change_reads, 1);
 }
