--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,7 +10,8 @@
   -Isrc -Iinclude -Itest -Iplatform -Iplatform/test -Ireview/standins-2)
 objects=()
 compile() { # SOURCE: compiles it unless its object is newer than all sources
-  local object=$out/$(basename "$1" .cc).o
+  local object
+  object=$out/$(basename "${1%.*}").o
   objects+=("$object")
   if [ -e "$object" ] && [ -z "$(find "$1" review/standins-2 -newer "$object" -name '*.[hc]*' | head -n 1)" ]; then
     return
@@ -19,13 +20,13 @@
   g++ "${flags[@]}" -c "$1" -o "$object"
 }
 for source in packet record server caller world; do
-  compile "review/standins-2/$source.cc"
+  compile "review/standins-2/$source.cpp"
 done
 compile platform/test/store_stand_in.cc
 compile test/support/process.cc
 shared=("${objects[@]}")
-for main in review/standins-2/*_main.cc; do
-  name=$(basename "$main" _main.cc)
+for main in review/standins-2/*_main.cpp; do
+  name=$(basename "$main" _main.cpp)
   objects=()
   compile "$main"
   g++ "${objects[@]}" "${shared[@]}" -o "$out/${name}_case" -lpthread
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cpp
@@ -38,8 +38,9 @@
   try {
     for (uint16_t i = 0; i <= kServerPort; ++i) {
       const auto port = static_cast<uint16_t>(base + i);
-      udp::socket(io, udp::endpoint(ToIp(kEdgeNet + 1), port));
-      tcp::acceptor(io, tcp::endpoint(ToIp(kEdgeNet + 1), port), false);
+      const udp::socket packets(io, udp::endpoint(ToIp(kEdgeNet + 1), port));
+      const tcp::acceptor pages(io, tcp::endpoint(ToIp(kEdgeNet + 1), port),
+                                false);
     }
   } catch (const boost::system::system_error&) {
     return false;
