Review case 6: a foreign entry makes a server run another service's requests

A script: one entry of another writer whose born is null, under a name that ends in the digits of a live endpoint's id, and for another service. The balancers take it for the endpoint's own from the next reading of the whole list on, and the endpoint runs requests of that service (ROUTE).

--- a/review/standins-2/gone_main.cpp
+++ b/review/standins-2/gone_main.cpp
@@ -22,7 +22,7 @@
 constexpr millis kDrainBound{3000};
 /// Longest time that a packet is on its way on loopback.
 constexpr millis kTransit{50};
-/// Index of the balancer that stands still.
+/// Index of the balancer that stands still, one of eleven.
 constexpr size_t kFrozen = 2;
 constexpr millis kLength{30'000};
 
@@ -31,8 +31,11 @@
   world w({.folder = folder,
            .scratch = scratch,
            .program = program,
-           .edge_zones = {"rennes", "rennes", "rennes", "rennes"},
-           .server_zones = {"rennes", "rennes", "rennes", "rennes", "rennes"}});
+           .edge_zones = {"rennes", "rennes", "rennes", "rennes", "quimper",
+                          "quimper", "quimper", "quimper", "vannes", "vannes",
+                          "vannes"},
+           .server_zones = {"rennes", "rennes", "rennes", "rennes", "rennes",
+                            "quimper", "vannes"}});
   if (!w.WaitUntilReady()) return 2;
   for (int i = 0; i < kCallers; ++i)
     w.AddCaller("rennes")->StartFreshFlows(kCallerPause);
--- a/review/standins-2/server.cpp
+++ b/review/standins-2/server.cpp
@@ -139,6 +139,7 @@
 void server::RunRequest(const flow_key& key, const std::string& id) {
   ++requests_run_;
   log_.Write("run " + id + " at " + ToText(at_));
+  if (on_run) on_run(*this, key.second, id);
   const auto timer = std::make_shared<asio::steady_timer>(io_, work_);
   timer->async_wait([this, timer, key, id](error_code error) {
     const auto found = flows_.find(key);
--- a/review/standins-2/server.h
+++ b/review/standins-2/server.h
@@ -36,6 +36,9 @@
   /// Called for each opening packet that arrives, with the sender's address.
   std::function<void(const server&, const packet&, const address& balancer)>
       on_opening;
+  /// Called for each request that is run, with the route that it came for.
+  std::function<void(const server&, const address& route, const std::string&)>
+      on_run;
   /// If set, returns true for a packet that is lost on the way to the server.
   std::function<bool(const packet&)> is_lost;
 
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -85,7 +85,11 @@
         io, log,
         address{kServerNet + 1 + i,
                 static_cast<uint16_t>(port_base_ + kServerPort)},
-        kFirstServerId + i * 0x10001, "chantier-live", options_.work));
+        kFirstServerId + i * 0x10001,
+        i + options_.other_servers < options_.server_zones.size()
+            ? kService
+            : kOtherService,
+        options_.work));
     PutServer(*servers.back(), "ready");
     log.Write("server " + servers.back()->name() + " at " +
               ToText(servers.back()->at()) + " in " + zone);
@@ -106,7 +110,13 @@
 void world::PutTable(uint64_t version) {
   const std::string host = "198.18.0.1";
   json spec = radishyard::platform::MakeTableSpec(
-      version, host, kRoutePort, "chantier-live", options_.route_type);
+      version, host, kRoutePort, kService, options_.route_type);
+  if (options_.other_servers > 0)
+    spec["routes"].push_back(
+        radishyard::platform::MakeTableSpec(version, "198.18.0.2", kRoutePort,
+                                            kOtherService, "download")
+            .at("routes")
+            .at(0));
   store->Put("config", "main", spec);
 }
 
@@ -178,10 +188,11 @@
   });
 }
 
-std::shared_ptr<caller> world::AddCaller(const std::string& zone) {
+std::shared_ptr<caller> world::AddCaller(const std::string& zone,
+                                         uint32_t route_ip) {
   const auto i = static_cast<uint32_t>(callers.size());
   callers.push_back(std::make_shared<caller>(
-      io, log, kCallerNet + 1 + i, address{kRouteIp, kRoutePort},
+      io, log, kCallerNet + 1 + i, address{route_ip, kRoutePort},
       [this, zone](const packet& p) { Route(zone, p); }, 100 + i));
   return callers.back();
 }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -12,7 +12,11 @@
 namespace review {
 
 inline constexpr uint32_t kRouteIp = 0xC6120001;  ///< 198.18.0.1, in packets.
+inline constexpr uint32_t kOtherRouteIp = 0xC6120002;  ///< 198.18.0.2.
 inline constexpr uint16_t kRoutePort = 8443;
+inline constexpr const char* kService = "chantier-live";
+/// \brief Service of the other route.
+inline constexpr const char* kOtherService = "archives-plans";
 inline constexpr int kHeartbeatMs = 1200;
 
 /// \brief One balancer, a process of its own.
@@ -31,6 +35,8 @@
   std::string program;  ///< The balancer's, as the deploy file names it.
   std::vector<std::string> edge_zones;  ///< One for each balancer.
   std::vector<std::string> server_zones;
+  /// The last servers, so many of them, are of kOtherService.
+  size_t other_servers = 0;
   millis work{15};
   std::string route_type = "idempotent";
 };
@@ -50,7 +56,8 @@
   void At(millis wait, std::function<void()> action);
 
   /// \brief Adds a caller in `zone`, with an address of its own.
-  std::shared_ptr<caller> AddCaller(const std::string& zone);
+  std::shared_ptr<caller> AddCaller(const std::string& zone,
+                                    uint32_t route_ip = kRouteIp);
   /// \brief Starts the process of a balancer.
   void StartEdge(size_t index);
   /// \brief Writes the table, with its version.
