--- a/review/standins-2/silence_main.cpp
+++ b/review/standins-2/silence_main.cpp
@@ -9,15 +9,15 @@
 namespace review {
 namespace {
 
-constexpr int kOfficeFlows = 12;
+constexpr int kOfficeFlows = 24;
 constexpr int kCallers = 12;
-constexpr millis kOfficePause{700};
+constexpr millis kOfficePause{1000};
 constexpr millis kCallerPause{1600};
 constexpr millis kFirstLoss{4000};
 constexpr millis kLossInterval{5000};
 constexpr millis kLossLength{800};
-constexpr int kLosses = 14;
-constexpr millis kLength{74'000};
+constexpr int kLosses = 19;
+constexpr millis kLength{99'000};
 
 int Run(const std::string& folder, const std::string& scratch,
         const std::string& program, bool trouble) {
