Review case 10: a balancer that is no seed stands still

The balancer that stands still is no seed now, so that it tells all others of the alleged outage, and the entry is removed 0.6 s after it continues.

--- a/review/standins-2/gone_main.cpp
+++ b/review/standins-2/gone_main.cpp
@@ -11,19 +11,19 @@
 namespace review {
 namespace {
 
-constexpr int kCallers = 10;
-constexpr millis kCallerPause{250};
+constexpr int kCallers = 20;
+constexpr millis kCallerPause{200};
 constexpr millis kLastHeartbeat{4000};
 constexpr millis kSilenceUntilRemoval{3 * kHeartbeatMs};
 constexpr millis kRemoval = kLastHeartbeat + kSilenceUntilRemoval;
-constexpr millis kFreezeEnd = kRemoval - millis(300);
+constexpr millis kFreezeEnd = kRemoval - millis(600);
 constexpr millis kFreezeLength{4000};
 constexpr millis kFreezeStart = kFreezeEnd - kFreezeLength;
 constexpr millis kDrainBound{3000};
 /// Longest time that a packet is on its way on loopback.
 constexpr millis kTransit{50};
 /// Index of the balancer that stands still, one of eleven.
-constexpr size_t kFrozen = 2;
+constexpr size_t kFrozen = 3;
 constexpr millis kLength{30'000};
 
 int Run(const std::string& folder, const std::string& scratch,
