--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -53,6 +53,7 @@
       : io_(io),
         config_(config),
         codec_(codec),
+        source_(source),
         socket_(io, ToUdp(config.traffic)),
         maintenance_timer_(io),
         stop_(io),
@@ -141,8 +142,11 @@
                           now);
   }
 
+  /// The first list is read after the table, because the services decide which
+  /// of several entries has an id. Neither is of use without the other.
   bool NeedsList(time_point now) const {
-    if (!state_.directory.has_list) return !AwaitsPeers(now);
+    if (!state_.directory.has_list)
+      return state_.table.version != 0 && !AwaitsPeers(now);
     if (peers_.IsRegistryReader(now)) return true;
     const auto stale = std::chrono::duration_cast<duration>(
         times_.list_interval * kStaleListIntervals);
@@ -185,6 +189,7 @@
          {"table_taken", effect.table_applied ? "yes" : "no"},
          {"list_taken", effect.list_applied ? "yes" : "no"}});
     LogDirectoryChanges(effect.changes, state_.directory.revision);
+    if (effect.table_applied) source_.SetServices(ListServices(state_.table));
     if (effect.evacuations_changed)
       LogEvacuations(ToString(peer), state_.evacuations);
     starts_.Update(clock::now());
@@ -238,6 +243,7 @@
     if (version == state_.table.version) return;
     const bool taken = ApplyTable(state_, std::move(table));
     if (taken) ++counters_.tables_applied;
+    if (taken) source_.SetServices(ListServices(state_.table));
     if (taken) starts_.Update(clock::now());
     Log(severity::kInfo, taken ? "table_taken" : "table_older",
         {{"version", version}, {"addresses", addresses}});
@@ -406,6 +412,7 @@
   asio::io_context& io_;
   direct_settings config_;
   const packet_codec& codec_;
+  registry& source_;
   forwarding_state state_;
   direct_counters counters_;
   interruption_monitor interruptions_;
--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -9,6 +9,7 @@
 #include "direct/claim_store.h"
 #include "direct/evacuation.h"
 #include "direct/list_history.h"
+#include "direct/registered_upstreams.h"
 #include "direct/routing_table.h"
 #include "direct/upstream_entry.h"
 #include "store/object_store.h"
@@ -54,6 +55,10 @@
   /// has as many as it has pages.
   virtual void ReadUpstreamChanges(uint64_t revision,
                                    store_handler<upstream_changes> handler) = 0;
+  /// \brief Tells which services the table in force has. Where several
+  /// registered names contain one id, the next list or changes give it to an
+  /// entry of one of these services; see AssignId().
+  virtual void SetServices(service_names /*services*/) {}
   virtual void ReadTable(store_handler<table_update> handler) = 0;
   /// \brief Waits up to `wait` for a change of the table after `revision`.
   virtual void WatchTable(uint64_t revision, duration wait,
--- a/src/direct/registry_follower.cc
+++ b/src/direct/registry_follower.cc
@@ -185,6 +185,13 @@
   if (result->table)
     RunGuarded("table", [&] { handlers_.on_table(*result->table); });
   watched_revision_ = std::max(watched_revision_, result->revision);
+  // The owner may have waited for the table before it needed a list.
+  const bool awaits_list = last_list_at_ == time_point{} &&
+                           !list_.is_in_flight && list_.failures == 0;
+  if (awaits_list) {
+    list_.timer.cancel();
+    ReadList();
+  }
   FollowTableWhenNeeded();
 }
 
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -65,7 +65,7 @@
   explicit fake_registry(asio::io_context& io) : io_(io) {}
 
   void ListUpstreams(store_handler<upstream_list> handler) override {
-    ++list_reads;
+    if (list_reads++ == 0) services_at_first_list = services;
     asio::post(io_, [this, handler = std::move(handler)] {
       if (is_unreachable) return handler(std::nullopt, Unreachable());
       handler(list, {});
@@ -79,6 +79,9 @@
       handler(upstream_changes{.revision = list.revision}, {});
     });
   }
+  void SetServices(service_names names) override {
+    services = std::move(names);
+  }
   void ReadTable(store_handler<table_update> handler) override {
     asio::post(io_, [this, handler = std::move(handler)] {
       if (is_unreachable) return handler(std::nullopt, Unreachable());
@@ -115,6 +118,8 @@
   bool refuses_evacuations = false;
   bool loses_watches = false;
   int list_reads = 0;  ///< Of the list or its changes.
+  service_names services;
+  service_names services_at_first_list;
 
  private:
   static failure Unreachable() {
@@ -216,6 +221,16 @@
   EXPECT_EQ(w.mark, ToFlowMark(7));
 }
 
+// Entries of a service that no table has hid upstreams from balancers that read
+// the list when they did not know the services.
+TEST_F(balancer_on_loopback, ReadsTheListOnceItKnowsTheServices) {
+  direct_balancer balancer(io_, MakeSettings(FindFreePort()), codec_, source_);
+  balancer.Start();
+  RunFor(100ms);
+  EXPECT_GT(source_.list_reads, 0);
+  EXPECT_EQ(source_.services_at_first_list, service_names{kService});
+}
+
 // Callers receive refusals at the same port number as the balancer's.
 TEST_F(balancer_on_loopback, SendsRefusalsToItsOwnPortNumberAtTheCaller) {
   const uint16_t port = FindFreePort();
