--- a/src/direct/decision_log.cc
+++ b/src/direct/decision_log.cc
@@ -121,11 +121,12 @@
 }
 
 void LogNotice(const silence_notice& notice, bool is_contradicted) {
-  for (const upstream_age& silent : notice.silent)
+  for (const silent_upstream& silent : notice.silent)
     Log(severity::kInfo, "silence_heard",
         {{"from", ToString(notice.sender)},
          {"upstream", ToHex(silent.upstream)},
          {"silent_ms", uint64_t{silent.age_ms}},
+         {"callers", uint64_t{silent.callers.size()}},
          {"contradicted", is_contradicted ? "yes" : "no"}});
   for (const upstream_age& alive : notice.alive)
     Log(severity::kInfo, "silence_contradicted",
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -89,6 +89,10 @@
   AddCounter(page, "radishyard_silence_notices_contradicted_total",
              "Of these, upstreams that had answered here since.",
              silences.contradicted);
+  AddCounter(page, "radishyard_silence_unproven_packets_total",
+             "Packets to upstreams that are silent here, but perhaps only by "
+             "losses on the way of one caller or of this balancer.",
+             silences.unproven);
 }
 
 /// Adds what is observed of each upstream that is still registered.
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/flow_tracker.cc
@@ -69,6 +69,7 @@
 /// is not counted.
 std::optional<time_point> TrackRetransmission(const flow_tracker& tracker,
                                               tracked_flow& flow,
+                                              uint32_t caller,
                                               known_upstream& upstream,
                                               time_point now) {
   if (flow.sent_at < tracker.resumed_at) {
@@ -82,7 +83,8 @@
     flow.retransmissions = 0;
   if (flow.retransmissions < UINT8_MAX) ++flow.retransmissions;
   flow.retransmitted_at = now;
-  RecordRetransmission(upstream.stats, flow.retransmissions, flow.sent_at, now);
+  RecordRetransmission(upstream.stats, caller, flow.retransmissions,
+                       flow.sent_at, now);
   return flow.sent_at;
 }
 
@@ -94,7 +96,8 @@
                                     known_upstream& upstream, time_point now) {
   const uint32_t end = packet.sequence + packet.length;
   if (!IsAfter(end, flow.next_sequence))
-    return TrackRetransmission(tracker, flow, upstream, now);
+    return TrackRetransmission(tracker, flow, packet.flow.caller.address,
+                               upstream, now);
   flow.next_sequence = end;
   flow.sent_at = now;
   flow.retransmissions = 0;
--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -156,20 +156,11 @@
   return row != nullptr && row->retry_class != request_class::kNonIdempotent;
 }
 
-/// True if the silence of an upstream is not due to this balancer's own link:
-/// another balancer observes it too, or there is none.
-bool IsConfirmedByPeers(const forwarding_state& state,
-                        const known_upstream& upstream, time_point now) {
-  return !state.has_peers || CountWitnesses(upstream, now) > 0;
-}
-
-/// True if a reset helps the caller, because it can retry its request on
-/// another flow and the upstream of this one is unresponsive.
-bool IsFlowLost(const forwarding_state& state, const direct_packet& packet,
-                const known_upstream& upstream, time_point now) {
+/// True if a reset would help the caller if the upstream is silent: it can
+/// retry its request on another flow.
+bool MayReset(const forwarding_state& state, const direct_packet& packet,
+              const known_upstream& upstream, time_point now) {
   return packet.length > 0 && IsUnresponsive(upstream.stats, now) &&
-         IsConfirmedByPeers(state, upstream, now) &&
-         !IsCallerPathDelayed(state.tracker, now) &&
          IsRetryable(state.table, packet.flow);
 }
 
@@ -186,9 +177,12 @@
   if (upstream == nullptr) return Drop(verdict_reason::kUnknownMark);
   const auto first_sent_at =
       TrackPacket(state.tracker, state.directory, packet, *upstream, now);
-  if (IsFlowLost(state, packet, *upstream, now)) {
-    RemoveFlow(state.tracker, state.directory, packet.flow);
-    return Refuse(verdict_reason::kUnresponsiveUpstream);
+  if (MayReset(state, packet, *upstream, now)) {
+    if (IsSilenceProven(state, *upstream, now)) {
+      RemoveFlow(state.tracker, state.directory, packet.flow);
+      return Refuse(verdict_reason::kUnresponsiveUpstream);
+    }
+    ++state.silences.unproven;
   }
   verdict decision = ForwardTo(*upstream, verdict_reason::kForwardedByMark);
   decision.first_sent_at = first_sent_at;
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -39,8 +39,8 @@
   kUnknownAddress,   ///< The table publishes no such address.
   kNoUpstream,       ///< No upstream of the service takes new flows.
   kUnknownMark,      ///< No upstream of the directory has the mark.
-  /// The flow's upstream is unresponsive, also to another balancer if there is
-  /// one, and the caller may retry its request on another flow.
+  /// The flow's upstream is unresponsive, as IsSilenceProven() says, and the
+  /// caller may retry its request on another flow.
   kUnresponsiveUpstream,
   /// All upstreams of the service that could take new flows are in evacuated
   /// domains.
@@ -81,6 +81,9 @@
   uint64_t sent = 0;          ///< Notices made here.
   uint64_t received = 0;      ///< Upstreams that others called silent.
   uint64_t contradicted = 0;  ///< Of these, alive by what is known here.
+  /// Packets forwarded to upstreams that are silent here, but not proven to be;
+  /// their callers may retry.
+  uint64_t unproven = 0;
   auto operator<=>(const silence_counters&) const = default;
 };
 
--- a/src/direct/silence.cc
+++ b/src/direct/silence.cc
@@ -6,14 +6,19 @@
 namespace radishyard {
 namespace {
 
-/// Silence that begins this shortly before a sign of life is no contradiction:
-/// the upstream may have failed in between.
-constexpr duration kLifeMargin = 20ms;
-
 uint32_t ToAgeMs(duration age) {
   return static_cast<uint32_t>(std::clamp<int64_t>(ToMs(age), 0, UINT32_MAX));
 }
 
+silence_witness MakeWitness(const endpoint& sender,
+                            const silent_upstream& silent,
+                            time_point silent_since, time_point now) {
+  silence_witness witness{sender, silent_since, now, silent.callers};
+  if (witness.callers.size() > kMaxSilentCallers)
+    witness.callers.resize(kMaxSilentCallers);
+  return witness;
+}
+
 void RecordWitness(known_upstream& upstream, const silence_witness& witness,
                    time_point now) {
   std::erase_if(upstream.witnesses, [&](const silence_witness& w) {
@@ -38,8 +43,9 @@
   known.notice_sent_at = now;
   ++state.silences.sent;
   silence_notice notice;
-  notice.silent.push_back(
-      {upstream, ToAgeMs(now - known.stats.unanswered_since)});
+  notice.silent.push_back({upstream,
+                           ToAgeMs(now - known.stats.unanswered_since),
+                           ListSilentCallers(known.stats, now)});
   return notice;
 }
 
@@ -60,7 +66,7 @@
   }
   silence_notice reply;
   state.silences.received += notice.silent.size();
-  for (const upstream_age& silent : notice.silent) {
+  for (const silent_upstream& silent : notice.silent) {
     const auto found = upstreams.find(silent.upstream);
     if (found == upstreams.end()) continue;
     known_upstream& known = found->second;
@@ -69,20 +75,22 @@
       reply.alive.push_back(
           {silent.upstream, ToAgeMs(now - known.stats.last_alive_at)});
     else
-      RecordWitness(known, {notice.sender, silent_since, now}, now);
+      RecordWitness(known,
+                    MakeWitness(notice.sender, silent, silent_since, now), now);
   }
   if (reply.alive.empty()) return std::nullopt;
   state.silences.contradicted += reply.alive.size();
   return reply;
 }
 
-size_t CountWitnesses(const known_upstream& upstream, time_point now) {
-  return static_cast<size_t>(std::count_if(
-      upstream.witnesses.begin(), upstream.witnesses.end(),
-      [&](const silence_witness& w) {
-        return now - w.heard_at <= kWitnessRetention &&
-               w.silent_since + kLifeMargin >= upstream.stats.last_alive_at;
-      }));
+bool IsSilenceProven(const forwarding_state& state,
+                     const known_upstream& upstream, time_point now) {
+  const bool is_confirmed =
+      !state.has_peers || CountWitnesses(upstream, now) > 0;
+  return is_confirmed &&
+         CountSilentCallers(upstream, now) >= kMinSilentCallers &&
+         !IsCallerPathDelayed(state.tracker, now) &&
+         !IsPathSuspect(state.directory, now);
 }
 
 }  // namespace radishyard
--- a/src/direct/silence.h
+++ b/src/direct/silence.h
@@ -1,13 +1,15 @@
 // Evidence that an upstream leaves data unanswered, shared between the
 // balancers of a failure domain. One balancer alone cannot tell a dead upstream
-// from packets that are lost on its own link, so it resets a flow only if
-// another one observes the same.
+// from packets that are lost on its own link, and the packets of one caller
+// cannot tell it from a path of that caller that loses packets. So a flow is
+// reset only if several callers observe the same, and another balancer too.
 #pragma once
 #include <cstddef>
 #include <optional>
 
 #include "base/time.h"
 #include "direct/forwarder.h"
+#include "direct/silence_evidence.h"
 #include "direct/upstream_directory.h"
 #include "direct/view_message.h"
 
@@ -15,9 +17,6 @@
 
 /// \brief Most witnesses kept for one upstream.
 inline constexpr size_t kMaxSilenceWitnesses = 4;
-/// \brief A witness counts this long after its last notice. Callers of a dead
-/// upstream retransmit at shorter intervals, and each time leads to a notice.
-inline constexpr duration kWitnessRetention = 1s;
 /// \brief Least time between two notices about one upstream.
 inline constexpr duration kNoticeInterval = 100ms;
 
@@ -37,8 +36,10 @@
                                                  const silence_notice& notice,
                                                  time_point now);
 
-/// \brief Number of other balancers that observe the upstream silent and whose
-/// unanswered data is younger than its last sign of life here.
-size_t CountWitnesses(const known_upstream& upstream, time_point now);
+/// \brief True if the upstream itself is silent: kMinSilentCallers observe it,
+/// another balancer does if there is any, and neither the path to the upstreams
+/// nor that of the callers explains it.
+bool IsSilenceProven(const forwarding_state& state,
+                     const known_upstream& upstream, time_point now);
 
 }  // namespace radishyard
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream_directory.h
@@ -27,6 +27,7 @@
   endpoint peer;
   time_point silent_since{};  ///< When its unanswered data was first forwarded.
   time_point heard_at{};
+  std::vector<uint32_t> callers;  ///< See silent_upstream.
   auto operator<=>(const silence_witness&) const = default;
 };
 
--- a/src/direct/upstream_stats.cc
+++ b/src/direct/upstream_stats.cc
@@ -24,7 +24,7 @@
 /// Most times that the delay doubles.
 constexpr uint32_t kMaxDoublings = 4;
 /// Retransmissions of the same data that make an upstream unresponsive. Neither
-/// one or two lost datagrams nor a slow upstream explain that many.
+/// one lost datagram nor a slow upstream explains that many.
 constexpr uint32_t kUnresponsiveRetransmissions = 2;
 /// Data must be unanswered for this long before an upstream is unresponsive. It
 /// is longer than the delay before a caller's first retransmission.
@@ -33,6 +33,16 @@
 /// upstream retransmit data at shorter intervals.
 constexpr duration kRetransmissionRetention = 1s;
 
+void RecordSilentCaller(upstream_stats& stats, uint32_t caller,
+                        time_point now) {
+  std::erase_if(stats.silent_callers, [&](const silent_caller& c) {
+    return c.address == caller ||
+           now - c.retransmitted_at > kRetransmissionRetention;
+  });
+  if (stats.silent_callers.size() < kMaxSilentCallers)
+    stats.silent_callers.push_back({caller, now});
+}
+
 }  // namespace
 
 std::string_view ToName(health_state health) {
@@ -77,6 +87,7 @@
   stats.last_alive_at = now;
   stats.unanswered = 0;
   stats.max_retransmissions = 0;
+  stats.silent_callers.clear();
 }
 
 void RecordOpening(upstream_stats& stats, time_point now) {
@@ -84,8 +95,8 @@
   stats.last_opening_at = now;
 }
 
-void RecordRetransmission(upstream_stats& stats, uint32_t count,
-                          time_point sent_at, time_point now) {
+void RecordRetransmission(upstream_stats& stats, uint32_t caller,
+                          uint32_t count, time_point sent_at, time_point now) {
   const bool is_expired =
       stats.max_retransmissions > 0 &&
       now - stats.retransmitted_at > kRetransmissionRetention;
@@ -93,6 +104,8 @@
   if (stats.unanswered++ == 0) stats.unanswered_since = sent_at;
   stats.max_retransmissions = std::max(stats.max_retransmissions, count);
   stats.retransmitted_at = now;
+  if (count >= kUnresponsiveRetransmissions)
+    RecordSilentCaller(stats, caller, now);
 }
 
 bool IsSuspect(const upstream_stats& stats, duration opening_timeout,
@@ -110,4 +123,13 @@
          now - stats.unanswered_since >= kMinUnansweredTime;
 }
 
+std::vector<uint32_t> ListSilentCallers(const upstream_stats& stats,
+                                        time_point now) {
+  std::vector<uint32_t> callers;
+  for (const silent_caller& c : stats.silent_callers)
+    if (now - c.retransmitted_at <= kRetransmissionRetention)
+      callers.push_back(c.address);
+  return callers;
+}
+
 }  // namespace radishyard
--- a/src/direct/upstream_stats.h
+++ b/src/direct/upstream_stats.h
@@ -2,13 +2,26 @@
 // packets. Responses do not pass through a balancer.
 #pragma once
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "base/time.h"
 
 namespace radishyard {
 
+/// \brief Most callers recorded of those to which an upstream is silent.
+inline constexpr size_t kMaxSilentCallers = 4;
+
+/// \brief A caller that has retransmitted the same data to an upstream so often
+/// that neither a single lost packet nor a slow upstream explains it.
+struct silent_caller {
+  uint32_t address = 0;           ///< IPv4 address of the caller.
+  time_point retransmitted_at{};  ///< Its last retransmission.
+  auto operator<=>(const silent_caller&) const = default;
+};
+
 /// \brief Load and health of one upstream, as observed by this balancer. They
 /// may be lost without harm.
 ///
@@ -34,6 +47,9 @@
   time_point unanswered_since{};
   /// Last retransmission; valid if `max_retransmissions` is > 0.
   time_point retransmitted_at{};
+  /// Callers of which each has retransmitted data often enough to make the
+  /// upstream unresponsive, at most kMaxSilentCallers.
+  std::vector<silent_caller> silent_callers;
   time_point last_alive_at{};    ///< Last packet showing the upstream alive.
   time_point last_opening_at{};  ///< Last opening placed on the upstream.
   double failure_rate = 0;       ///< Smoothed share of requests that failed.
@@ -90,10 +106,11 @@
 void RecordOpening(upstream_stats& stats, time_point now);
 
 /// \brief Records that a caller retransmits data.
+/// \param caller IPv4 address of the caller.
 /// \param count retransmissions of this data so far, including this one.
 /// \param sent_at when the data was first forwarded to the upstream.
-void RecordRetransmission(upstream_stats& stats, uint32_t count,
-                          time_point sent_at, time_point now);
+void RecordRetransmission(upstream_stats& stats, uint32_t caller,
+                          uint32_t count, time_point sent_at, time_point now);
 
 /// \brief True while new flows should avoid the upstream: an opening or a
 /// retransmission has been unanswered for longer than `opening_timeout`, and it
@@ -101,8 +118,9 @@
 bool IsSuspect(const upstream_stats& stats, duration opening_timeout,
                time_point now);
 
-/// \brief True if the upstream currently leaves retransmitted data unanswered,
-/// so that its open flows are lost.
+/// \brief True if the upstream currently leaves data unanswered that a caller
+/// has retransmitted repeatedly. Its open flows are lost, unless it is the path
+/// of that caller that loses packets; see IsSilenceProven() in silence.h.
 ///
 /// Older retransmissions prove nothing, because the acknowledgements may pass
 /// through other balancers by now. A slow upstream acknowledges retransmitted
@@ -110,4 +128,9 @@
 /// matter how many callers wait.
 bool IsUnresponsive(const upstream_stats& stats, time_point now);
 
+/// \brief The addresses of the callers to which the upstream is silent now,
+/// each once.
+std::vector<uint32_t> ListSilentCallers(const upstream_stats& stats,
+                                        time_point now);
+
 }  // namespace radishyard
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -147,6 +147,10 @@
 auto Fields(T& m) {
   return std::tie(m.upstream, m.age_ms);
 }
+template <maybe_const<silent_upstream> T>
+auto Fields(T& m) {
+  return std::tie(m.upstream, m.age_ms, m.callers);
+}
 template <maybe_const<silence_notice> T>
 auto Fields(T& m) {
   return std::tie(m.sender, m.silent, m.alive);
