The digest of a list stands with the differences of lists

forwarder.cc included view_sharing.h for ListDigest() alone, and view_sharing includes forwarder.h: a circle between a packet's path and the exchange of views.

--- a/src/direct/forwarder.cc
+++ b/src/direct/forwarder.cc
@@ -7,7 +7,6 @@
 
 #include "direct/placement.h"
 #include "direct/silence.h"
-#include "direct/view_sharing.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/list_history.cc
+++ b/src/direct/list_history.cc
@@ -4,12 +4,27 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <xxhash.h>
 
 #include <algorithm>
 
 namespace radishyard {
 namespace {
 
+uint64_t HashText(const std::string& text, uint64_t seed) {
+  return XXH64(text.data(), text.size(), seed);
+}
+
+uint64_t HashEntry(const upstream_entry& e) {
+  const uint64_t words[] = {e.id,
+                            e.address.address,
+                            e.address.port,
+                            e.slots,
+                            e.leaving ? 1ULL : 0ULL,
+                            static_cast<uint64_t>(e.started_unix_ms)};
+  return HashText(e.domain, HashText(e.service, XXH64(words, sizeof words, 0)));
+}
+
 using entries_by_id = absl::flat_hash_map<upstream_id, const upstream_entry*>;
 
 entries_by_id IndexById(const upstream_list& list) {
@@ -47,6 +62,12 @@
 
 }  // namespace
 
+uint64_t ListDigest(const upstream_list& list) {
+  uint64_t digest = 0;
+  for (const upstream_entry& entry : list.upstreams) digest += HashEntry(entry);
+  return digest;
+}
+
 void RecordListChange(list_history& history, const upstream_list& before,
                       uint64_t digest_before, const upstream_list& after) {
   history.changes.push_back({digest_before, ChangedIds(before, after)});
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view_sharing.cc
@@ -1,8 +1,6 @@
 // Converts between state and messages and applies received messages.
 #include "direct/view_sharing.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace radishyard {
@@ -12,20 +10,6 @@
 /// balancer's observations do not outweigh those of this one.
 constexpr uint32_t kMaxPeerSamples = 4;
 
-uint64_t HashText(const std::string& text, uint64_t seed) {
-  return XXH64(text.data(), text.size(), seed);
-}
-
-uint64_t HashEntry(const upstream_entry& e) {
-  const uint64_t words[] = {e.id,
-                            e.address.address,
-                            e.address.port,
-                            e.slots,
-                            e.leaving ? 1ULL : 0ULL,
-                            static_cast<uint64_t>(e.started_unix_ms)};
-  return HashText(e.domain, HashText(e.service, XXH64(words, sizeof words, 0)));
-}
-
 /// Converts to milliseconds within the range of the result type.
 uint32_t ToClampedMs(duration d) {
   return static_cast<uint32_t>(std::clamp<int64_t>(ToMs(d), 0, UINT32_MAX));
@@ -115,12 +99,6 @@
 
 }  // namespace
 
-uint64_t ListDigest(const upstream_list& list) {
-  uint64_t digest = 0;
-  for (const upstream_entry& entry : list.upstreams) digest += HashEntry(entry);
-  return digest;
-}
-
 uint32_t OutageAgeMs(const upstream_directory& directory, time_point now) {
   const auto age = TimeSinceOutage(directory, now);
   return age ? ToClampedMs(*age) : kNoOutage;
--- a/src/direct/view_sharing.h
+++ b/src/direct/view_sharing.h
@@ -10,11 +10,6 @@
 
 namespace radishyard {
 
-/// \brief Computes the digest of what placement depends on in a list. It is the
-/// same on every balancer, for any order of entries. The remaining cold start
-/// is left out.
-uint64_t ListDigest(const upstream_list& list);
-
 /// \brief TimeSinceOutage() as reports and snapshots contain it.
 uint32_t OutageAgeMs(const upstream_directory& directory, time_point now);
 
