--- a/src/direct/admission.h
+++ b/src/direct/admission.h
@@ -21,8 +21,8 @@
 
 #include "base/time.h"
 #include "direct/address_demand.h"
-#include "direct/routing_table.h"
 #include "direct/service_load.h"
+#include "direct/upstream/routing_table.h"
 #include "packet/flow_key.h"
 
 namespace radishyard {
--- a/src/direct/cold_starts.h
+++ b/src/direct/cold_starts.h
@@ -13,11 +13,11 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/grant_message.h"
-#include "direct/routing_table.h"
 #include "direct/start_claim.h"
 #include "direct/start_limit.h"
-#include "direct/upstream_directory.h"
+#include "direct/upstream/grant_message.h"
+#include "direct/upstream/routing_table.h"
+#include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
 
--- a/src/direct/decision_log.h
+++ b/src/direct/decision_log.h
@@ -5,10 +5,10 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/direct_packet.h"
 #include "direct/forwarder.h"
-#include "direct/upstream_directory.h"
-#include "direct/view_message.h"
+#include "direct/upstream/direct_packet.h"
+#include "direct/upstream/upstream_directory.h"
+#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/evacuation.h
+++ b/src/direct/evacuation.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/view_message.h"
+#include "direct/upstream/view_message.h"
 #include "store/answer_timing.h"
 
 namespace radishyard {
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -12,9 +12,9 @@
 
 #include "base/time.h"
 #include "direct/address_demand.h"
-#include "direct/direct_packet.h"
 #include "direct/response_sizes.h"
-#include "direct/upstream_directory.h"
+#include "direct/upstream/direct_packet.h"
+#include "direct/upstream/upstream_directory.h"
 #include "observe/time_histogram.h"
 
 namespace radishyard {
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -12,14 +12,14 @@
 #include "direct/admission.h"
 #include "direct/admission_report.h"
 #include "direct/cold_starts.h"
-#include "direct/direct_packet.h"
 #include "direct/evacuation.h"
 #include "direct/flow_tracker.h"
-#include "direct/list_history.h"
-#include "direct/routing_table.h"
 #include "direct/service_load.h"
 #include "direct/spill_over.h"
-#include "direct/upstream_directory.h"
+#include "direct/upstream/direct_packet.h"
+#include "direct/upstream/list_history.h"
+#include "direct/upstream/routing_table.h"
+#include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
 
--- a/src/direct/load_exchange.h
+++ b/src/direct/load_exchange.h
@@ -11,7 +11,7 @@
 
 #include "base/time.h"
 #include "direct/forwarder.h"
-#include "direct/view_message.h"
+#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/load_meter.cc
+++ b/src/direct/load_meter.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "direct/silence_evidence.h"
+#include "direct/upstream/silence_evidence.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/load_meter.h
+++ b/src/direct/load_meter.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/upstream_directory.h"
-#include "direct/view_message.h"
+#include "direct/upstream/upstream_directory.h"
+#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -11,7 +11,7 @@
 #include "direct/forwarder.h"
 #include "direct/peer_members.h"
 #include "direct/table_confirmation.h"
-#include "direct/view_message.h"
+#include "direct/upstream/view_message.h"
 #include "direct/view_sharing.h"
 #include "peer/peer_message.h"
 
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -6,7 +6,7 @@
 
 #include "base/time.h"
 #include "direct/cold_starts.h"
-#include "direct/upstream_directory.h"
+#include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
 
--- a/src/direct/pooled_choice.h
+++ b/src/direct/pooled_choice.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "direct/upstream_directory.h"
+#include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
 
--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -8,10 +8,10 @@
 #include "base/time.h"
 #include "direct/claim_store.h"
 #include "direct/evacuation.h"
-#include "direct/list_history.h"
-#include "direct/registered_upstreams.h"
-#include "direct/routing_table.h"
-#include "direct/upstream_entry.h"
+#include "direct/upstream/list_history.h"
+#include "direct/upstream/registered_upstreams.h"
+#include "direct/upstream/routing_table.h"
+#include "direct/upstream/upstream_entry.h"
 #include "store/object_store.h"
 
 namespace radishyard {
--- a/src/direct/silence.h
+++ b/src/direct/silence.h
@@ -9,9 +9,9 @@
 
 #include "base/time.h"
 #include "direct/forwarder.h"
-#include "direct/silence_evidence.h"
-#include "direct/upstream_directory.h"
-#include "direct/view_message.h"
+#include "direct/upstream/silence_evidence.h"
+#include "direct/upstream/upstream_directory.h"
+#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/snapshot_server.h
+++ b/src/direct/snapshot_server.h
@@ -6,7 +6,7 @@
 
 #include "base/asio.h"
 #include "direct/snapshot_pacing.h"
-#include "direct/view_message.h"
+#include "direct/upstream/view_message.h"
 #include "peer/peer_server.h"
 
 namespace radishyard {
--- a/src/direct/spill_over.h
+++ b/src/direct/spill_over.h
@@ -19,7 +19,7 @@
 #include "direct/load_meter.h"
 #include "direct/load_pool.h"
 #include "direct/service_load.h"
-#include "direct/upstream_directory.h"
+#include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
 
--- a/src/direct/start_claim.cc
+++ b/src/direct/start_claim.cc
@@ -1,7 +1,7 @@
 // Implements the steps of a claim and the choice of the balancer that tries.
 #include "direct/start_claim.h"
 
-#include "direct/flow_mark.h"
+#include "direct/upstream/flow_mark.h"
 #include "roster/rendezvous.h"
 
 namespace radishyard {
--- a/src/direct/start_claim.h
+++ b/src/direct/start_claim.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/grant_message.h"
-#include "direct/view_message.h"
+#include "direct/upstream/grant_message.h"
+#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/flow_mark.cc
+++ b/src/direct/upstream/flow_mark.cc
@@ -1,5 +1,5 @@
 // Computes the flow mark as a seeded hash of the upstream's id.
-#include "direct/flow_mark.h"
+#include "direct/upstream/flow_mark.h"
 
 #include <xxhash.h>
 
--- a/src/direct/list_history.cc
+++ b/src/direct/upstream/list_history.cc
@@ -1,6 +1,6 @@
 // Computes and applies differences between upstream lists. Entries are matched
 // by id; their order has no meaning.
-#include "direct/list_history.h"
+#include "direct/upstream/list_history.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/src/direct/list_history.h
+++ b/src/direct/upstream/list_history.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/upstream_entry.h"
+#include "direct/upstream/upstream_entry.h"
 
 namespace radishyard {
 
--- a/src/direct/packet_codec.h
+++ b/src/direct/upstream/packet_codec.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "base/failure.h"
-#include "direct/direct_packet.h"
-#include "direct/flow_mark.h"
+#include "direct/upstream/direct_packet.h"
+#include "direct/upstream/flow_mark.h"
 
 namespace radishyard {
 
--- a/src/direct/registered_upstreams.cc
+++ b/src/direct/upstream/registered_upstreams.cc
@@ -1,5 +1,5 @@
 // Decides which of several registered names has an upstream id.
-#include "direct/registered_upstreams.h"
+#include "direct/upstream/registered_upstreams.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/registered_upstreams.h
+++ b/src/direct/upstream/registered_upstreams.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "direct/routing_table.h"
-#include "direct/upstream_entry.h"
+#include "direct/upstream/routing_table.h"
+#include "direct/upstream/upstream_entry.h"
 
 namespace radishyard {
 
--- a/src/direct/routing_table.cc
+++ b/src/direct/upstream/routing_table.cc
@@ -1,5 +1,5 @@
 // Looks up addresses and services in the routing table.
-#include "direct/routing_table.h"
+#include "direct/upstream/routing_table.h"
 
 #include <algorithm>
 
--- a/src/direct/silence_evidence.cc
+++ b/src/direct/upstream/silence_evidence.cc
@@ -1,5 +1,5 @@
 // Counts the observers of a silent upstream.
-#include "direct/silence_evidence.h"
+#include "direct/upstream/silence_evidence.h"
 
 #include <algorithm>
 #include <set>
--- a/src/direct/silence_evidence.h
+++ b/src/direct/upstream/silence_evidence.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 
 #include "base/time.h"
-#include "direct/upstream_directory.h"
+#include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
 
--- a/src/direct/upstream_directory.cc
+++ b/src/direct/upstream/upstream_directory.cc
@@ -1,5 +1,5 @@
 // Applies upstream lists to the directory.
-#include "direct/upstream_directory.h"
+#include "direct/upstream/upstream_directory.h"
 
 #include <algorithm>
 #include <set>
--- a/src/direct/upstream_directory.h
+++ b/src/direct/upstream/upstream_directory.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/upstream_entry.h"
-#include "direct/upstream_stats.h"
+#include "direct/upstream/upstream_entry.h"
+#include "direct/upstream/upstream_stats.h"
 
 namespace radishyard {
 
--- a/src/direct/upstream_entry.h
+++ b/src/direct/upstream/upstream_entry.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/flow_mark.h"
+#include "direct/upstream/flow_mark.h"
 #include "packet/flow_key.h"
 
 namespace radishyard {
--- a/src/direct/upstream_stats.cc
+++ b/src/direct/upstream/upstream_stats.cc
@@ -1,5 +1,5 @@
 // Records what is observed of an upstream and assesses its health.
-#include "direct/upstream_stats.h"
+#include "direct/upstream/upstream_stats.h"
 
 #include <algorithm>
 #include <array>
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -7,8 +7,8 @@
 #include <variant>
 #include <vector>
 
-#include "direct/grant_message.h"
-#include "direct/view_message.h"
+#include "direct/upstream/grant_message.h"
+#include "direct/upstream/view_message.h"
 #include "roster/domain_summary.h"
 #include "roster/roster.h"
 #include "table/service_table.h"
