--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -1,7 +1,7 @@
 // Renders the metrics page of a balancer with direct server return.
 #include "direct/direct_counters.h"
 
-#include "direct/admission_report.h"
+#include "direct/load/admission_report.h"
 #include "direct/spill_over_metrics.h"
 #include "observe/metrics.h"
 
--- a/src/direct/flow_tracker.h
+++ b/src/direct/flow_tracker.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/address_demand.h"
+#include "direct/load/address_demand.h"
 #include "direct/response_sizes.h"
 #include "direct/upstream/direct_packet.h"
 #include "direct/upstream/upstream_directory.h"
--- a/src/direct/address_demand.cc
+++ b/src/direct/load/address_demand.cc
@@ -1,5 +1,5 @@
 // Observes requests and openings with exponentially decaying counts.
-#include "direct/address_demand.h"
+#include "direct/load/address_demand.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/direct/admission.cc
+++ b/src/direct/load/admission.cc
@@ -1,5 +1,5 @@
 // Derives the threshold of admission from pooled loads and ranks openings.
-#include "direct/admission.h"
+#include "direct/load/admission.h"
 
 #include <algorithm>
 #include <array>
--- a/src/direct/admission.h
+++ b/src/direct/load/admission.h
@@ -20,8 +20,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/address_demand.h"
-#include "direct/service_load.h"
+#include "direct/load/address_demand.h"
+#include "direct/load/service_load.h"
 #include "direct/upstream/routing_table.h"
 #include "packet/flow_key.h"
 
--- a/src/direct/admission_report.cc
+++ b/src/direct/load/admission_report.cc
@@ -1,5 +1,5 @@
 // Makes the summary lines and metrics of admission control.
-#include "direct/admission_report.h"
+#include "direct/load/admission_report.h"
 
 #include <string_view>
 #include <utility>
--- a/src/direct/admission_report.h
+++ b/src/direct/load/admission_report.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/admission.h"
+#include "direct/load/admission.h"
 #include "observe/metrics.h"
 
 namespace radishyard {
--- a/src/direct/load_meter.cc
+++ b/src/direct/load/load_meter.cc
@@ -1,5 +1,5 @@
 // Samples the statistics of upstreams.
-#include "direct/load_meter.h"
+#include "direct/load/load_meter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/direct/load_pool.cc
+++ b/src/direct/load/load_pool.cc
@@ -1,10 +1,10 @@
 // Adds up the loads of balancers and of domains.
-#include "direct/load_pool.h"
+#include "direct/load/load_pool.h"
 
 #include <algorithm>
 #include <tuple>
 
-#include "direct/load_meter.h"
+#include "direct/load/load_meter.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/load_pool.h
+++ b/src/direct/load/load_pool.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/service_load.h"
+#include "direct/load/service_load.h"
 #include "direct/upstream/upstream_directory.h"
 #include "direct/upstream/view_message.h"
 
--- a/src/direct/pooled_choice.cc
+++ b/src/direct/load/pooled_choice.cc
@@ -1,5 +1,5 @@
 // Draws candidates by the hash of the flow.
-#include "direct/pooled_choice.h"
+#include "direct/load/pooled_choice.h"
 
 #include <xxhash.h>
 
--- a/src/direct/service_load.cc
+++ b/src/direct/load/service_load.cc
@@ -1,5 +1,5 @@
 // Looks up loads by service and domain, and whether requests wait.
-#include "direct/service_load.h"
+#include "direct/load/service_load.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/direct/spill_over.cc
+++ b/src/direct/load/spill_over.cc
@@ -1,5 +1,5 @@
 // Computes, smooths and applies the shares of domains.
-#include "direct/spill_over.h"
+#include "direct/load/spill_over.h"
 
 #include <algorithm>
 #include <cmath>
@@ -7,7 +7,7 @@
 #include <map>
 #include <optional>
 
-#include "direct/pooled_choice.h"
+#include "direct/load/pooled_choice.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/spill_over.h
+++ b/src/direct/load/spill_over.h
@@ -16,9 +16,9 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/load_meter.h"
-#include "direct/load_pool.h"
-#include "direct/service_load.h"
+#include "direct/load/load_meter.h"
+#include "direct/load/load_pool.h"
+#include "direct/load/service_load.h"
 #include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
--- a/src/direct/placement.cc
+++ b/src/direct/placement.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "direct/pooled_choice.h"
+#include "direct/load/pooled_choice.h"
 #include "direct/upstream/silence_evidence.h"
 
 namespace radishyard {
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -1,13 +1,13 @@
 // Tests the decisions of admission control: properties of thresholds and of
 // single decisions.
-#include "direct/admission.h"
+#include "direct/load/admission.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <set>
 
-#include "direct/admission_report.h"
+#include "direct/load/admission_report.h"
 #include "support/direct_world.h"
 
 namespace radishyard {
