--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -9,7 +9,7 @@
 
 #include "base/finding.h"
 #include "base/time.h"
-#include "direct/start_limit.h"
+#include "direct/start_limit/start_limit.h"
 #include "settings/settings.h"
 
 namespace radishyard {
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -9,13 +9,13 @@
 #include <string_view>
 
 #include "base/time.h"
-#include "direct/cold_starts.h"
 #include "direct/evacuation.h"
 #include "direct/flow_tracker.h"
 #include "direct/load/admission.h"
 #include "direct/load/admission_report.h"
 #include "direct/load/service_load.h"
 #include "direct/load/spill_over.h"
+#include "direct/start_limit/cold_starts.h"
 #include "direct/upstream/direct_packet.h"
 #include "direct/upstream/list_history.h"
 #include "direct/upstream/routing_table.h"
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/cold_starts.h"
+#include "direct/start_limit/cold_starts.h"
 #include "direct/upstream/upstream_directory.h"
 
 namespace radishyard {
--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -6,8 +6,8 @@
 #include <optional>
 
 #include "base/time.h"
-#include "direct/claim_store.h"
 #include "direct/evacuation.h"
+#include "direct/start_limit/claim_store.h"
 #include "direct/upstream/list_history.h"
 #include "direct/upstream/registered_upstreams.h"
 #include "direct/upstream/routing_table.h"
--- a/src/direct/start_coordinator.h
+++ b/src/direct/start_coordinator.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/claim_store.h"
 #include "direct/direct_settings.h"
 #include "direct/forwarder.h"
 #include "direct/interruption.h"
 #include "direct/peer_exchange.h"
+#include "direct/start_limit/claim_store.h"
 #include "peer/peer_message.h"
 
 namespace radishyard {
--- a/src/direct/claim_store.h
+++ b/src/direct/start_limit/claim_store.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "direct/start_claim.h"
+#include "direct/start_limit/start_claim.h"
 #include "store/object_store.h"
 
 namespace radishyard {
--- a/src/direct/cold_starts.cc
+++ b/src/direct/start_limit/cold_starts.cc
@@ -1,6 +1,6 @@
 // Applies the decisions of start_limit and start_claim to the upstreams of the
 // directory.
-#include "direct/cold_starts.h"
+#include "direct/start_limit/cold_starts.h"
 
 #include <algorithm>
 
--- a/src/direct/cold_starts.h
+++ b/src/direct/start_limit/cold_starts.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/start_claim.h"
-#include "direct/start_limit.h"
+#include "direct/start_limit/start_claim.h"
+#include "direct/start_limit/start_limit.h"
 #include "direct/upstream/grant_message.h"
 #include "direct/upstream/routing_table.h"
 #include "direct/upstream/upstream_directory.h"
--- a/src/direct/start_claim.cc
+++ b/src/direct/start_limit/start_claim.cc
@@ -1,5 +1,5 @@
 // Implements the steps of a claim and the choice of the balancer that tries.
-#include "direct/start_claim.h"
+#include "direct/start_limit/start_claim.h"
 
 #include "direct/upstream/flow_mark.h"
 #include "roster/rendezvous.h"
--- a/src/direct/start_limit.cc
+++ b/src/direct/start_limit/start_limit.cc
@@ -1,6 +1,6 @@
 // Implements grants: the granter counts the openings granted within a window,
 // the holder measures a grant's lifetime from the request.
-#include "direct/start_limit.h"
+#include "direct/start_limit/start_limit.h"
 
 #include <algorithm>
 #include <cmath>
--- a/test/start_limit_test.cc
+++ b/test/start_limit_test.cc
@@ -1,10 +1,10 @@
 // Tests the limit of openings on cold upstreams at one balancer: grants, claims
 // and placement. start_limit_model_test.cc has all balancers together.
-#include "direct/start_limit.h"
+#include "direct/start_limit/start_limit.h"
 
 #include <gtest/gtest.h>
 
-#include "direct/cold_starts.h"
+#include "direct/start_limit/cold_starts.h"
 #include "peer/peer_codec.h"
 #include "support/direct_world.h"
 
