--- a/include/radishyard/direct.h
+++ b/include/radishyard/direct.h
@@ -10,7 +10,7 @@
 #include "direct/direct_balancer.h"
 #include "direct/direct_counters.h"
 #include "direct/direct_settings.h"
-#include "direct/evacuation.h"
+#include "direct/evacuation/evacuation.h"
 #include "direct/evacuation_follower.h"
 #include "direct/flow_tracker.h"
 #include "direct/forwarder.h"
--- a/src/direct/evacuation.cc
+++ b/src/direct/evacuation/evacuation.cc
@@ -1,5 +1,5 @@
 // Orders the states of the evacuation requests by the store's revision.
-#include "direct/evacuation.h"
+#include "direct/evacuation/evacuation.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/direct/evacuation_coordinator.h
+++ b/src/direct/evacuation_coordinator.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <string>
 
-#include "direct/evacuation.h"
+#include "direct/evacuation/evacuation.h"
 #include "direct/evacuation_follower.h"
 #include "direct/forwarder.h"
 #include "direct/peer_exchange.h"
--- a/src/direct/evacuation_follower.h
+++ b/src/direct/evacuation_follower.h
@@ -7,7 +7,7 @@
 
 #include "base/asio.h"
 #include "base/time.h"
-#include "direct/evacuation.h"
+#include "direct/evacuation/evacuation.h"
 #include "direct/registry.h"
 #include "peer/backoff.h"
 
--- a/src/direct/forwarder.h
+++ b/src/direct/forwarder.h
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "base/time.h"
-#include "direct/evacuation.h"
+#include "direct/evacuation/evacuation.h"
 #include "direct/flow_tracker.h"
 #include "direct/load/admission.h"
 #include "direct/load/admission_report.h"
--- a/src/direct/registry.h
+++ b/src/direct/registry.h
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "base/time.h"
-#include "direct/evacuation.h"
+#include "direct/evacuation/evacuation.h"
 #include "direct/start_limit/claim_store.h"
 #include "direct/upstream/list_history.h"
 #include "direct/upstream/registered_upstreams.h"
