--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -7,10 +7,10 @@
 #include <utility>
 
 #include "admin/admin_server.h"
-#include "direct/decision_log.h"
 #include "direct/direct_counters.h"
 #include "direct/evacuation_coordinator.h"
-#include "direct/forwarder.h"
+#include "direct/forward/decision_log.h"
+#include "direct/forward/forwarder.h"
 #include "direct/idle_stop.h"
 #include "direct/interruption.h"
 #include "direct/peer_exchange.h"
--- a/src/direct/direct_counters.h
+++ b/src/direct/direct_counters.h
@@ -3,7 +3,7 @@
 #include <array>
 #include <cstdint>
 
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "observe/time_histogram.h"
 
 namespace radishyard {
--- a/src/direct/evacuation_coordinator.cc
+++ b/src/direct/evacuation_coordinator.cc
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <utility>
 
-#include "direct/decision_log.h"
+#include "direct/forward/decision_log.h"
 #include "direct/registry_follower.h"
 #include "observe/log.h"
 
--- a/src/direct/evacuation_coordinator.h
+++ b/src/direct/evacuation_coordinator.h
@@ -7,7 +7,7 @@
 
 #include "direct/evacuation/evacuation.h"
 #include "direct/evacuation_follower.h"
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "direct/peer_exchange.h"
 
 namespace radishyard {
--- a/src/direct/decision_log.cc
+++ b/src/direct/forward/decision_log.cc
@@ -1,5 +1,5 @@
 // Writes the log lines of decisions.
-#include "direct/decision_log.h"
+#include "direct/forward/decision_log.h"
 
 #include <algorithm>
 #include <array>
--- a/src/direct/decision_log.h
+++ b/src/direct/forward/decision_log.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "direct/upstream/direct_packet.h"
 #include "direct/upstream/upstream_directory.h"
 #include "direct/upstream/view_message.h"
--- a/src/direct/flow_tracker.cc
+++ b/src/direct/forward/flow_tracker.cc
@@ -1,5 +1,5 @@
 // Counts flows and measures response times from callers' packets alone.
-#include "direct/flow_tracker.h"
+#include "direct/forward/flow_tracker.h"
 
 #include <algorithm>
 
--- a/src/direct/flow_tracker.h
+++ b/src/direct/forward/flow_tracker.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "base/time.h"
+#include "direct/forward/response_sizes.h"
 #include "direct/load/address_demand.h"
-#include "direct/response_sizes.h"
 #include "direct/upstream/direct_packet.h"
 #include "direct/upstream/upstream_directory.h"
 #include "observe/time_histogram.h"
--- a/src/direct/forwarder.cc
+++ b/src/direct/forward/forwarder.cc
@@ -1,12 +1,12 @@
 // Places openings on upstreams and forwards packets of open flows by their
 // mark.
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 
 #include <array>
 #include <utility>
 
-#include "direct/placement.h"
-#include "direct/silence.h"
+#include "direct/forward/placement.h"
+#include "direct/forward/silence.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/forwarder.h
+++ b/src/direct/forward/forwarder.h
@@ -10,7 +10,7 @@
 
 #include "base/time.h"
 #include "direct/evacuation/evacuation.h"
-#include "direct/flow_tracker.h"
+#include "direct/forward/flow_tracker.h"
 #include "direct/load/admission.h"
 #include "direct/load/admission_report.h"
 #include "direct/load/service_load.h"
--- a/src/direct/placement.cc
+++ b/src/direct/forward/placement.cc
@@ -1,5 +1,5 @@
 // Chooses upstreams by their expected response time.
-#include "direct/placement.h"
+#include "direct/forward/placement.h"
 
 #include <algorithm>
 
--- a/src/direct/response_sizes.cc
+++ b/src/direct/forward/response_sizes.cc
@@ -1,5 +1,5 @@
 // Compares the size of a response with the usual size at its address.
-#include "direct/response_sizes.h"
+#include "direct/forward/response_sizes.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/direct/silence.cc
+++ b/src/direct/forward/silence.cc
@@ -1,5 +1,5 @@
 // Makes, applies and evaluates notices of silent upstreams.
-#include "direct/silence.h"
+#include "direct/forward/silence.h"
 
 #include <algorithm>
 
--- a/src/direct/silence.h
+++ b/src/direct/forward/silence.h
@@ -8,7 +8,7 @@
 #include <optional>
 
 #include "base/time.h"
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "direct/upstream/silence_evidence.h"
 #include "direct/upstream/upstream_directory.h"
 #include "direct/upstream/view_message.h"
--- a/src/direct/load_exchange.h
+++ b/src/direct/load_exchange.h
@@ -10,7 +10,7 @@
 #include <optional>
 
 #include "base/time.h"
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "direct/upstream/view_message.h"
 
 namespace radishyard {
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/peer_exchange.cc
@@ -7,9 +7,9 @@
 #include <span>
 #include <utility>
 
-#include "direct/decision_log.h"
+#include "direct/forward/decision_log.h"
+#include "direct/forward/silence.h"
 #include "direct/load_exchange.h"
-#include "direct/silence.h"
 #include "direct/snapshot_fetcher.h"
 #include "direct/snapshot_server.h"
 #include "observe/guard.h"
--- a/src/direct/peer_exchange.h
+++ b/src/direct/peer_exchange.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/asio.h"
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "direct/peer_members.h"
 #include "direct/table_confirmation.h"
 #include "direct/upstream/view_message.h"
--- a/src/direct/spill_over_metrics.h
+++ b/src/direct/spill_over_metrics.h
@@ -1,7 +1,7 @@
 // Gauges and counters of loads and shares for the metrics page.
 #pragma once
 #include "base/time.h"
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "observe/metrics.h"
 
 namespace radishyard {
--- a/src/direct/start_coordinator.h
+++ b/src/direct/start_coordinator.h
@@ -9,7 +9,7 @@
 
 #include "base/time.h"
 #include "direct/direct_settings.h"
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 #include "direct/interruption.h"
 #include "direct/peer_exchange.h"
 #include "direct/start_limit/claim_store.h"
--- a/test/silence_test.cc
+++ b/test/silence_test.cc
@@ -1,13 +1,13 @@
 // Tests the shared evidence of silent upstreams: a balancer that loses packets
 // on its own link resets no flow, and a dead upstream is recognised as soon as
 // two balancers observe it.
-#include "direct/silence.h"
+#include "direct/forward/silence.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
-#include "direct/placement.h"
+#include "direct/forward/placement.h"
 #include "peer/peer_codec.h"
 #include "support/direct_world.h"
 
--- a/test/support/direct_world.h
+++ b/test/support/direct_world.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "direct/forwarder.h"
+#include "direct/forward/forwarder.h"
 
 namespace radishyard::testing_direct_return {
 
