--- a/src/direct/direct_balancer.h
+++ b/src/direct/direct_balancer.h
@@ -5,8 +5,8 @@
 
 #include "base/asio.h"
 #include "direct/direct_settings.h"
-#include "direct/registry.h"
 #include "direct/upstream/packet_codec.h"
+#include "direct/view/registry.h"
 
 namespace radishyard {
 
--- a/src/direct/evacuation_coordinator.cc
+++ b/src/direct/evacuation_coordinator.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "direct/forward/decision_log.h"
-#include "direct/registry_follower.h"
+#include "direct/view/registry_follower.h"
 #include "observe/log.h"
 
 namespace radishyard {
--- a/src/direct/evacuation_coordinator.h
+++ b/src/direct/evacuation_coordinator.h
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "direct/evacuation/evacuation.h"
-#include "direct/evacuation_follower.h"
 #include "direct/forward/forwarder.h"
-#include "direct/peer_exchange.h"
+#include "direct/view/evacuation_follower.h"
+#include "direct/view/peer_exchange.h"
 
 namespace radishyard {
 
--- a/src/direct/start_coordinator.h
+++ b/src/direct/start_coordinator.h
@@ -11,8 +11,8 @@
 #include "direct/direct_settings.h"
 #include "direct/forward/forwarder.h"
 #include "direct/interruption.h"
-#include "direct/peer_exchange.h"
 #include "direct/start_limit/claim_store.h"
+#include "direct/view/peer_exchange.h"
 #include "peer/peer_message.h"
 
 namespace radishyard {
--- a/src/direct/evacuation_follower.cc
+++ b/src/direct/view/evacuation_follower.cc
@@ -1,6 +1,6 @@
 // Every read lists all requests: there is no history that the platform could
 // lose, and a lost or late answer delays a change by one read.
-#include "direct/evacuation_follower.h"
+#include "direct/view/evacuation_follower.h"
 
 #include <utility>
 
--- a/src/direct/evacuation_follower.h
+++ b/src/direct/view/evacuation_follower.h
@@ -8,7 +8,7 @@
 #include "base/asio.h"
 #include "base/time.h"
 #include "direct/evacuation/evacuation.h"
-#include "direct/registry.h"
+#include "direct/view/registry.h"
 #include "peer/backoff.h"
 
 namespace radishyard {
--- a/src/direct/load_exchange.cc
+++ b/src/direct/view/load_exchange.cc
@@ -1,5 +1,5 @@
 // Makes and applies the messages that carry loads.
-#include "direct/load_exchange.h"
+#include "direct/view/load_exchange.h"
 
 namespace radishyard {
 
--- a/src/direct/peer_exchange.cc
+++ b/src/direct/view/peer_exchange.cc
@@ -1,6 +1,6 @@
 // Sends reports and notices over UDP, and decides when to fetch a snapshot.
 // Both use the same address and port.
-#include "direct/peer_exchange.h"
+#include "direct/view/peer_exchange.h"
 
 #include <algorithm>
 #include <array>
@@ -9,9 +9,9 @@
 
 #include "direct/forward/decision_log.h"
 #include "direct/forward/silence.h"
-#include "direct/load_exchange.h"
-#include "direct/snapshot_fetcher.h"
-#include "direct/snapshot_server.h"
+#include "direct/view/load_exchange.h"
+#include "direct/view/snapshot_fetcher.h"
+#include "direct/view/snapshot_server.h"
 #include "observe/guard.h"
 #include "observe/log.h"
 #include "peer/peer_codec.h"
--- a/src/direct/peer_exchange.h
+++ b/src/direct/view/peer_exchange.h
@@ -9,10 +9,10 @@
 
 #include "base/asio.h"
 #include "direct/forward/forwarder.h"
-#include "direct/peer_members.h"
-#include "direct/table_confirmation.h"
 #include "direct/upstream/view_message.h"
-#include "direct/view_sharing.h"
+#include "direct/view/peer_members.h"
+#include "direct/view/table_confirmation.h"
+#include "direct/view/view_sharing.h"
 #include "peer/peer_message.h"
 
 namespace radishyard {
--- a/src/direct/peer_members.cc
+++ b/src/direct/view/peer_members.cc
@@ -1,5 +1,5 @@
 // Records members from their reports and ranks them by capacity and hash.
-#include "direct/peer_members.h"
+#include "direct/view/peer_members.h"
 
 #include <xxhash.h>
 
--- a/src/direct/registry_follower.cc
+++ b/src/direct/view/registry_follower.cc
@@ -1,5 +1,5 @@
 // Reads the upstream list, watches the table and retries both after failures.
-#include "direct/registry_follower.h"
+#include "direct/view/registry_follower.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/direct/registry_follower.h
+++ b/src/direct/view/registry_follower.h
@@ -9,7 +9,7 @@
 
 #include "base/asio.h"
 #include "base/time.h"
-#include "direct/registry.h"
+#include "direct/view/registry.h"
 #include "peer/backoff.h"
 #include "store/answer_timing.h"
 
--- a/src/direct/snapshot_fetcher.cc
+++ b/src/direct/view/snapshot_fetcher.cc
@@ -1,5 +1,5 @@
 // Connects to a source, sends a request and waits for the snapshot.
-#include "direct/snapshot_fetcher.h"
+#include "direct/view/snapshot_fetcher.h"
 
 #include <utility>
 
--- a/src/direct/snapshot_fetcher.h
+++ b/src/direct/view/snapshot_fetcher.h
@@ -7,7 +7,7 @@
 
 #include "base/asio.h"
 #include "direct/upstream/view_message.h"
-#include "direct/view_sources.h"
+#include "direct/view/view_sources.h"
 #include "peer/peer_link.h"
 #include "store/answer_timing.h"
 
--- a/src/direct/snapshot_pacing.cc
+++ b/src/direct/view/snapshot_pacing.cc
@@ -1,5 +1,5 @@
 // Spaces snapshots by the time that each takes at the permitted rate.
-#include "direct/snapshot_pacing.h"
+#include "direct/view/snapshot_pacing.h"
 
 #include <algorithm>
 
--- a/src/direct/snapshot_server.cc
+++ b/src/direct/view/snapshot_server.cc
@@ -1,10 +1,10 @@
 // Answers each request in its turn, or closes its connection if the turn is too
 // far away.
-#include "direct/snapshot_server.h"
+#include "direct/view/snapshot_server.h"
 
 #include <utility>
 
-#include "direct/view_sharing.h"
+#include "direct/view/view_sharing.h"
 #include "observe/log.h"
 
 namespace radishyard {
--- a/src/direct/start_policy.cc
+++ b/src/direct/view/start_policy.cc
@@ -1,5 +1,5 @@
 // The order in which the reasons to wait are checked.
-#include "direct/start_policy.h"
+#include "direct/view/start_policy.h"
 
 namespace radishyard {
 
--- a/src/direct/table_confirmation.cc
+++ b/src/direct/view/table_confirmation.cc
@@ -1,11 +1,11 @@
 // Keeps direct confirmations apart from those that were passed on.
-#include "direct/table_confirmation.h"
+#include "direct/view/table_confirmation.h"
 
 #include <algorithm>
 
-#include "direct/peer_exchange.h"
-#include "direct/registry_follower.h"
-#include "direct/snapshot_fetcher.h"
+#include "direct/view/peer_exchange.h"
+#include "direct/view/registry_follower.h"
+#include "direct/view/snapshot_fetcher.h"
 
 namespace radishyard {
 namespace {
--- a/src/direct/view_sharing.cc
+++ b/src/direct/view/view_sharing.cc
@@ -1,5 +1,5 @@
 // Converts between state and messages and applies received messages.
-#include "direct/view_sharing.h"
+#include "direct/view/view_sharing.h"
 
 #include <algorithm>
 
--- a/src/direct/view_sources.cc
+++ b/src/direct/view/view_sources.cc
@@ -1,5 +1,5 @@
 // Keeps the sources in the order of their reports.
-#include "direct/view_sources.h"
+#include "direct/view/view_sources.h"
 
 namespace radishyard {
 
--- a/test/evacuation_test.cc
+++ b/test/evacuation_test.cc
@@ -4,7 +4,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
-#include "direct/registry_follower.h"
+#include "direct/view/registry_follower.h"
 #include "peer/peer_codec.h"
 #include "radishyard/direct.h"
 #include "support/direct_world.h"
--- a/test/peer_exchange_test.cc
+++ b/test/peer_exchange_test.cc
@@ -1,5 +1,5 @@
 // Tests the exchange of messages between balancers over UDP.
-#include "direct/peer_exchange.h"
+#include "direct/view/peer_exchange.h"
 
 #include <gtest/gtest.h>
 
--- a/test/registry_follower_test.cc
+++ b/test/registry_follower_test.cc
@@ -1,6 +1,6 @@
 // Tests the reads of the platform, their retries after failures, and that they
 // stop while other balancers read.
-#include "direct/registry_follower.h"
+#include "direct/view/registry_follower.h"
 
 #include <gtest/gtest.h>
 
--- a/test/snapshot_pacing_test.cc
+++ b/test/snapshot_pacing_test.cc
@@ -1,13 +1,13 @@
 // Tests the share of a link that snapshots take up, and the choice of another
 // source while one is busy.
-#include "direct/snapshot_pacing.h"
+#include "direct/view/snapshot_pacing.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <vector>
 
-#include "direct/view_sources.h"
+#include "direct/view/view_sources.h"
 
 namespace radishyard {
 namespace {
--- a/test/start_policy_test.cc
+++ b/test/start_policy_test.cc
@@ -1,10 +1,10 @@
 // Tests who reads the platform at a start, and how confirmations of the table
 // pass between balancers.
-#include "direct/start_policy.h"
+#include "direct/view/start_policy.h"
 
 #include <gtest/gtest.h>
 
-#include "direct/table_confirmation.h"
+#include "direct/view/table_confirmation.h"
 
 namespace radishyard {
 namespace {
