--- a/src/direct/view/registry.h
+++ b/src/direct/view/registry.h
@@ -58,7 +58,7 @@
   /// \brief Tells which services the table in force has. Where several
   /// registered names contain one id, the next list or changes give it to an
   /// entry of one of these services; see AssignId().
-  virtual void SetServices(service_names /*services*/) {}
+  virtual void SetServices(const service_names& /*services*/) {}
   virtual void ReadTable(store_handler<table_update> handler) = 0;
   /// \brief Waits up to `wait` for a change of the table after `revision`.
   virtual void WatchTable(uint64_t revision, duration wait,
--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -79,9 +79,7 @@
       handler(upstream_changes{.revision = list.revision}, {});
     });
   }
-  void SetServices(service_names names) override {
-    services = std::move(names);
-  }
+  void SetServices(const service_names& names) override { services = names; }
   void ReadTable(store_handler<table_update> handler) override {
     asio::post(io_, [this, handler = std::move(handler)] {
       if (is_unreachable) return handler(std::nullopt, Unreachable());
