--- a/test/direct_forwarder_test.cc
+++ b/test/direct_forwarder_test.cc
@@ -204,8 +204,8 @@
   EXPECT_EQ(world.state.silences.unproven, 4U);
 }
 
-// The link of one office lost packets for 0.8 s. Its callers share one address,
-// and their flows were taken for evidence of several callers.
+// The link of one office, whose flows share one address, lost packets for 0.8
+// s. Its flows and those of other callers were reset.
 TEST(DirectForwarder, KeepsFlowsIfOneOfficeHasALossyLink) {
   direct_world world({MakeEntry(1)});
   constexpr uint16_t kFlows = 24;
