--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -227,6 +227,11 @@
     ++counters_.registry_reads;
     counters_.invalid_entries += list.invalid_entries;
     const uint64_t before = state_.digest;
+    if (list.revision < state_.directory.revision) {
+      ++counters_.older_lists;
+      Log(severity::kWarn, "list_older",
+          {{"revision", list.revision}, {"known", state_.directory.revision}});
+    }
     LogDirectoryChanges(ApplyUpstreamList(state_, list, at, clock::now()),
                         list.revision);
     starts_.Update(clock::now());
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -132,6 +132,9 @@
              counters.opening_retransmissions);
   AddCounter(page, "radishyard_registry_reads_total",
              "Readings of the registry.", counters.registry_reads);
+  AddCounter(page, "radishyard_older_lists_total",
+             "Of these, lists dropped as older than the one known.",
+             counters.older_lists);
   AddCounter(page, "radishyard_tables_taken_total",
              "Versions of the table taken.", counters.tables_applied);
   AddCounter(page, "radishyard_entries_refused_total",
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -81,6 +81,17 @@
   return message;
 }
 
+std::vector<http_field> ToFields(const http::fields& header) {
+  std::vector<http_field> fields;
+  for (const auto& each : header) {
+    std::string name(each.name_string());
+    for (char& c : name)
+      if (c >= 'A' && c <= 'Z') c += 'a' - 'A';
+    fields.push_back({std::move(name), std::string(each.value())});
+  }
+  return fields;
+}
+
 /// Returns true if a response is not valid HTTP, as opposed to truncated.
 bool IsHttpError(error_code error) {
   const error_code any_http_error = http::error::bad_version;
@@ -160,8 +171,9 @@
   }
 
   void Succeed() {
-    result_.response = http_response{parser_.get().result_int(),
-                                     std::move(parser_.get().body())};
+    auto& message = parser_.get();
+    result_.response = http_response{
+        message.result_int(), std::move(message.body()), ToFields(message)};
     Finish();
   }
 
--- a/src/store/http_client.h
+++ b/src/store/http_client.h
@@ -38,6 +38,8 @@
 struct http_response {
   unsigned status = 0;
   std::string body;
+  /// Of its header. Names are case-insensitive; here they are in lower case.
+  std::vector<http_field> fields;
   auto operator<=>(const http_response&) const = default;
 };
 
