An upstream's own order decides against the copy of its entry (DRAIN)

Callers saw new flows on an upstream that had said that it leaves.

Cause: after the store has returned from a copy, its lists name the upstreams as they were when the copy was made. With revisions ordered by epoch such a list is later than the one known, so an upstream that leaves, or is gone, was taken for ready until it had written again; an upstream that the copy lacks was deregistered at once although it lives.

Change: entries carry the sequence number of their upstream. For 10 s after a return an entry of another epoch is ignored if the upstream had written a later one (start time, then sequence number), or the same one before its removal. The return starts the grace that an outage has (2.5 s), so upstreams that the copy lacks stay in use until they have registered again, and no longer. The number is a trailing field between balancers and is left out of digests and differences. Within an epoch, and for a store without epochs, nothing changes.

Open: members know the number as of the last change that was passed on, so the copied entry of an upstream that crashed without a drain may count until the store removes it (three intervals of its writes). A balancer that starts within the 2 s before an upstream has written again knows only the copy's word.

--- a/src/direct/upstream/list_history.cc
+++ b/src/direct/upstream/list_history.cc
@@ -35,12 +35,12 @@
   return index;
 }
 
-/// Compares two entries except for the remaining time of the cold start, which
-/// decreases without any edit.
-bool IsEqualIgnoringColdStart(const upstream_entry& a,
-                              const upstream_entry& b) {
+/// Compares two entries except for what changes without any edit: the remaining
+/// time of the cold start, and the sequence number.
+bool IsSameContent(const upstream_entry& a, const upstream_entry& b) {
   upstream_entry aged = a;
   aged.cold_remaining = b.cold_remaining;
+  aged.sequence = b.sequence;
   return aged == b;
 }
 
@@ -51,8 +51,8 @@
   entries_by_id earlier = IndexById(before);
   for (const upstream_entry& entry : after.upstreams) {
     const auto found = earlier.find(entry.id);
-    const bool is_unchanged = found != earlier.end() &&
-                              IsEqualIgnoringColdStart(*found->second, entry);
+    const bool is_unchanged =
+        found != earlier.end() && IsSameContent(*found->second, entry);
     if (!is_unchanged) ids.push_back(entry.id);
     if (found != earlier.end()) earlier.erase(found);
   }
--- a/src/direct/upstream/list_history.h
+++ b/src/direct/upstream/list_history.h
@@ -13,7 +13,7 @@
 
 /// \brief Computes the digest of what placement depends on in a list. It is the
 /// same on every balancer, for any order of entries. The remaining cold start
-/// is left out.
+/// and the sequence number are left out.
 uint64_t ListDigest(const upstream_list& list);
 
 /// \brief Most changes kept. A balancer that is further behind receives the
--- a/src/direct/upstream/upstream_directory.cc
+++ b/src/direct/upstream/upstream_directory.cc
@@ -20,19 +20,45 @@
 }
 
 void UpdateFromEntry(known_upstream& known, const upstream_entry& entry,
-                     time_point now) {
+                     uint64_t epoch, time_point now) {
   known.entry = entry;
+  known.epoch = epoch;
   known.phase = ToPhase(entry);
   known.cold_until = now + entry.cold_remaining;
   known.is_missing = false;
 }
 
-/// Applies one entry of a list.
+/// The order in which an upstream has written its entries.
+std::pair<int64_t, int64_t> WriteOrder(const upstream_entry& entry) {
+  return {entry.started_unix_ms, entry.sequence};
+}
+
+/// True if a list of `epoch` has the entry only because the store has returned
+/// from a copy: before, the upstream had written a later one, or had been
+/// removed.
+bool IsOutdated(const upstream_directory& directory,
+                const known_upstream& known, const upstream_entry& entry,
+                uint64_t epoch, time_point now) {
+  const bool may_be_copied =
+      epoch != known.epoch && directory.returned_at &&
+      now - *directory.returned_at < kCopiedEntryLifetime;
+  if (!may_be_copied) return false;
+  const bool is_older = WriteOrder(entry) < WriteOrder(known.entry);
+  const bool is_same = WriteOrder(entry) == WriteOrder(known.entry);
+  return is_older || (is_same && known.phase == upstream_phase::kDeregistered);
+}
+
+/// Applies one entry of a list of `epoch`.
 /// \returns the change that the entry makes, if any.
 std::optional<change> ApplyEntry(upstream_directory& directory,
-                                 const upstream_entry& entry, time_point now) {
+                                 const upstream_entry& entry, uint64_t epoch,
+                                 time_point now) {
   const auto [at, is_new] = directory.upstreams.try_emplace(entry.id);
   known_upstream& known = at->second;
+  if (!is_new && IsOutdated(directory, known, entry, epoch, now)) {
+    known.is_missing = false;
+    return std::nullopt;
+  }
   const upstream_phase before = known.phase;
   const bool has_restarted =
       !is_new && known.entry.started_unix_ms != entry.started_unix_ms;
@@ -41,7 +67,7 @@
     known.witnesses.clear();
   }
   known.mark = ToFlowMark(entry.id);
-  UpdateFromEntry(known, entry, now);
+  UpdateFromEntry(known, entry, epoch, now);
   if (is_new) return change::kJoined;
   if (has_restarted) return change::kRestarted;
   if (before == upstream_phase::kDeregistered) return change::kReturned;
@@ -73,6 +99,16 @@
   return change::kDeregistered;
 }
 
+/// Records that the store has returned from a copy, if `revision` shows it.
+/// Like an outage, that may have removed entries of upstreams that live.
+void DetectReturn(upstream_directory& directory, const store_revision& revision,
+                  time_point now) {
+  const uint64_t epoch_before = directory.revision.epoch;
+  if (epoch_before == 0 || revision.epoch <= epoch_before) return;
+  directory.returned_at = now;
+  directory.outage_ended_at = now;
+}
+
 bool IsOlder(const known_upstream& a, const known_upstream& b) {
   return std::pair(a.entry.started_unix_ms, a.entry.id) <
          std::pair(b.entry.started_unix_ms, b.entry.id);
@@ -126,10 +162,12 @@
   if (directory.has_list &&
       read_at - directory.read_at > directory.max_list_gap)
     directory.outage_ended_at = now;
+  DetectReturn(directory, list.revision, now);
   std::set<upstream_id> listed;
   for (const upstream_entry& entry : list.upstreams) {
     listed.insert(entry.id);
-    if (const auto event = ApplyEntry(directory, entry, now))
+    if (const auto event =
+            ApplyEntry(directory, entry, list.revision.epoch, now))
       changes.push_back({*event, entry.id});
   }
   for (auto& [id, known] : directory.upstreams) {
@@ -152,6 +190,7 @@
 
 void ConfirmList(upstream_directory& directory, const store_revision& revision,
                  time_point read_at) {
+  DetectReturn(directory, revision, read_at);
   directory.revision = std::max(directory.revision, revision);
   directory.read_at = std::max(directory.read_at, read_at);
 }
--- a/src/direct/upstream/upstream_directory.h
+++ b/src/direct/upstream/upstream_directory.h
@@ -34,6 +34,7 @@
 /// \brief One upstream with its registry entry, state and statistics.
 struct known_upstream {
   upstream_entry entry;
+  uint64_t epoch = 0;  ///< Of the store when `entry` was listed.
   uint32_t mark = 0;
   upstream_phase phase = upstream_phase::kReady;
   /// False if another upstream with the same mark started earlier. Only the
@@ -78,6 +79,8 @@
   /// End of the last outage that another balancer has reported. It is not
   /// reported further, or delays of messages would prolong it.
   std::optional<time_point> peer_outage_ended_at;
+  /// When this balancer learnt of the last return of the store from a copy.
+  std::optional<time_point> returned_at;
   /// Domains whose upstreams get no new flows; sorted.
   std::vector<std::string> evacuated_domains;
   std::map<upstream_id, known_upstream> upstreams;
@@ -89,12 +92,20 @@
   upstream_directory& operator=(const upstream_directory&) = delete;
 };
 
+/// \brief For this long after the store has returned from a copy, an entry may
+/// be one that its upstream has since replaced or removed. Upstreams that live
+/// write theirs again within 2 s; the store removes the others after three
+/// intervals of writes.
+inline constexpr duration kCopiedEntryLifetime = 10s;
+
 /// \brief Applies a list that was current at `read_at`.
 ///
 /// A list of an older revision is dropped. An upstream that is not listed is
-/// deregistered, except in the first seconds after an outage of the registry:
-/// its entry may come back, so the upstream stays in use until then.
-/// \returns the changes of upstreams.
+/// deregistered, except in the first seconds after an outage of the registry,
+/// or its return from a copy: its entry may come back, so the upstream stays in
+/// use until then. An entry that only the copy explains, since the upstream has
+/// said something later before the return, is ignored for kCopiedEntryLifetime
+/// at most. \returns the changes of upstreams.
 std::vector<directory_change> UpdateDirectory(upstream_directory& directory,
                                               const upstream_list& list,
                                               time_point read_at,
--- a/src/direct/upstream/upstream_entry.h
+++ b/src/direct/upstream/upstream_entry.h
@@ -23,6 +23,9 @@
   duration cold_remaining{};  ///< Remaining time of its cold start.
   /// Unix time of its start; identifies the incarnation.
   int64_t started_unix_ms = 0;
+  /// Of the upstream's writes; increases within an incarnation. Writes that
+  /// change nothing else are not passed on between balancers.
+  int64_t sequence = 0;
   auto operator<=>(const upstream_entry&) const = default;
 };
 
--- a/src/direct/upstream/view_message.h
+++ b/src/direct/upstream/view_message.h
@@ -177,6 +177,7 @@
 
 /// \brief An entry of the upstream list.
 struct view_upstream {
+  static constexpr size_t kRequiredFields = 8;  ///< As in view_report.
   uint64_t id = 0;
   std::string service;
   endpoint address;
@@ -185,6 +186,7 @@
   bool leaving = false;
   uint32_t cold_remaining_ms = 0;
   uint64_t started_unix_ms = 0;
+  uint64_t sequence = 0;
   auto operator<=>(const view_upstream&) const = default;
 };
 
--- a/src/direct/view/view_sharing.cc
+++ b/src/direct/view/view_sharing.cc
@@ -48,7 +48,8 @@
           .slots = e.slots,
           .leaving = e.leaving,
           .cold_remaining_ms = ToClampedMs(e.cold_remaining),
-          .started_unix_ms = static_cast<uint64_t>(e.started_unix_ms)};
+          .started_unix_ms = static_cast<uint64_t>(e.started_unix_ms),
+          .sequence = static_cast<uint64_t>(e.sequence)};
 }
 
 upstream_entry FromMessage(const view_upstream& m) {
@@ -59,7 +60,8 @@
           .slots = m.slots,
           .leaving = m.leaving,
           .cold_remaining = milliseconds(m.cold_remaining_ms),
-          .started_unix_ms = static_cast<int64_t>(m.started_unix_ms)};
+          .started_unix_ms = static_cast<int64_t>(m.started_unix_ms),
+          .sequence = static_cast<int64_t>(m.sequence)};
 }
 
 routing_table ToRoutingTable(const view_snapshot& snapshot) {
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -173,7 +173,7 @@
 template <maybe_const<view_upstream> T>
 auto Fields(T& m) {
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.leaving,
-                  m.cold_remaining_ms, m.started_unix_ms);
+                  m.cold_remaining_ms, m.started_unix_ms, m.sequence);
 }
 template <maybe_const<view_start_rate> T>
 auto Fields(T& m) {
--- a/test/direct_directory_test.cc
+++ b/test/direct_directory_test.cc
@@ -111,6 +111,110 @@
   EXPECT_EQ(world.state.directory.upstreams.size(), 2U);
 }
 
+/// The directory of a balancer that has read a list of epoch 1 with two
+/// upstreams, each with the sequence number 5. Lists are applied as of epoch 2
+/// after Return().
+class returning_store : public testing::Test {
+ protected:
+  static upstream_entry Entry(upstream_id id, int64_t sequence,
+                              bool leaving = false) {
+    upstream_entry entry = MakeEntry(id);
+    entry.sequence = sequence;
+    entry.leaving = leaving;
+    return entry;
+  }
+  void SetUp() override {
+    world_.epoch = 1;
+    world_.revision = 100;
+    world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(0));
+  }
+  /// The copy is from before revision 100.
+  void Return() {
+    world_.epoch = 2;
+    world_.revision = 50;
+  }
+  upstream_phase Phase(upstream_id id) const {
+    return world_.Upstream(id).phase;
+  }
+
+  direct_world world_{{}};
+};
+
+// DRAIN: the copy of an entry from before its drain was taken for a return.
+TEST_F(returning_store, ALeavingUpstreamIsNotReadyByTheWordOfTheCopy) {
+  world_.ApplyList({Entry(1, 5), Entry(2, 6, true)}, AtMs(1000));
+  Return();
+  world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(2000));
+  EXPECT_EQ(Phase(2), upstream_phase::kLeaving);
+  world_.ApplyList({Entry(1, 5), Entry(2, 7)}, AtMs(3000));
+  EXPECT_EQ(Phase(2), upstream_phase::kReady) << "by its own later entry";
+}
+
+// DRAIN: the copy of an entry that had been removed brought its upstream back.
+TEST_F(returning_store, ARemovedUpstreamIsNotReadyByTheWordOfTheCopy) {
+  world_.ApplyList({Entry(1, 5)}, AtMs(1000));
+  Return();
+  world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(2000));
+  EXPECT_EQ(Phase(2), upstream_phase::kDeregistered);
+  upstream_entry restarted = Entry(2, 1);
+  restarted.started_unix_ms += 1;
+  world_.ApplyList({Entry(1, 5), restarted}, AtMs(3000));
+  EXPECT_EQ(Phase(2), upstream_phase::kReady) << "it has started again";
+}
+
+TEST_F(returning_store, TheCopyDoesNotRestoreAnEarlierIncarnation) {
+  upstream_entry restarted = Entry(2, 1);
+  restarted.started_unix_ms += 1;
+  world_.ApplyList({Entry(1, 5), restarted}, AtMs(1000));
+  Return();
+  world_.ApplyList({Entry(1, 5), Entry(2, 9)}, AtMs(2000));
+  EXPECT_EQ(world_.Upstream(2).entry, restarted);
+}
+
+// An entry that stays although it is older has been confirmed by its upstream:
+// the store removes those of upstreams that do not write.
+TEST_F(returning_store, TheCopysWordCountsOnceItHasLasted) {
+  world_.ApplyList({Entry(1, 5), Entry(2, 6, true)}, AtMs(1000));
+  Return();
+  for (int ms = 2000; ms <= 11'000; ms += 1000)
+    world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(ms));
+  EXPECT_EQ(Phase(2), upstream_phase::kLeaving);
+  world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(12'000));
+  EXPECT_EQ(Phase(2), upstream_phase::kReady);
+}
+
+// An upstream that registered in the lost seconds writes its entry again.
+TEST_F(returning_store, AnUpstreamThatTheCopyLacksStaysInUseForAWhile) {
+  world_.ApplyList({Entry(1, 5), Entry(2, 5), Entry(3, 1)}, AtMs(1000));
+  Return();
+  EXPECT_THAT(world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(2000)),
+              testing::ElementsAre(directory_change{change::kMissing, 3}));
+  EXPECT_EQ(Phase(3), upstream_phase::kReady);
+  EXPECT_THAT(world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(4600)),
+              testing::ElementsAre(directory_change{change::kDeregistered, 3}));
+}
+
+TEST_F(returning_store, TwoReturnsInARowEndTheSame) {
+  world_.ApplyList({Entry(1, 5), Entry(2, 6, true)}, AtMs(1000));
+  Return();
+  world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(2000));
+  world_.epoch = 3;
+  world_.revision = 10;
+  world_.ApplyList({Entry(1, 5), Entry(2, 4)}, AtMs(3000));
+  EXPECT_EQ(Phase(2), upstream_phase::kLeaving);
+  world_.ApplyList({Entry(1, 5), Entry(2, 7, true)}, AtMs(4000));
+  world_.ApplyList({Entry(1, 5)}, AtMs(6000));
+  EXPECT_EQ(Phase(2), upstream_phase::kDeregistered);
+}
+
+// A stale read within an epoch is left to the revisions, and a store without
+// epochs is treated as ever.
+TEST_F(returning_store, WithinAnEpochEveryLaterListCounts) {
+  world_.ApplyList({Entry(1, 5), Entry(2, 6, true)}, AtMs(1000));
+  world_.ApplyList({Entry(1, 5), Entry(2, 5)}, AtMs(2000));
+  EXPECT_EQ(Phase(2), upstream_phase::kReady);
+}
+
 // When an upstream of another service reuses an address, packets of an old flow
 // still carry the id of the old upstream, so the new one does not accept them.
 TEST(DirectDirectory, ForwardsByIdWhenAnotherServiceReusesTheAddress) {
