--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -224,6 +224,7 @@
   }
 
   void HandleUpstreamList(const upstream_list& list, time_point at) {
+    DetectPause(clock::now());
     ++counters_.registry_reads;
     counters_.invalid_entries += list.invalid_entries;
     const uint64_t before = state_.digest;
@@ -369,6 +370,7 @@
     Log(severity::kWarn, "paused",
         {{"ms", static_cast<uint64_t>(ToMs(*elapsed))}});
     state_.tracker.resumed_at = now;
+    RecordPause(state_.directory, *elapsed, now);
     peers_.DiscardReceived();
   }
 
@@ -379,6 +381,7 @@
     Log(severity::kWarn, "suspended",
         {{"ms", static_cast<uint64_t>(ToMs(*elapsed))}});
     state_.directory.read_at -= *elapsed;
+    RecordPause(state_.directory, *elapsed, clock::now());
     RecordSuspension(state_.evacuations, *elapsed);
     peers_.RecordSuspension(*elapsed);
     follower_.RecordSuspension(*elapsed);
@@ -388,6 +391,8 @@
   void MaintainState(time_point now) {
     DetectPause(now);
     starts_.Update(now);
+    LogDirectoryChanges(DeregisterMissing(state_.directory, now),
+                        state_.directory.revision.number);
     FailOverdueRequests(state_.tracker, state_.directory, now);
     LogHealthChanges(UpdateHealthStates(state_, now), state_.directory);
     LogShareChanges(UpdateLoads(state_, now));
--- a/src/direct/upstream/upstream_directory.cc
+++ b/src/direct/upstream/upstream_directory.cc
@@ -82,21 +82,39 @@
   return outage_ended_at && now - *outage_ended_at < kReregistrationGrace;
 }
 
+/// The same for the last outage observed here or by another balancer.
+bool MayReturn(const upstream_directory& directory, time_point now) {
+  return IsWithinGrace(directory.outage_ended_at, now) ||
+         IsWithinGrace(directory.peer_outage_ended_at, now);
+}
+
+/// True if no list was current between the last one and `now` for longer than
+/// the intervals of reads and a pause of this process explain.
+bool HasListGap(const upstream_directory& directory, time_point now) {
+  if (!directory.has_list) return false;
+  const duration paused = std::min(now, directory.resumed_at) -
+                          std::max(directory.read_at, directory.paused_at);
+  const duration gap = now - directory.read_at - std::max(duration{}, paused);
+  return gap > directory.max_list_gap;
+}
+
+directory_change Deregister(known_upstream& known, time_point now) {
+  known.phase = upstream_phase::kDeregistered;
+  known.deregistered_at = now;
+  return {change::kDeregistered, known.entry.id};
+}
+
 /// Handles an upstream that the list does not contain.
 /// \returns the change of its state, if any.
 std::optional<change> HandleUnlisted(const upstream_directory& directory,
                                      known_upstream& known, time_point now) {
   if (known.phase == upstream_phase::kDeregistered) return std::nullopt;
-  const bool may_return = IsWithinGrace(directory.outage_ended_at, now) ||
-                          IsWithinGrace(directory.peer_outage_ended_at, now);
-  if (may_return) {
+  if (MayReturn(directory, now)) {
     if (known.is_missing) return std::nullopt;
     known.is_missing = true;
     return change::kMissing;
   }
-  known.phase = upstream_phase::kDeregistered;
-  known.deregistered_at = now;
-  return change::kDeregistered;
+  return Deregister(known, now).event;
 }
 
 /// Records that the store has returned from a copy, if `revision` shows it.
@@ -159,9 +177,7 @@
                                               time_point now) {
   std::vector<directory_change> changes;
   if (list.revision < directory.revision) return changes;
-  if (directory.has_list &&
-      read_at - directory.read_at > directory.max_list_gap)
-    directory.outage_ended_at = now;
+  if (HasListGap(directory, read_at)) directory.outage_ended_at = now;
   DetectReturn(directory, list.revision, now);
   std::set<upstream_id> listed;
   for (const upstream_entry& entry : list.upstreams) {
@@ -188,6 +204,27 @@
   return changes;
 }
 
+void RecordPause(upstream_directory& directory, duration elapsed,
+                 time_point now) {
+  directory.paused_at = now - elapsed;
+  directory.resumed_at = now;
+}
+
+std::vector<directory_change> DeregisterMissing(upstream_directory& directory,
+                                                time_point now) {
+  std::vector<directory_change> changes;
+  if (MayReturn(directory, directory.read_at)) return changes;
+  for (auto& [id, known] : directory.upstreams) {
+    const bool is_in_use = known.phase != upstream_phase::kDeregistered;
+    if (known.is_missing && is_in_use)
+      changes.push_back(Deregister(known, now));
+  }
+  if (changes.empty()) return changes;
+  directory.ready_by_service.clear();
+  IndexReady(directory);
+  return changes;
+}
+
 void ConfirmList(upstream_directory& directory, const store_revision& revision,
                  time_point read_at) {
   DetectReturn(directory, revision, read_at);
@@ -197,8 +234,7 @@
 
 std::optional<duration> TimeSinceOutage(const upstream_directory& directory,
                                         time_point now) {
-  if (directory.has_list && now - directory.read_at > directory.max_list_gap)
-    return duration{};
+  if (HasListGap(directory, now)) return duration{};
   if (!IsWithinGrace(directory.outage_ended_at, now)) return std::nullopt;
   return now - *directory.outage_ended_at;
 }
--- a/src/direct/upstream/upstream_directory.h
+++ b/src/direct/upstream/upstream_directory.h
@@ -72,8 +72,12 @@
   store_revision revision;  ///< Of the list last applied.
   bool has_list = false;    ///< A list has been applied.
   time_point read_at{};     ///< When the last list was current.
-  /// A longer gap between two lists is an outage of the registry.
+  /// A longer gap between two lists is an outage of the registry, unless this
+  /// process did not run meanwhile.
   duration max_list_gap = 3s;
+  /// The last time in which this process did not run.
+  time_point paused_at{};
+  time_point resumed_at{};
   /// End of the last outage that this balancer has observed.
   std::optional<time_point> outage_ended_at;
   /// End of the last outage that another balancer has reported. It is not
@@ -116,6 +120,19 @@
 void ConfirmList(upstream_directory& directory, const store_revision& revision,
                  time_point read_at);
 
+/// \brief Records that this process did not run, or its VM was suspended, for
+/// `elapsed` until `now`. The gap that this leaves between lists is no outage
+/// of the registry.
+void RecordPause(upstream_directory& directory, duration elapsed,
+                 time_point now);
+
+/// \brief Deregisters the missing upstreams once a list without them has been
+/// current after the time in which their entries come back. To be called
+/// several times a second: a balancer for which others read receives no list
+/// unless it differs from the last one. \returns the changes of upstreams.
+std::vector<directory_change> DeregisterMissing(upstream_directory& directory,
+                                                time_point now);
+
 /// \brief The time since the end of the last outage that this balancer has
 /// observed; 0 during an outage.
 /// \returns nothing if entries that an outage has removed are back by now.
--- a/src/direct/view/peer_exchange.cc
+++ b/src/direct/view/peer_exchange.cc
@@ -349,6 +349,7 @@
     // The table and the list are each applied whole or repeated by the next
     // snapshot.
     RunGuarded("snapshot", [&] {
+      if (handlers_.on_activity) handlers_.on_activity();
       const snapshot_effect effect =
           ApplySnapshot(state_, snapshot, clock::now());
       ConfirmFetchedTable(table_confirmation_, state_.table.version);
--- a/src/direct/view/peer_exchange.h
+++ b/src/direct/view/peer_exchange.h
@@ -34,7 +34,8 @@
   /// Returns when an answer of the platform last confirmed the table to this
   /// balancer.
   std::function<time_point()> table_read_at;
-  /// Called before messages are received. It may call DiscardReceived().
+  /// Called before messages and snapshots are handled. It may call
+  /// DiscardReceived().
   std::function<void()> on_activity;
   /// A request for a grant, or a reply to one of this balancer, has arrived.
   /// Unset if grants are not used.
--- a/test/direct_directory_test.cc
+++ b/test/direct_directory_test.cc
@@ -74,6 +74,42 @@
       world.ApplyList({MakeEntry(1), MakeEntry(2)}, AtMs(4500)).empty());
 }
 
+// DRAIN: a balancer that had stood still took its own gap for an outage of the
+// registry, and all others kept a removed upstream by its report.
+TEST(DirectDirectory, APauseOfThisProcessIsNoOutage) {
+  direct_world world({MakeEntry(1), MakeEntry(2)});
+  RecordPause(world.state.directory, 4s, AtMs(5500));
+  EXPECT_EQ(TimeSinceOutage(world.state.directory, AtMs(5600)), std::nullopt);
+  EXPECT_THAT(world.ApplyList({MakeEntry(1)}, AtMs(5700)),
+              testing::ElementsAre(directory_change{change::kDeregistered, 2}));
+  EXPECT_EQ(TimeSinceOutage(world.state.directory, AtMs(5800)), std::nullopt);
+}
+
+TEST(DirectDirectory, AGapThatAPauseDoesNotExplainIsAnOutage) {
+  direct_world world({MakeEntry(1), MakeEntry(2)});
+  RecordPause(world.state.directory, 1s, AtMs(2000));
+  EXPECT_EQ(TimeSinceOutage(world.state.directory, AtMs(4100)), 0s);
+  EXPECT_THAT(world.ApplyList({MakeEntry(1)}, AtMs(4100)),
+              testing::ElementsAre(directory_change{change::kMissing, 2}));
+}
+
+// DRAIN: a balancer for which others read receives no further list, and kept a
+// missing upstream for good.
+TEST(DirectDirectory, AMissingUpstreamIsGoneOnceItsListIsConfirmedLater) {
+  direct_world world({MakeEntry(1), MakeEntry(2)});
+  upstream_directory& directory = world.state.directory;
+  world.ApplyList({MakeEntry(1)}, AtMs(8000));
+  ConfirmList(directory, directory.revision, AtMs(10'400));
+  EXPECT_TRUE(DeregisterMissing(directory, AtMs(12'000)).empty())
+      << "its entry may have come back since";
+  ConfirmList(directory, directory.revision, AtMs(10'500));
+  EXPECT_THAT(DeregisterMissing(directory, AtMs(12'000)),
+              testing::ElementsAre(directory_change{change::kDeregistered, 2}));
+  EXPECT_TRUE(DeregisterMissing(directory, AtMs(12'100)).empty());
+  for (uint32_t caller = 0; caller < 8; ++caller)
+    EXPECT_EQ(world.SendOpening(caller, AtMs(12'200)).upstream, 1U);
+}
+
 TEST(DirectDirectory, AnOrdinaryListIntervalIsNoOutage) {
   direct_world world({MakeEntry(1), MakeEntry(2)});
   world.state.directory.max_list_gap = 3300ms;
