Evacuations outlast a return of the store from a copy (EVAC)

Change: for 2.5 s after the first list of an epoch the domains evacuated before stay so, and requests that only the copy has are not honoured; a request that is new since then counts at once. Then the store's word counts. The operator writes again within about 2 s. Reports carry what is in force, so members keep the same.

Four tests with the times of both ends. Without a return nothing changes.

--- a/src/direct/evacuation/evacuation.cc
+++ b/src/direct/evacuation/evacuation.cc
@@ -2,6 +2,7 @@
 #include "direct/evacuation/evacuation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace radishyard {
@@ -11,10 +12,34 @@
 /// members together with a read for each bound.
 constexpr duration kMinRelayedInterval = 1s;
 
-/// Replaces the list if the new one is not older.
-evacuation_effect ReplaceList(evacuation_set& set, evacuation_list list) {
+using domain_list = std::vector<std::string>;
+
+/// Returns the domains that are evacuated while `set.kept` is of effect: those
+/// kept, and those requested since the return.
+domain_list MergeKept(const evacuation_set& set, const domain_list& listed) {
+  domain_list requested;
+  std::set_difference(listed.begin(), listed.end(), set.copied.begin(),
+                      set.copied.end(), std::back_inserter(requested));
+  domain_list merged;
+  std::set_union(set.kept.begin(), set.kept.end(), requested.begin(),
+                 requested.end(), std::back_inserter(merged));
+  return merged;
+}
+
+/// Replaces the list if the new one, current at `at`, is not older.
+evacuation_effect ReplaceList(evacuation_set& set, evacuation_list list,
+                              time_point at) {
   if (!IsKnown(list.revision) || list.revision < set.list.revision)
     return evacuation_effect::kOlder;
+  const uint64_t epoch_before = set.list.revision.epoch;
+  const bool has_returned =
+      epoch_before != 0 && list.revision.epoch > epoch_before;
+  if (has_returned) {
+    set.kept = set.list.domains;
+    set.copied = list.domains;
+    set.kept_until = at + kEvacuationRewriteTime;
+  }
+  if (at < set.kept_until) list.domains = MergeKept(set, list.domains);
   const bool is_same =
       IsKnown(set.list.revision) && list.domains == set.list.domains;
   set.list = std::move(list);
@@ -29,7 +54,7 @@
 
 evacuation_effect ApplyEvacuations(evacuation_set& set, evacuation_list list,
                                    time_point read_at) {
-  const evacuation_effect effect = ReplaceList(set, std::move(list));
+  const evacuation_effect effect = ReplaceList(set, std::move(list), read_at);
   if (effect == evacuation_effect::kOlder) return effect;
   set.read_at = std::max(set.read_at, read_at);
   set.confirmed_at = std::max(set.confirmed_at, read_at);
@@ -41,7 +66,7 @@
                                         time_point now) {
   evacuation_list list{{report.epoch, report.revision}, report.domains};
   std::sort(list.domains.begin(), list.domains.end());
-  const evacuation_effect effect = ReplaceList(set, std::move(list));
+  const evacuation_effect effect = ReplaceList(set, std::move(list), now);
   const bool is_confirmation =
       effect != evacuation_effect::kOlder && report.age_ms != kNotConfirmed;
   if (!is_confirmation) return effect;
--- a/src/direct/evacuation/evacuation.h
+++ b/src/direct/evacuation/evacuation.h
@@ -28,6 +28,12 @@
   auto operator<=>(const evacuation_list&) const = default;
 };
 
+/// \brief After the store has returned from a copy, the operator writes again
+/// what the copy lacks. For this long, requests and withdrawals that were
+/// honoured before stay in force although the copy does not have them. Then the
+/// store's word counts.
+inline constexpr duration kEvacuationRewriteTime = 2500ms;
+
 /// \brief The evacuated domains as a balancer knows them. Invariant: `revision`
 /// never decreases, so that a request that has been honoured is forgotten only
 /// by a later state of the store.
@@ -39,6 +45,11 @@
   time_point direct_at{};
   /// The last confirmation, also if a member has only passed it on.
   time_point confirmed_at{};
+  /// The domains that were evacuated when the store returned from a copy, and
+  /// those of the copy, sorted. Without effect from `kept_until`.
+  std::vector<std::string> kept;
+  std::vector<std::string> copied;
+  time_point kept_until{};
   auto operator<=>(const evacuation_set&) const = default;
 };
 
--- a/test/evacuation_test.cc
+++ b/test/evacuation_test.cc
@@ -184,6 +184,58 @@
 
 // Other programs can write any number of requests; a report that exceeds a
 // datagram would not be sent at all.
+/// A balancer that has read the requests of epoch 1, for the domains "a" and
+/// "b"; "c" was withdrawn before.
+class returned_evacuations : public testing::Test {
+ protected:
+  using domains = std::vector<std::string>;
+  /// Applies the requests of epoch 2 as read at `ms`.
+  const domains& Read(const domains& requested, int64_t ms) {
+    ApplyEvacuations(set_, evacuation_list{{2, ++revision_}, requested},
+                     AtMs(ms));
+    return set_.list.domains;
+  }
+  void SetUp() override {
+    ApplyEvacuations(set_, evacuation_list{{1, 90}, {"a", "b"}}, AtMs(0));
+  }
+
+  evacuation_set set_;
+  uint64_t revision_ = 10;
+};
+
+// EVAC: requests of before a return of the store were forgotten, or kept until
+// its revisions had caught up.
+TEST_F(returned_evacuations, WhatWasHonouredStaysInForceUntilItIsWrittenAgain) {
+  EXPECT_EQ(Read({"b", "c"}, 1000), (domains{"a", "b"}));
+  EXPECT_EQ(Read({"a", "b", "c"}, 2000), (domains{"a", "b"}));
+  EXPECT_EQ(Read({"a", "b"}, 3500), (domains{"a", "b"}));
+}
+
+TEST_F(returned_evacuations, TheStoresWordCountsAfterTheTimeOfRewriting) {
+  Read({"b", "c"}, 1000);
+  EXPECT_EQ(Read({"b", "c"}, 3499), (domains{"a", "b"}));
+  EXPECT_EQ(Read({"b", "c"}, 3500), (domains{"b", "c"}));
+}
+
+TEST_F(returned_evacuations, ARequestAfterTheReturnIsHonouredAtOnce) {
+  Read({"b", "c"}, 1000);
+  EXPECT_EQ(Read({"b", "c", "d"}, 1500), (domains{"a", "b", "d"}));
+}
+
+TEST_F(returned_evacuations, AReportPassesOnWhatIsInForce) {
+  Read({"b", "c"}, 1000);
+  evacuation_set member;
+  ApplyEvacuations(member, evacuation_list{{1, 95}, {"a", "b"}}, AtMs(0));
+  ApplyEvacuationReport(member, MakeEvacuationReport(set_, AtMs(1100)),
+                        AtMs(1100));
+  EXPECT_EQ(member.list.domains, (domains{"a", "b"}));
+  EXPECT_EQ(member.list.revision, (store_revision{2, 11}));
+  Read({"b", "c"}, 3500);
+  ApplyEvacuationReport(member, MakeEvacuationReport(set_, AtMs(3700)),
+                        AtMs(3700));
+  EXPECT_EQ(member.list.domains, (domains{"b", "c"}));
+}
+
 TEST(EvacuationLimit, KeepsTheDomainsThatHaveUpstreams) {
   evacuation_list list{{0, 3}, {}};
   for (int i = 0; i < 100; ++i)
