--- a/src/direct/direct_balancer.cc
+++ b/src/direct/direct_balancer.cc
@@ -388,11 +388,26 @@
     starts_.RecordSuspension();
   }
 
+  /// Logs once that the list is of a later epoch than the lists before.
+  void DetectStoreReturn() {
+    const store_revision& known = state_.directory.revision;
+    if (known.epoch == logged_epoch_) return;
+    const uint64_t before = std::exchange(logged_epoch_, known.epoch);
+    if (before == 0) return;
+    ++counters_.store_returns;
+    Log(severity::kWarn, "epoch_entered",
+        {{"epoch_before", before},
+         {"epoch", known.epoch},
+         {"revision", known.number},
+         {"kept", CountKeptUpstreams(state_.directory)}});
+  }
+
   void MaintainState(time_point now) {
     DetectPause(now);
     starts_.Update(now);
     LogDirectoryChanges(DeregisterMissing(state_.directory, now),
                         state_.directory.revision.number);
+    DetectStoreReturn();
     FailOverdueRequests(state_.tracker, state_.directory, now);
     LogHealthChanges(UpdateHealthStates(state_, now), state_.directory);
     LogShareChanges(UpdateLoads(state_, now));
@@ -429,6 +444,7 @@
   interruption_monitor interruptions_;
   time_point started_at_ = clock::now();
   bool was_ready_ = false;
+  uint64_t logged_epoch_ = 0;  ///< Of the list, as last logged.
   std::array<uint8_t, kDatagramBytes> receive_buffer_{};
   /// Datagrams with headroom that arrived before IsReady().
   std::vector<std::vector<uint8_t>> held_packets_;
--- a/src/direct/direct_counters.cc
+++ b/src/direct/direct_counters.cc
@@ -132,6 +132,10 @@
              counters.opening_retransmissions);
   AddCounter(page, "radishyard_registry_reads_total",
              "Readings of the registry.", counters.registry_reads);
+  AddCounter(page, "radishyard_store_returns_total",
+             "Returns of the platform's store from an earlier copy, by the "
+             "lists in use.",
+             counters.store_returns);
   AddCounter(page, "radishyard_older_lists_total",
              "Of these, lists dropped as older than the one known.",
              counters.older_lists);
--- a/src/direct/direct_counters.h
+++ b/src/direct/direct_counters.h
@@ -17,6 +17,7 @@
   uint64_t send_failures = 0;  ///< Datagrams that could not be sent.
   uint64_t opening_retransmissions = 0;  ///< Retransmitted openings.
   uint64_t registry_reads = 0;           ///< Reads of the upstream list.
+  uint64_t store_returns = 0;            ///< Returns of the store from a copy.
   uint64_t older_lists = 0;              ///< Of these, lists dropped as older.
   uint64_t evacuation_reads = 0;         ///< Reads of the evacuation requests.
   /// Times that reads of the platform began to fail.
--- a/src/direct/upstream/upstream_directory.cc
+++ b/src/direct/upstream/upstream_directory.cc
@@ -225,6 +225,14 @@
   return changes;
 }
 
+uint64_t CountKeptUpstreams(const upstream_directory& directory) {
+  return static_cast<uint64_t>(
+      std::count_if(directory.upstreams.begin(), directory.upstreams.end(),
+                    [&directory](const auto& item) {
+                      return item.second.epoch < directory.revision.epoch;
+                    }));
+}
+
 void ConfirmList(upstream_directory& directory, const store_revision& revision,
                  time_point read_at) {
   DetectReturn(directory, revision, read_at);
--- a/src/direct/upstream/upstream_directory.h
+++ b/src/direct/upstream/upstream_directory.h
@@ -133,6 +133,10 @@
 std::vector<directory_change> DeregisterMissing(upstream_directory& directory,
                                                 time_point now);
 
+/// \brief Counts the upstreams that are known from an earlier epoch: the lists
+/// of the present one lack them, or have an outdated entry.
+uint64_t CountKeptUpstreams(const upstream_directory& directory);
+
 /// \brief The time since the end of the last outage that this balancer has
 /// observed; 0 during an outage.
 /// \returns nothing if entries that an outage has removed are back by now.
