Messages of other jobs leave direct/upstream

Pure moves but for one: load_message.h (load), evacuation_report.h (evacuation), silence_message.h and packet_codec.h (forward), grant_message.h (start_limit) and view_message.h (view) stand with their jobs; view_member.h stays, as several use it. RecordMemberLoad() takes the measurement instead of a whole report, so that the load folder does not use the exchange's messages. Its tests check the same.

--- a/bench/direct_bench.cc
+++ b/bench/direct_bench.cc
@@ -13,7 +13,7 @@
 constexpr uint32_t kServices = 30;
 
 upstream_list MakeUpstreamList(uint32_t count) {
-  upstream_list list{.revision = 1};
+  upstream_list list{.revision = {0, 1}};
   for (uint32_t i = 0; i < count; ++i)
     list.upstreams.push_back(
         {.id = 0x1000193ULL * (i + 1),
--- a/src/direct/direct_balancer.h
+++ b/src/direct/direct_balancer.h
@@ -5,7 +5,7 @@
 
 #include "base/asio.h"
 #include "direct/direct_settings.h"
-#include "direct/upstream/packet_codec.h"
+#include "direct/forward/packet_codec.h"
 #include "direct/view/registry.h"
 
 namespace radishyard {
--- a/src/direct/evacuation/evacuation.h
+++ b/src/direct/evacuation/evacuation.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/upstream/view_message.h"
+#include "direct/evacuation/evacuation_report.h"
 #include "store/answer_timing.h"
 #include "store/store_revision.h"
 
--- a/src/direct/forward/silence.h
+++ b/src/direct/forward/silence.h
@@ -9,9 +9,9 @@
 
 #include "base/time.h"
 #include "direct/forward/forwarder.h"
+#include "direct/forward/silence_message.h"
 #include "direct/upstream/silence_evidence.h"
 #include "direct/upstream/upstream_directory.h"
-#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/load/load_meter.h
+++ b/src/direct/load/load_meter.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/time.h"
+#include "direct/load/load_message.h"
 #include "direct/upstream/upstream_directory.h"
-#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/load/load_pool.cc
+++ b/src/direct/load/load_pool.cc
@@ -74,15 +74,15 @@
 
 }  // namespace
 
-void RecordMemberLoad(load_pool& pool, const view_report& report,
-                      time_point now) {
-  if (report.load.interval_ms == 0) return;
-  const bool is_new = !pool.members.contains(report.self.peer);
+void RecordMemberLoad(load_pool& pool, const endpoint& member,
+                      const member_load& load) {
+  if (load.load.interval_ms == 0) return;
+  const bool is_new = !pool.members.contains(member);
   // A member that does not estimate sums would otherwise keep the loads of all
   // balancers that it has ever heard.
-  if (is_new) RemoveExpiredMembers(pool, now);
+  if (is_new) RemoveExpiredMembers(pool, load.received_at);
   if (is_new && pool.members.size() >= kMaxMembers) return;
-  pool.members[report.self.peer] = {report.load, report.digest, now};
+  pool.members[member] = load;
 }
 
 std::optional<domain_sum> EstimateSum(load_pool& pool,
--- a/src/direct/load/load_pool.h
+++ b/src/direct/load/load_pool.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "base/time.h"
+#include "direct/load/load_message.h"
 #include "direct/load/service_load.h"
 #include "direct/upstream/upstream_directory.h"
-#include "direct/upstream/view_message.h"
 
 namespace radishyard {
 
@@ -45,8 +45,8 @@
 };
 
 /// \brief Records the measurement that a member of the own domain has reported.
-void RecordMemberLoad(load_pool& pool, const view_report& report,
-                      time_point now);
+void RecordMemberLoad(load_pool& pool, const endpoint& member,
+                      const member_load& load);
 
 /// \brief Estimates the sum of a domain from the members heard within
 /// kMaxLoadAge, scaled to the number of members.
--- a/src/direct/start_limit/cold_starts.h
+++ b/src/direct/start_limit/cold_starts.h
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "base/time.h"
+#include "direct/start_limit/grant_message.h"
 #include "direct/start_limit/start_claim.h"
 #include "direct/start_limit/start_limit.h"
-#include "direct/upstream/grant_message.h"
 #include "direct/upstream/routing_table.h"
 #include "direct/upstream/upstream_directory.h"
 
--- a/src/direct/start_limit/start_claim.h
+++ b/src/direct/start_limit/start_claim.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/upstream/grant_message.h"
-#include "direct/upstream/view_message.h"
+#include "direct/start_limit/grant_message.h"
+#include "direct/upstream/view_member.h"
 
 namespace radishyard {
 
--- a/src/direct/start_limit/start_limit.h
+++ b/src/direct/start_limit/start_limit.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/upstream/grant_message.h"
+#include "direct/start_limit/grant_message.h"
 #include "lease/lease_times.h"
 
 namespace radishyard {
--- a/src/direct/view/load_exchange.h
+++ b/src/direct/view/load_exchange.h
@@ -11,7 +11,7 @@
 
 #include "base/time.h"
 #include "direct/forward/forwarder.h"
-#include "direct/upstream/view_message.h"
+#include "direct/load/load_message.h"
 
 namespace radishyard {
 
--- a/src/direct/view/peer_exchange.cc
+++ b/src/direct/view/peer_exchange.cc
@@ -297,7 +297,8 @@
       if (!members_.known.contains(m.peer)) ContactMember(m, now);
     if (report.wants_reply) SendReply(report.self, now);
     if (state_.spill.is_enabled && report.self.domain == state_.domain)
-      RecordMemberLoad(state_.spill.pool, report, now);
+      RecordMemberLoad(state_.spill.pool, report.self.peer,
+                       {report.load, report.digest, now});
     ApplyOutcomes(state_, report.outcomes, now);
     ApplyConfirmation(table_confirmation_, report, state_.table.version, now);
     const bool has_new_evacuations =
--- a/src/direct/view/peer_exchange.h
+++ b/src/direct/view/peer_exchange.h
@@ -9,9 +9,9 @@
 
 #include "base/asio.h"
 #include "direct/forward/forwarder.h"
-#include "direct/upstream/view_message.h"
 #include "direct/view/peer_members.h"
 #include "direct/view/table_confirmation.h"
+#include "direct/view/view_message.h"
 #include "direct/view/view_sharing.h"
 #include "peer/peer_message.h"
 
--- a/src/direct/view/peer_members.h
+++ b/src/direct/view/peer_members.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "direct/upstream/view_message.h"
+#include "direct/upstream/view_member.h"
 
 namespace radishyard {
 
--- a/src/direct/view/snapshot_fetcher.h
+++ b/src/direct/view/snapshot_fetcher.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/asio.h"
-#include "direct/upstream/view_message.h"
+#include "direct/view/view_message.h"
 #include "direct/view/view_sources.h"
 #include "peer/peer_link.h"
 #include "store/answer_timing.h"
--- a/src/direct/view/snapshot_server.h
+++ b/src/direct/view/snapshot_server.h
@@ -5,8 +5,8 @@
 #include <memory>
 
 #include "base/asio.h"
-#include "direct/upstream/view_message.h"
 #include "direct/view/snapshot_pacing.h"
+#include "direct/view/view_message.h"
 #include "peer/peer_server.h"
 
 namespace radishyard {
--- a/src/direct/view/table_confirmation.h
+++ b/src/direct/view/table_confirmation.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 
 #include "base/time.h"
-#include "direct/upstream/view_message.h"
+#include "direct/view/view_message.h"
 
 namespace radishyard {
 
--- a/src/direct/upstream/view_message.h
+++ b/src/direct/view/view_message.h
@@ -9,20 +9,13 @@
 #include <string>
 #include <vector>
 
+#include "direct/evacuation/evacuation_report.h"
+#include "direct/load/load_message.h"
+#include "direct/upstream/view_member.h"
 #include "packet/flow_key.h"
 
 namespace radishyard {
 
-/// \brief A balancer as seen by other balancers.
-struct view_member {
-  endpoint peer;       ///< Address for reports (UDP) and snapshots (TCP).
-  std::string domain;  ///< Failure domain.
-  /// CPU share of the VM, in thousandths of a core. The balancers with the
-  /// largest shares read the platform's table and upstream list.
-  uint32_t capacity_millicores = 1;
-  auto operator<=>(const view_member&) const = default;
-};
-
 /// \brief Requests to one upstream that ended since the sender's last report.
 struct upstream_outcomes {
   uint64_t upstream = 0;
@@ -32,69 +25,9 @@
   auto operator<=>(const upstream_outcomes&) const = default;
 };
 
-/// \brief The load that the callers of one balancer, or of all balancers of a
-/// domain, cause on one service in one failure domain of upstreams.
-struct load_sample {
-  std::string service;
-  std::string domain;  ///< Failure domain of the upstreams.
-  /// Requests in service or queued, mean over the interval, in thousandths.
-  uint32_t busy_milli = 0;
-  uint32_t ended_milli_per_s = 0;  ///< Requests that ended, also failed ones.
-  uint32_t failures_milli_per_s = 0;  ///< Of these, failed ones.
-  auto operator<=>(const load_sample&) const = default;
-};
-
-/// \brief What a balancer has measured of its own load since its last report.
-struct load_report {
-  uint32_t interval_ms = 0;  ///< Time measured; 0 if nothing was.
-  std::vector<load_sample> samples;
-  /// Open flows on each upstream of the list with the report's digest, by
-  /// ascending id; 255 for more. Empty if the list is too long.
-  std::vector<uint8_t> upstream_flows;
-  auto operator<=>(const load_report&) const = default;
-};
-
-/// \brief The sum of the samples of all balancers of one domain.
-struct domain_sum {
-  std::string domain;   ///< Failure domain of the balancers.
-  uint32_t age_ms = 0;  ///< Mean time since its samples were received.
-  std::vector<load_sample> samples;
-  auto operator<=>(const domain_sum&) const = default;
-};
-
-/// \brief The sums that a reader sends to the members of its domain, or the sum
-/// of its own domain that it sends to another one.
-struct load_notice {
-  view_member sender;
-  std::vector<domain_sum> sums;
-  uint64_t list_digest = 0;  ///< ListDigest() of the list of `upstream_flows`.
-  /// Open flows on each upstream of that list, by ascending id, over the
-  /// balancers of the sender's domain; empty if not known.
-  std::vector<uint16_t> upstream_flows;
-  auto operator<=>(const load_notice&) const = default;
-};
-
 /// \brief Value of `outage_age_ms` if there has been no outage lately.
 inline constexpr uint32_t kNoOutage = UINT32_MAX;
 
-/// \brief Value of `table_age_ms` if the table was not confirmed lately.
-inline constexpr uint32_t kNotConfirmed = UINT32_MAX;
-
-/// \brief The evacuated failure domains as a balancer knows them; see
-/// evacuation.h.
-struct evacuation_report {
-  /// Fields that every version of the protocol has; see peer/peer_codec.
-  static constexpr size_t kRequiredFields = 4;
-  uint64_t revision = 0;  ///< Number of the revision; 0 if nothing is known.
-  /// Time since the platform confirmed the domains to the sender, or to a
-  /// balancer that reported to it; kNotConfirmed if neither has been the case.
-  uint32_t age_ms = kNotConfirmed;
-  bool is_read_by_sender = false;  ///< `age_ms` is of a read of the sender.
-  std::vector<std::string> domains;
-  uint64_t epoch = 0;  ///< Of the revision.
-  auto operator<=>(const evacuation_report&) const = default;
-};
-
 /// \brief The report that a balancer sends to others each second at least.
 struct view_report {
   /// Fields that every version of the protocol has; see peer/peer_codec.
@@ -122,34 +55,6 @@
   auto operator<=>(const view_report&) const = default;
 };
 
-/// \brief An upstream and the time since an event.
-struct upstream_age {
-  uint64_t upstream = 0;
-  uint32_t age_ms = 0;
-  auto operator<=>(const upstream_age&) const = default;
-};
-
-/// \brief An upstream that leaves data unanswered.
-struct silent_upstream {
-  /// Fields that every version of the protocol has; see peer/peer_codec.
-  static constexpr size_t kRequiredFields = 2;
-  uint64_t upstream = 0;
-  uint32_t age_ms = 0;  ///< Since the first unanswered data was forwarded.
-  /// IPv4 addresses of callers that have retransmitted the same data
-  /// repeatedly; see silent_caller.
-  std::vector<uint32_t> callers;
-  auto operator<=>(const silent_upstream&) const = default;
-};
-
-/// \brief Tells other balancers of upstreams that leave data unanswered, or
-/// contradicts such a notice.
-struct silence_notice {
-  endpoint sender;
-  std::vector<silent_upstream> silent;
-  std::vector<upstream_age> alive;  ///< Since the last sign of life.
-  auto operator<=>(const silence_notice&) const = default;
-};
-
 /// \brief Requests a snapshot.
 struct snapshot_request {
   uint64_t table_version = 0;      ///< Version that the sender has; 0 if none.
--- a/src/direct/view/view_sharing.h
+++ b/src/direct/view/view_sharing.h
@@ -6,7 +6,7 @@
 
 #include "base/time.h"
 #include "direct/forward/forwarder.h"
-#include "direct/upstream/view_message.h"
+#include "direct/view/view_message.h"
 
 namespace radishyard {
 
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -7,8 +7,10 @@
 #include <variant>
 #include <vector>
 
-#include "direct/upstream/grant_message.h"
-#include "direct/upstream/view_message.h"
+#include "direct/forward/silence_message.h"
+#include "direct/load/load_message.h"
+#include "direct/start_limit/grant_message.h"
+#include "direct/view/view_message.h"
 #include "roster/domain_summary.h"
 #include "roster/roster.h"
 #include "table/service_table.h"
--- a/test/spill_over_test.cc
+++ b/test/spill_over_test.cc
@@ -187,22 +187,17 @@
     RecordSum(pool, MakeSum(std::to_string(i).c_str(), 5), AtMs(10'000));
   EXPECT_FALSE(RecordSum(pool, MakeSum("b", 5), AtMs(12'000)));
   EXPECT_TRUE(RecordSum(pool, MakeSum("b", 5), AtMs(13'001)));
-  view_report report;
-  report.load.interval_ms = 1000;
-  for (uint16_t i = 0; i < 10; ++i) {
-    report.self.peer = {i, 2};
-    RecordMemberLoad(pool, report, AtMs(10'000 + 4000 * i));
-  }
+  const load_report load{.interval_ms = 1000};
+  for (uint16_t i = 0; i < 10; ++i)
+    RecordMemberLoad(pool, {i, 2}, {load, 0, AtMs(10'000 + 4000 * i)});
   EXPECT_EQ(pool.members.size(), 1U);
 }
 
 TEST(LoadPool, AnEstimateIsScaledToTheMembersNotHeard) {
   load_pool pool;
   const load_report own{1000, {{kService, "a", 2000, 0, 0}}, {}};
-  view_report report;
-  report.self = {{1, 2}, "a", 3};
-  report.load = {1000, {{kService, "a", 4000, 0, 0}}, {}};
-  RecordMemberLoad(pool, report, AtMs(9000));
+  const load_report load{1000, {{kService, "a", 4000, 0, 0}}, {}};
+  RecordMemberLoad(pool, {1, 2}, {load, 0, AtMs(9000)});
   const auto sum = EstimateSum(pool, "a", own, 3, AtMs(10'000));
   ASSERT_TRUE(sum);
   EXPECT_EQ(sum->samples.front().busy_milli, 12'000U);
--- a/test/support/direct_replay.cc
+++ b/test/support/direct_replay.cc
@@ -164,7 +164,8 @@
       sim_balancer& receiver = *by_peer_[to];
       RecordMember(receiver.members, report.self, Now());
       if (plan_.spill_over)
-        RecordMemberLoad(receiver.state.spill.pool, report, Now());
+        RecordMemberLoad(receiver.state.spill.pool, report.self.peer,
+                         {report.load, report.digest, Now()});
       ApplyOutcomes(receiver.state, report.outcomes, Now());
     }
     if (plan_.spill_over) SendNotices(b);
