--- a/src/direct/upstream/upstream_directory.cc
+++ b/src/direct/upstream/upstream_directory.cc
@@ -229,7 +229,9 @@
   return static_cast<uint64_t>(
       std::count_if(directory.upstreams.begin(), directory.upstreams.end(),
                     [&directory](const auto& item) {
-                      return item.second.epoch < directory.revision.epoch;
+                      const known_upstream& known = item.second;
+                      return known.phase != upstream_phase::kDeregistered &&
+                             known.epoch < directory.revision.epoch;
                     }));
 }
 
--- a/src/direct/upstream/upstream_directory.h
+++ b/src/direct/upstream/upstream_directory.h
@@ -109,7 +109,9 @@
 /// or its return from a copy: its entry may come back, so the upstream stays in
 /// use until then. An entry that only the copy explains, since the upstream has
 /// said something later before the return, is ignored for kCopiedEntryLifetime
-/// at most. \returns the changes of upstreams.
+/// at most.
+///
+/// \returns the changes of upstreams.
 std::vector<directory_change> UpdateDirectory(upstream_directory& directory,
                                               const upstream_list& list,
                                               time_point read_at,
@@ -129,12 +131,15 @@
 /// \brief Deregisters the missing upstreams once a list without them has been
 /// current after the time in which their entries come back. To be called
 /// several times a second: a balancer for which others read receives no list
-/// unless it differs from the last one. \returns the changes of upstreams.
+/// unless it differs from the last one.
+///
+/// \returns the changes of upstreams.
 std::vector<directory_change> DeregisterMissing(upstream_directory& directory,
                                                 time_point now);
 
-/// \brief Counts the upstreams that are known from an earlier epoch: the lists
-/// of the present one lack them, or have an outdated entry.
+/// \brief Counts the registered upstreams that are known from an earlier epoch
+/// of the store: no list of the present one has had an entry for them that
+/// counts.
 uint64_t CountKeptUpstreams(const upstream_directory& directory);
 
 /// \brief The time since the end of the last outage that this balancer has
