--- a/test/direct_balancer_test.cc
+++ b/test/direct_balancer_test.cc
@@ -83,7 +83,7 @@
   void ReadTable(store_handler<table_update> handler) override {
     asio::post(io_, [this, handler = std::move(handler)] {
       if (is_unreachable) return handler(std::nullopt, Unreachable());
-      handler(table_update{table, 1}, {});
+      handler(table_update{table, {0, 1}}, {});
     });
   }
   void WatchTable(const store_revision& revision, duration wait,
