--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -479,6 +479,7 @@
   flow.timer = std::make_unique<asio::steady_timer>(io_);
   const flow_id id(flow.caller, flow.port);
   first_sent_[id] = flow.sent;
+  sent_.push_back(flow.sent);
   ++totals_["flows begun"];
   caller_flows_[id] = std::move(flow);
   SendOpening(caller_flows_[id]);
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -154,6 +154,8 @@
 
   radishyard::platform::store_stand_in& store() { return *store_; }
   const std::vector<opening>& openings() const { return openings_; }
+  /// \brief When each flow was sent first.
+  const std::vector<time_point>& sent() const { return sent_; }
   const bounds limits;
 
  private:
@@ -206,6 +208,7 @@
   std::map<flow_id, caller_flow> caller_flows_;
   std::map<flow_id, time_point> first_sent_;
   std::vector<opening> openings_;
+  std::vector<time_point> sent_;
   std::map<std::string, uint64_t> totals_;
   asio::steady_timer readiness_timer_{io_};
   asio::steady_timer beat_timer_{io_};
