--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -4,5 +4,5 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-[ -x target/review-3/recovery ] && [ -x target/radishyard_edge ] || exit 2
-exec target/review-3/recovery target/radishyard_edge "$folder"
+[ -x target/review-3/evacuation ] && [ -x target/radishyard_edge ] || exit 2
+exec target/review-3/evacuation target/radishyard_edge "$folder"
--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cpp
@@ -157,25 +157,28 @@
   // The seeds come with their control port; the program puts its own in.
   for (const auto& other : edges_)
     if (seeds.size() < 3) seeds.push_back(ToText(other->address, 8166));
-  return {{"name", vm.name},
-          {"domain", vm.zone},
-          {"cores", vm.cores},
-          {"link_mbps", 100},
-          {"traffic", ToText(vm.address, kTrafficPort)},
-          {"ready", ToText(vm.address, kReadyPort)},
-          {"metrics", ToText(vm.address, kMetricsPort)},
-          {"peer", ToText(vm.address, kPeerPort)},
-          {"peers", seeds},
-          {"first_start", false},
-          {"platform", ToText(INADDR_LOOPBACK, store_->port())},
-          {"drain_bound_ms", limits.drain_ms},
-          {"edit_bound_ms", limits.edit_ms},
-          {"evacuation_bound_ms", limits.evacuate_ms},
-          {"spill_over", true},
-          {"admission", true},
-          {"start_overage", limits.cold_overage},
-          {"start_slack", limits.cold_slack},
-          {"stop_grace_ms", 6000}};
+  json settings = {{"name", vm.name},
+                   {"domain", vm.zone},
+                   {"cores", vm.cores},
+                   {"link_mbps", 100},
+                   {"traffic", ToText(vm.address, kTrafficPort)},
+                   {"ready", ToText(vm.address, kReadyPort)},
+                   {"metrics", ToText(vm.address, kMetricsPort)},
+                   {"peer", ToText(vm.address, kPeerPort)},
+                   {"peers", seeds},
+                   {"first_start", false},
+                   {"platform", ToText(INADDR_LOOPBACK, store_->port())},
+                   {"drain_bound_ms", limits.drain_ms},
+                   {"edit_bound_ms", limits.edit_ms},
+                   {"spill_over", true},
+                   {"admission", true},
+                   {"stop_grace_ms", 6000}};
+  // A site without these bounds has none of these settings.
+  if (limits.evacuate_ms == 0) return settings;
+  settings["evacuation_bound_ms"] = limits.evacuate_ms;
+  settings["start_overage"] = limits.cold_overage;
+  settings["start_slack"] = limits.cold_slack;
+  return settings;
 }
 
 void world::Start(edge& vm) {
@@ -377,7 +380,7 @@
           if (id != 0 && id != server.id) continue;
           const auto p =
               Decode(std::span(buffer).subspan(kIdBytes, size - kIdBytes));
-          if (p) Handle(server, *p);
+          if (p) Handle(server, *p, from.address().to_v4().to_uint());
         }
         Receive(server);
       });
@@ -402,7 +405,7 @@
       udp::endpoint(asio::ip::address_v4(in.source), kTrafficPort), 0, ignored);
 }
 
-void world::Handle(upstream& server, const packet& p) {
+void world::Handle(upstream& server, const packet& p, uint32_t from) {
   const flow_id id(p.source, p.source_port);
   const auto found = server.flows.find(id);
   if ((p.flags & kSyn) != 0) {
@@ -410,8 +413,8 @@
       upstream::flow flow;
       flow.sequence = static_cast<uint32_t>(random_());
       flow.arrived = clock::now();
-      const edge* const via = SelectEdge(server.zone, p.source, p.source_port);
-      flow.via = via == nullptr ? "" : via->name;
+      for (const auto& vm : edges_)
+        if (vm->address == from) flow.via = vm->name;
       server.flows[id] = flow;
     }
     return SendToCaller(server, p, kSyn | kAck, server.flows[id].sequence, {});
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -41,7 +41,7 @@
 struct bounds {
   int drain_ms = 5000;
   int edit_ms = 5000;
-  int evacuate_ms = 5000;
+  int evacuate_ms = 5000;  ///< 0: the site has no evacuations.
   int stable_window_ms = 5000;
   double cold_overage = 1.5;
   double cold_slack = 5;
@@ -54,7 +54,7 @@
   int64_t born = 0;    ///< Of its incarnation.
   time_point sent;     ///< When the caller sent the first opening packet.
   time_point arrived;  ///< When the upstream took it.
-  std::string via;     ///< The balancer that the router selected.
+  std::string via;     ///< The balancer that sent the opening on.
 };
 
 /// \brief An upstream. Its id stays the same when it starts again.
@@ -177,7 +177,7 @@
   void CheckAll();
   json MakeSettings(const edge& vm) const;
   void Receive(upstream& server);
-  void Handle(upstream& server, const packet& p);
+  void Handle(upstream& server, const packet& p, uint32_t from);
   void Answer(upstream& server, flow_id id);
   void SendToCaller(upstream& server, const packet& in, uint8_t flags,
                     uint32_t sequence, std::vector<uint8_t> data);
