--- a/review/standins-3/evacuation_main.cpp
+++ b/review/standins-3/evacuation_main.cpp
@@ -12,6 +12,7 @@
 constexpr int kFlowsPerSecond = 60;
 constexpr size_t kUpstreams = 4;
 constexpr int kRounds = 1;
+constexpr milliseconds kAway = 200ms;
 
 uint64_t CountReads(world& w) {
   const auto& counts = w.store().request_counts();
@@ -28,7 +29,13 @@
   const uint64_t reads = CountReads(w);
   w.RunUntil([&] { return CountReads(w) > reads; }, 5s);
   w.RunFor(100ms);
-  if (HasTrouble()) w.ReturnStoreFromCopy();
+  if (HasTrouble()) {
+    w.Record("store: away");
+    w.store().SetFault({.closes_connection = true});
+    w.RunFor(kAway);
+    w.store().SetFault({});
+    w.ReturnStoreFromCopy();
+  }
   const time_point returned_at = clock::now();
   w.RunFor(150ms);
   const time_point acknowledged_at =
